--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"pinerock/internal/wire"
+	"notchhinge/internal/wire"
 )
 
 func main() {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"pinerock/policy"
+	"notchhinge/policy"
 )
 
 // A Host runs the balancers of many instances. They share nothing but the process.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"pinerock/policy"
+	"notchhinge/policy"
 )
 
 // micros is a time in microseconds as the settings give it.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"pinerock/policy"
+	"notchhinge/policy"
 )
 
 func unhex(t testing.TB, text string) []byte {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"pinerock/policy"
+	"notchhinge/policy"
 )
 
 // gateway stands for the operator's own code, which carries the decisions out.
