--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,394 @@
+package broker
+
+import (
+	"hash/fnv"
+	"time"
+
+	"notchhinge/internal/deadline"
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+// Broker is the reducer: Reduce is the only thing that changes it. It is not safe for concurrent use.
+type Broker struct {
+	lim       limits.Limits
+	module    *policy.Balancer
+	now       time.Duration
+	effects   []Effect
+	later     []func() // outcomes that the module is told once it has returned from the present call
+	due       *deadline.Queue[due]
+	lastID    policy.RequestID
+	auths     map[policy.RequestID]*auth
+	byParty   map[Acquirer]*auth
+	hosts     map[policy.ReplicaID]*Host
+	hostNames map[string]policy.ReplicaID
+	counts    Counters
+}
+
+type auth struct {
+	id       policy.RequestID
+	from     Acquirer
+	deadline time.Duration
+	key      deadline.Key
+	legs     []*leg
+	bound    *leg
+	over     bool // has its final answer, or the acquirer left
+	gone     bool // the acquirer left
+	running  int  // legs that have not been told to the module as ended
+}
+
+type leg struct {
+	id    LegID
+	host  policy.ReplicaID
+	at    time.Duration
+	key   deadline.Key
+	ended bool // its one outcome was told
+}
+
+// due is what a deadline is for: a leg, an authorisation, a parked line or a timer of the module.
+type due struct {
+	auth  *auth
+	leg   *leg
+	line  uint64 // never 0
+	token uint64
+}
+
+// New returns a broker that knows no issuer hosts yet.
+func New(s policy.Settings, seed uint64, lim limits.Limits) (*Broker, error) {
+	module, err := policy.New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Broker{
+		lim: lim, module: module, due: deadline.New[due](),
+		auths: map[policy.RequestID]*auth{}, byParty: map[Acquirer]*auth{},
+		hosts: map[policy.ReplicaID]*Host{}, hostNames: map[string]policy.ReplicaID{},
+		counts: Counters{Outcomes: map[int]int{}},
+	}, nil
+}
+
+// Next tells when the broker wants a Tick.
+func (b *Broker) Next() (at time.Duration, ok bool) { return b.due.Next() }
+
+// Open tells how many authorisations wait for the end of their answer.
+func (b *Broker) Open() int { return len(b.byParty) }
+
+// Reduce takes an event in and returns what is to be done. All that is due by now comes first. The effects
+// are valid until the next call.
+func (b *Broker) Reduce(now time.Duration, e Event) []Effect {
+	b.now = max(b.now, now) // the module's clock never goes back
+	clear(b.effects)
+	b.effects = b.effects[:0]
+	for d, ok := b.due.Due(b.now); ok; d, ok = b.due.Due(b.now) {
+		b.fire(d)
+		b.settle()
+	}
+	b.take(e)
+	b.settle()
+	return b.effects
+}
+
+// settle tells the module what its own actions have brought about.
+func (b *Broker) settle() {
+	for len(b.later) > 0 {
+		f := b.later[0]
+		b.later = b.later[1:]
+		f()
+	}
+	b.later = nil
+}
+
+func (b *Broker) do(e Effect) { b.effects = append(b.effects, e) }
+
+func (b *Broker) take(e Event) {
+	switch e := e.(type) {
+	case Taken:
+		b.taken(e)
+	case Declined:
+		b.counts.Declined++
+	case Departed:
+		b.departed(e.From)
+	case LegBegan:
+		b.began(e.Leg)
+	case LegEnded:
+		if a, l := b.leg(e.Leg); l != nil && !l.ended {
+			b.end(a, l, e.Result, e.Kept, e.Report)
+		}
+	case Probed:
+		b.module.Probed(b.now, b, policy.ProbeResult{
+			Replica: e.Host, Result: e.Result, Elapsed: b.now - e.Sent, Report: e.Report,
+		})
+	case Listed:
+		b.listed(e)
+	case Parked:
+		b.due.Add(b.now+b.lim.IssuerIdle, due{line: e.Line})
+	case Note:
+		b.do(Log{string(e)})
+	case Audit:
+		c := b.counts
+		c.Open = b.Open()
+		c.Outcomes = map[int]int{}
+		for k, n := range b.counts.Outcomes {
+			c.Outcomes[k] = n
+		}
+		b.do(Counted{c})
+	}
+}
+
+func (b *Broker) taken(e Taken) {
+	if b.byParty[e.From] != nil {
+		return
+	}
+	if len(b.byParty) >= b.lim.Open {
+		// More would need more descriptors than there are; the module need not know of what cannot be sent.
+		b.counts.Declined++
+		b.do(Decline{To: e.From, RetryAfter: b.lim.SpareAnswer})
+		return
+	}
+	b.counts.Taken++
+	b.lastID++
+	a := &auth{id: b.lastID, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn}
+	a.key = b.due.Add(a.deadline, due{auth: a})
+	b.auths[a.id], b.byParty[a.from] = a, a
+	e.Request.ID, e.Request.ExpiresIn = a.id, a.deadline-b.now
+	b.module.Arrive(b.now, b, e.Request)
+}
+
+func (b *Broker) departed(from Acquirer) {
+	a := b.byParty[from]
+	if a == nil {
+		return
+	}
+	b.counts.Gone++
+	a.gone = true
+	b.close(a)
+	b.module.Departed(b.now, b, a.id)
+	// What the module does not call off itself runs for nobody: a begun stream, or legs that may not be called
+	// off by the settings. Their outcome says nothing of the issuer host.
+	for _, l := range a.legs {
+		if !l.ended {
+			b.drop(a, l, policy.Cancelled)
+		}
+	}
+}
+
+// close ends an authorisation towards its acquirer. Legs that still run keep it known.
+func (b *Broker) close(a *auth) {
+	a.over = true
+	b.due.Remove(a.key)
+	delete(b.byParty, a.from)
+	b.forget(a)
+}
+
+func (b *Broker) forget(a *auth) {
+	if a.over && a.running == 0 {
+		delete(b.auths, a.id)
+	}
+}
+
+func (b *Broker) leg(id LegID) (*auth, *leg) {
+	a := b.auths[id.Auth]
+	if a == nil || id.N < 0 || id.N >= len(a.legs) {
+		return nil, nil
+	}
+	return a, a.legs[id.N]
+}
+
+// began binds the authorisation to the leg whose first event came first; the others are called off.
+func (b *Broker) began(id LegID) {
+	a, l := b.leg(id)
+	if l == nil || l.ended || a.over || a.bound != nil {
+		b.do(DropLeg{id})
+		return
+	}
+	a.bound = l
+	b.due.Remove(a.key)
+	b.due.Remove(l.key)
+	b.do(Bind{id})
+	b.module.Started(b.now, b, policy.Started{ID: a.id, Attempt: id.N, Replica: l.host, Elapsed: b.now - l.at})
+	for _, other := range a.legs {
+		if other != l && !other.ended {
+			b.drop(a, other, policy.Cancelled)
+		}
+	}
+}
+
+// drop abandons a leg and tells its outcome, once the module has returned.
+func (b *Broker) drop(a *auth, l *leg, r policy.Result) {
+	b.do(DropLeg{l.id})
+	b.endLater(a, l, r)
+}
+
+func (b *Broker) endLater(a *auth, l *leg, r policy.Result) {
+	l.ended = true
+	b.due.Remove(l.key)
+	b.later = append(b.later, func() { b.tell(a, l, r, 0, policy.Report{}) })
+}
+
+func (b *Broker) end(a *auth, l *leg, r policy.Result, kept float64, p policy.Report) {
+	l.ended = true
+	b.due.Remove(l.key)
+	b.tell(a, l, r, kept, p)
+}
+
+// tell gives the module the one outcome of a leg. The end of a bound leg, whole or not, ends the authorisation.
+func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, p policy.Report) {
+	a.running--
+	b.counts.Outcomes[int(r)]++
+	if a.bound == l && !a.over {
+		if r == policy.OK {
+			b.counts.Served++
+		} else {
+			b.counts.Broken++
+		}
+		b.close(a)
+	}
+	b.module.Finished(b.now, b, policy.Outcome{
+		ID: a.id, Attempt: l.id.N, Replica: l.host, Result: r, Elapsed: b.now - l.at,
+		Ended: a.over || a.bound != nil, KeptTokens: kept, Report: p,
+	})
+	b.forget(a)
+}
+
+func (b *Broker) fire(d due) {
+	switch {
+	case d.leg != nil:
+		if !d.leg.ended {
+			b.do(DropLeg{d.leg.id})
+			b.end(d.auth, d.leg, policy.TimedOut, 0, policy.Report{})
+		}
+	case d.auth != nil:
+		// The legs time out with the authorisation, and the module answers then. Should it have nothing out,
+		// it is answered here, lest an acquirer wait for ever.
+		for _, l := range d.auth.legs {
+			if !l.ended {
+				b.do(DropLeg{l.id})
+				b.end(d.auth, l, policy.TimedOut, 0, policy.Report{})
+				b.settle()
+			}
+		}
+		if !d.auth.over {
+			b.Fail(d.auth.id)
+		}
+	case d.line != 0:
+		b.do(HangUp{d.line})
+	default:
+		b.module.Timer(b.now, b, d.token)
+	}
+}
+
+func (b *Broker) listed(e Listed) {
+	l := policy.List{Kind: e.Kind}
+	if e.Kind != policy.ListFailed && e.Kind != policy.ListCached {
+		b.counts.Lists++
+		b.counts.Lines += len(e.Hosts)
+	}
+	for _, h := range e.Hosts {
+		id := b.hostID(h.Name)
+		b.hosts[id] = &h
+		l.Replicas = append(l.Replicas, policy.Replica{
+			ID: id, Zone: h.Zone, Cell: h.Cell, State: h.State, Weight: h.Weight, ReadyAt: h.BornAt,
+		})
+	}
+	b.module.Listed(b.now, b, l)
+}
+
+// hostID gives a host its number. It is a hash of the name, since the module draws by it and all routers
+// should draw alike; two names that meet are told apart.
+func (b *Broker) hostID(name string) policy.ReplicaID {
+	if id, ok := b.hostNames[name]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := policy.ReplicaID(h.Sum32())
+	for b.hosts[id] != nil {
+		id++
+	}
+	b.hostNames[name] = id
+	return id
+}
+
+// The broker is the module's policy.Actions.
+var _ policy.Actions = (*Broker)(nil)
+
+// Send implements policy.Actions. It enforces what the module may have overlooked: a leg for an authorisation
+// that is over or bound, or beyond the most legs, or to an unknown host, is moot.
+func (b *Broker) Send(id policy.RequestID, to policy.ReplicaID, timeout time.Duration) {
+	a := b.auths[id]
+	if a == nil {
+		return
+	}
+	l := &leg{id: LegID{id, len(a.legs)}, host: to, at: b.now}
+	a.legs = append(a.legs, l)
+	a.running++
+	h := b.hosts[to]
+	until := a.deadline
+	if timeout != 0 {
+		until = min(until, b.now+timeout)
+	}
+	if h == nil || a.over || a.bound != nil || len(a.legs) > b.lim.Attempts || until <= b.now {
+		b.endLater(a, l, policy.Moot)
+		return
+	}
+	b.counts.Legs++
+	if until < a.deadline {
+		l.key = b.due.Add(until, due{auth: a, leg: l})
+	}
+	b.do(SendLeg{Leg: l.id, From: a.from, Host: to, Dial: h.Dial, Wait: until - b.now})
+}
+
+// Refuse implements policy.Actions.
+func (b *Broker) Refuse(id policy.RequestID, retryAfter time.Duration) {
+	b.answer(id, false, retryAfter)
+}
+
+// Fail implements policy.Actions.
+func (b *Broker) Fail(id policy.RequestID) { b.answer(id, true, 0) }
+
+func (b *Broker) answer(id policy.RequestID, failed bool, retryAfter time.Duration) {
+	a := b.auths[id]
+	if a == nil || a.over || a.bound != nil {
+		return // an answer for what is over is no fault and does nothing
+	}
+	if failed {
+		b.counts.Failed++
+	} else {
+		b.counts.Refused++
+	}
+	b.do(Decline{To: a.from, Failed: failed, RetryAfter: retryAfter})
+	b.close(a)
+	for _, l := range a.legs {
+		if !l.ended {
+			b.drop(a, l, policy.Cancelled)
+		}
+	}
+}
+
+// Cancel implements policy.Actions.
+func (b *Broker) Cancel(id policy.RequestID, attempt int) {
+	a, l := b.leg(LegID{id, attempt})
+	if l == nil || l.ended || a.bound == l && !a.gone {
+		return // a begun stream is the acquirer's
+	}
+	b.drop(a, l, policy.Cancelled)
+}
+
+// Probe implements policy.Actions.
+func (b *Broker) Probe(to policy.ReplicaID) {
+	if h := b.hosts[to]; h != nil {
+		b.counts.Probes++
+		b.do(Probe{Host: to, Dial: h.Dial, Sent: b.now})
+	}
+}
+
+// Watch implements policy.Actions.
+func (b *Broker) Watch() { b.do(Watch{}) }
+
+// Wake implements policy.Actions.
+func (b *Broker) Wake(after time.Duration, token uint64) {
+	b.due.Add(b.now+max(after, 1), due{token: token}) // never within the turn that asks
+}
+
+// Log implements policy.Actions.
+func (b *Broker) Log(line string) { b.do(Log{line}) }
--- /dev/null
+++ b/internal/broker/events.go
@@ -0,0 +1,152 @@
+// Package broker is the core: it owns every authorisation, leg and issuer host, and drives the decision
+// module. It knows no wire: what happens comes in as events, and what is to be done goes out as effects.
+package broker
+
+import (
+	"time"
+
+	"notchhinge/policy"
+)
+
+// Acquirer is the party that an authorisation came from, and its identity for as long as it is open. Only
+// the fronts and the legs look inside; the broker compares and passes it on.
+type Acquirer any
+
+// LegID names one leg: the authorisation's own number and the place among its legs, counted from 0.
+type LegID struct {
+	Auth policy.RequestID
+	N    int
+}
+
+// Host is an entry of the list of issuer hosts.
+type Host struct {
+	Name   string // the same at every router
+	Dial   string // where this router reaches it
+	Zone   int
+	Cell   int
+	State  policy.State
+	Weight float64
+	BornAt time.Duration // its latest start on the clock of the events; 0 = long ago
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+type (
+	// Taken: an authorisation has come in whole. Its ID is the broker's to give.
+	Taken struct {
+		From    Acquirer
+		At      time.Duration // of its last byte; its time runs from there
+		Request policy.Request
+	}
+	// Declined: a front turned a message down by itself; it is only counted.
+	Declined struct{}
+	// Departed: the acquirer has gone.
+	Departed struct{ From Acquirer }
+	// LegBegan: the first event of an answer is there, and waits for Bind or DropLeg.
+	LegBegan struct{ Leg LegID }
+	// LegEnded: a leg is over. Each SendLeg is followed by exactly one.
+	LegEnded struct {
+		Leg    LegID
+		Result policy.Result
+		Kept   float64
+		Report policy.Report
+	}
+	// Probed answers a Probe.
+	Probed struct {
+		Host   policy.ReplicaID
+		Sent   time.Duration
+		Result policy.Result
+		Report policy.Report
+	}
+	// Listed is news from discovery.
+	Listed struct {
+		Kind  policy.ListKind
+		Hosts []Host
+	}
+	// Parked: a line to an issuer host is idle, and is to be hung up before the host closes it.
+	Parked struct{ Line uint64 }
+	// Tick: something may be due.
+	Tick struct{}
+	// Audit asks for the counters.
+	Audit struct{}
+	// Note is a line for the staff.
+	Note string
+)
+
+func (Taken) event()    {}
+func (Declined) event() {}
+func (Departed) event() {}
+func (LegBegan) event() {}
+func (LegEnded) event() {}
+func (Probed) event()   {}
+func (Listed) event()   {}
+func (Parked) event()   {}
+func (Tick) event()     {}
+func (Audit) event()    {}
+func (Note) event()     {}
+
+// Effect is something to be done. Doing it must not wait.
+type Effect interface{ effect() }
+
+type (
+	// SendLeg starts a leg at an issuer host, which may take Wait for its first event.
+	SendLeg struct {
+		Leg  LegID
+		From Acquirer
+		Host policy.ReplicaID
+		Dial string
+		Wait time.Duration
+	}
+	// Bind gives the acquirer to the leg: it passes its answer on.
+	Bind struct{ Leg LegID }
+	// DropLeg abandons a leg.
+	DropLeg struct{ Leg LegID }
+	// Decline is a final answer that serves nothing.
+	Decline struct {
+		To         Acquirer
+		Failed     bool          // with no promise; otherwise trying again is harmless
+		RetryAfter time.Duration // 0 = no advice
+	}
+	// Probe asks an issuer host for a sign of life.
+	Probe struct {
+		Host policy.ReplicaID
+		Dial string
+		Sent time.Duration
+	}
+	// HangUp closes a line if it is still parked under that number.
+	HangUp struct{ Line uint64 }
+	// Watch asks discovery for changes from now on.
+	Watch struct{}
+	// Log is a line for the staff.
+	Log struct{ Line string }
+	// Counted answers Audit.
+	Counted struct{ Counters Counters }
+)
+
+func (SendLeg) effect() {}
+func (Bind) effect()    {}
+func (DropLeg) effect() {}
+func (Decline) effect() {}
+func (Probe) effect()   {}
+func (HangUp) effect()  {}
+func (Watch) effect()   {}
+func (Log) effect()     {}
+func (Counted) effect() {}
+
+// Counters tell what a router took in, sent and answered since its start.
+type Counters struct {
+	Taken    int
+	Declined int         // by a front, before the module saw them
+	Legs     int         // sent
+	Outcomes map[int]int // of legs, by policy.Result
+	Served   int
+	Broken   int // streams that broke after their first event
+	Refused  int
+	Failed   int
+	Gone     int // acquirers that left before their answer
+	Probes   int
+	Lists    int // answers of discovery
+	Lines    int // entries in them
+	Open     int // authorisations now
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,135 @@
+// Package config reads what a router is told at its start: the environment, the platform's JSON and, where
+// the second front is wanted, its own file.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"notchhinge/internal/limits"
+	"notchhinge/internal/registry"
+	"notchhinge/internal/wire"
+	"notchhinge/policy"
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Known     registry.List
+	Settings  policy.Settings
+	Columns   []string // names of the values of a load report on the wire, as the settings give them
+	Zones     []string // names of the zones, by their numbers
+	Piggyback bool     // any answer may carry a load report
+	Limits    limits.Limits
+}
+
+// file mirrors the platform's JSON.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    registry.List   `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// rest mirrors those settings that the decision module has no use for; the adapter's parser reads the others.
+type rest struct {
+	AZs    []string `json:"azs"`
+	Limits struct {
+		ConnectTimeout float64 `json:"connectTimeout"`
+		IdleClose      float64 `json:"idleClose"`
+		MaxOpen        int     `json:"maxOpen"`
+	} `json:"limits"`
+	Report struct {
+		Columns []string `json:"columns"`
+		How     string   `json:"how"`
+	} `json:"report"`
+}
+
+// Load reads the file that BALANCER_CONFIG names; the other variables override what it says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("BALANCER_CONFIG")
+	if path == "" {
+		return nil, errors.New("BALANCER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(text []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	for name, to := range map[string]*string{
+		"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*to = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": f.Listen, "discovery": f.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if !(f.Limits.Cores > 0 && f.Limits.Cores <= 1024) || f.Limits.MemoryMB < 16 || f.Limits.Sockets < 64 {
+		return nil, fmt.Errorf("limits: cores %v, memory_mb %d, sockets %d: above 0, 16 or more and 64 or more wanted",
+			f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets)
+	}
+	settings, err := wire.ParseSettings(f.Settings)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := policy.New(settings, seed); err != nil { // the module checks its settings itself
+		return nil, err
+	}
+	var r rest
+	if err := json.Unmarshal(f.Settings, &r); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var longest time.Duration
+	for _, g := range settings.Classes {
+		longest = max(longest, g.Deadline)
+	}
+	if r.Limits.IdleClose <= 0 {
+		return nil, errors.New("settings: limits.idleClose must be above 0")
+	}
+	return &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Known: f.Known,
+		Settings: settings, Columns: r.Report.Columns, Zones: r.AZs, Piggyback: r.Report.How == "piggyback",
+		Limits: limits.New(
+			limits.Machine{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets},
+			limits.Site{
+				ConnectTimeout: micros(r.Limits.ConnectTimeout), IdleClose: micros(r.Limits.IdleClose),
+				MaxOpen: r.Limits.MaxOpen, MaxAttempts: settings.Limits.MaxAttempts, LongestDeadline: longest,
+			}),
+	}, nil
+}
+
+func micros(us float64) time.Duration { return time.Duration(us * float64(time.Microsecond)) }
--- /dev/null
+++ b/internal/issuer/events.go
@@ -0,0 +1,83 @@
+package issuer
+
+import (
+	"bytes"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"notchhinge/policy"
+)
+
+// events cuts a stream behind its events.
+type events struct {
+	from io.Reader
+	most int
+	buf  []byte
+	sent int // of buf
+	err  error
+}
+
+// next returns the whole events that have come in, waiting for one at least. With the stream's end it returns
+// what is left and the reason: io.EOF if the stream is whole. A part is valid until the next call.
+func (e *events) next() ([]byte, error) {
+	n := copy(e.buf[:cap(e.buf)], e.buf[e.sent:])
+	e.buf, e.sent = e.buf[:n], 0
+	for {
+		if e.err != nil {
+			e.sent = len(e.buf)
+			return e.buf, e.err
+		}
+		if len(e.buf) == cap(e.buf) {
+			if len(e.buf) >= e.most { // too long to be kept whole
+				e.sent = len(e.buf)
+				return e.buf, nil
+			}
+			e.buf = append(make([]byte, 0, min(2*cap(e.buf), e.most)), e.buf...)
+		}
+		n, err := e.from.Read(e.buf[len(e.buf):cap(e.buf)])
+		e.buf, e.err = e.buf[:len(e.buf)+n], err
+		if end := max(endOf(e.buf, "\n\n"), endOf(e.buf, "\n\r\n")); end > 0 {
+			e.sent = end
+			if e.sent < len(e.buf) {
+				return e.buf[:e.sent], nil
+			}
+			return e.buf[:e.sent], e.err
+		}
+	}
+}
+
+// endOf tells where the last mark in b ends, or -1.
+func endOf(b []byte, mark string) int {
+	if at := bytes.LastIndex(b, []byte(mark)); at >= 0 {
+		return at + len(mark)
+	}
+	return -1
+}
+
+// ParseReport reads a load report, whose names are the settings' own. Values that it lacks are 0; one without
+// any known name counts as none.
+func ParseReport(text string, columns []string) policy.Report {
+	var r policy.Report
+	found := false
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if !ok {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		for i, c := range columns {
+			if c == name && i < len(r.Values) {
+				r.Values[i], found = v, true
+			}
+		}
+	}
+	if found {
+		r.N = min(len(columns), len(r.Values))
+	}
+	return r
+}
--- /dev/null
+++ b/internal/issuer/issuer.go
@@ -0,0 +1,355 @@
+// Package issuer speaks with issuer hosts: it keeps the lines to them, runs legs and probes, and says how
+// each ended.
+package issuer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+// Order is what a leg sends. But for the budget it is passed on as it came.
+type Order struct {
+	Method, Target, Host string
+	CallID, ContentType  string
+	Body                 []byte
+}
+
+// Customer is the acquirer as a leg sees it.
+type Customer interface {
+	// Order is what the acquirer asked for.
+	Order() *Order
+	// Relay passes whole events on, at once.
+	Relay(events []byte) error
+	// Finish ends the answer: whole, or as a stream that broke.
+	Finish(whole bool) error
+}
+
+// Config is what a Client is made of.
+type Config struct {
+	Lim       limits.Limits
+	Columns   []string // of load reports
+	Stats     bool     // a probe asks for the load report
+	Piggyback bool     // any answer may carry one
+	Post      func(broker.Event)
+	Dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Client does what the broker asks of issuer hosts.
+type Client struct {
+	Config
+	pool pool
+	mu   sync.Mutex
+	legs map[broker.LegID]*leg
+}
+
+// New returns a client.
+func New(c Config) *Client {
+	return &Client{
+		Config: c, legs: map[broker.LegID]*leg{},
+		pool: pool{lim: c.Lim, dial: c.Dial, post: c.Post, idle: map[string][]*line{}},
+	}
+}
+
+// leg is a leg that is out.
+type leg struct {
+	cancel  context.CancelFunc
+	verdict chan struct{} // the leg is bound
+	line    *line
+	dropped bool
+}
+
+// Send does broker.SendLeg. It does not wait.
+func (c *Client) Send(e broker.SendLeg) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &leg{cancel: cancel, verdict: make(chan struct{}, 1)}
+	c.mu.Lock()
+	c.legs[e.Leg] = l
+	c.mu.Unlock()
+	go c.run(ctx, l, e)
+}
+
+// Bind does broker.Bind.
+func (c *Client) Bind(id broker.LegID) {
+	if l := c.find(id); l != nil {
+		l.verdict <- struct{}{} // at most one Bind a leg, so that there is room
+	}
+}
+
+// Drop does broker.DropLeg: the leg's line is closed, whatever it is at.
+func (c *Client) Drop(id broker.LegID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.legs[id]
+	if l == nil {
+		return
+	}
+	l.dropped = true
+	l.cancel()
+	if l.line != nil {
+		l.line.Close()
+	}
+}
+
+func (c *Client) find(id broker.LegID) *leg {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.legs[id]
+}
+
+// HangUp does broker.HangUp.
+func (c *Client) HangUp(number uint64) { c.pool.hangUp(number) }
+
+// Close closes the idle lines.
+func (c *Client) Close() { c.pool.closeAll() }
+
+func (c *Client) run(ctx context.Context, l *leg, e broker.SendLeg) {
+	end := broker.LegEnded{Leg: e.Leg}
+	var keep *line
+	defer func() {
+		l.cancel()
+		c.mu.Lock()
+		delete(c.legs, e.Leg)
+		dropped := l.dropped
+		c.mu.Unlock()
+		c.Post(end)
+		if keep != nil && !dropped {
+			c.pool.put(keep)
+		} else if l.line != nil {
+			l.line.Close()
+		}
+	}()
+	began := time.Now()
+	ln, err := c.pool.get(ctx, e.Dial, min(c.Lim.ConnectWait, e.Wait))
+	if err != nil {
+		end.Result = policy.ConnectFailed
+		return
+	}
+	c.mu.Lock()
+	l.line = ln
+	dropped := l.dropped
+	c.mu.Unlock()
+	customer := e.From.(Customer)
+	if dropped {
+		end.Result = policy.ConnectFailed
+		return
+	}
+	ln.SetWriteDeadline(began.Add(e.Wait))
+	if _, err := ln.Write(head(customer.Order(), e.Wait-time.Since(began))); err != nil {
+		end.Result = policy.ConnectFailed // not written to its last byte, so that it cannot have run
+		return
+	}
+	resp, err := readResponse(ln.br)
+	if err != nil {
+		end.Result = policy.Reset // a stale line ends here too: nothing is sent again behind the module's back
+		return
+	}
+	if c.Piggyback {
+		end.Report = ParseReport(resp.Header.Get(loadHeader), c.Columns)
+	}
+	if resp.StatusCode != http.StatusOK {
+		end.Result = refusal(resp)
+		if drained(ln, resp) {
+			keep = ln
+		}
+		return
+	}
+	if c.stream(ctx, ln, resp, l, e, customer, &end) {
+		keep = ln
+	}
+}
+
+const (
+	loadHeader     = "X-Load-Report"
+	rejectedHeader = "X-Rejected"
+)
+
+// refusal is the outcome of an answer that is not 200.
+func refusal(resp *http.Response) policy.Result {
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get(rejectedHeader) == "1" {
+			return policy.Full
+		}
+	}
+	return policy.Error
+}
+
+// drained reads the rest of a small answer, so that its line can serve again.
+func drained(ln *line, resp *http.Response) bool {
+	const small, soon = 4 << 10, 100 * time.Millisecond
+	ln.SetReadDeadline(time.Now().Add(soon))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, small))
+	return err == nil && n < small && !resp.Close
+}
+
+// stream passes a stream on once the leg is bound, and tells whether the line can serve again.
+func (c *Client) stream(ctx context.Context, ln *line, resp *http.Response, l *leg, e broker.SendLeg, to Customer,
+	end *broker.LegEnded) bool {
+	ev := events{from: resp.Body, most: c.Lim.EventBytes, buf: make([]byte, 0, c.Lim.ReadBuffer)}
+	part, err := ev.next()
+	if len(part) == 0 {
+		// An answer without any event is not a stream; one that breaks before its first event is a reset.
+		end.Result = policy.Reset
+		if errors.Is(err, io.EOF) {
+			end.Result = policy.Error
+		}
+		return false
+	}
+	c.Post(broker.LegBegan{Leg: e.Leg})
+	if !l.bound(ctx) {
+		end.Result = policy.Cancelled
+		return false
+	}
+	for {
+		c.note(part, end)
+		if werr := to.Relay(part); werr != nil {
+			c.Post(broker.Departed{From: e.From})
+			end.Result = policy.Cancelled
+			return false
+		}
+		if err != nil {
+			break
+		}
+		ln.SetReadDeadline(time.Now().Add(c.Lim.StreamWait))
+		part, err = ev.next()
+		if len(part) == 0 && err != nil {
+			break
+		}
+	}
+	whole := errors.Is(err, io.EOF)
+	if werr := to.Finish(whole); !whole {
+		end.Result = policy.Reset
+	} else if werr != nil {
+		c.Post(broker.Departed{From: e.From})
+		end.Result = policy.Cancelled
+	} else {
+		end.Result = policy.OK
+	}
+	return whole && !resp.Close
+}
+
+// bound waits until the broker has said whether the leg is the acquirer's.
+func (l *leg) bound(ctx context.Context) bool {
+	select {
+	case <-l.verdict:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// note takes from passing events what the module wants to know.
+func (c *Client) note(part []byte, end *broker.LegEnded) {
+	const kept = `"cached_tokens":`
+	if at := bytes.LastIndex(part, []byte(kept)); at >= 0 {
+		digits := bytes.TrimLeft(part[at+len(kept):], " ")
+		n := 0
+		for n < len(digits) && n < 15 && digits[n] >= '0' && digits[n] <= '9' {
+			n++
+		}
+		if v, err := strconv.Atoi(string(digits[:n])); err == nil {
+			end.Kept = float64(v)
+		}
+	}
+	const comment = "\n: " + loadHeader + ":"
+	if at := bytes.LastIndex(part, []byte(comment)); c.Piggyback && at >= 0 {
+		text, _, _ := bytes.Cut(part[at+len(comment):], []byte("\n"))
+		end.Report = ParseReport(string(text), c.Columns)
+	}
+}
+
+// Probe does broker.Probe. It does not wait.
+func (c *Client) Probe(e broker.Probe) {
+	go func() {
+		p := broker.Probed{Host: e.Host, Sent: e.Sent}
+		p.Result, p.Report = c.probe(e.Dial)
+		c.Post(p)
+	}()
+}
+
+func (c *Client) probe(addr string) (policy.Result, policy.Report) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Lim.ProbeWait)
+	defer cancel()
+	ln, err := c.pool.get(ctx, addr, c.Lim.ConnectWait)
+	if err != nil {
+		return policy.ConnectFailed, policy.Report{}
+	}
+	path := "/health/live"
+	if c.Stats {
+		path = "/stats"
+	}
+	ln.SetDeadline(time.Now().Add(c.Lim.ProbeWait))
+	if _, err := io.WriteString(ln, "GET "+path+" HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
+		ln.Close()
+		return policy.ConnectFailed, policy.Report{}
+	}
+	resp, err := readResponse(ln.br)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(io.LimitReader(resp.Body, int64(c.Lim.ReadBuffer)))
+	}
+	if err != nil || resp.Close || len(body) >= c.Lim.ReadBuffer {
+		ln.Close()
+	} else {
+		c.pool.put(ln)
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return policy.TimedOut, policy.Report{}
+	case err != nil:
+		return policy.Reset, policy.Report{}
+	case resp.StatusCode != http.StatusOK:
+		return policy.Error, policy.Report{}
+	}
+	text := string(body)
+	if h := resp.Header.Get(loadHeader); h != "" {
+		text = h
+	}
+	return policy.OK, ParseReport(text, c.Columns)
+}
+
+// readResponse reads the head of an answer, past any interim ones.
+func readResponse(br *bufio.Reader) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
+// head writes an order out, with the time that is left as its budget.
+func head(o *Order, left time.Duration) []byte {
+	b := make([]byte, 0, 512+len(o.Body))
+	b = append(b, o.Method...)
+	b = append(b, ' ')
+	b = append(b, o.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, o.Host...)
+	b = append(b, "\r\nX-Call-Id: "...)
+	b = append(b, o.CallID...)
+	b = append(b, "\r\nX-Budget: "...)
+	b = strconv.AppendInt(b, max(left.Microseconds(), 1), 10)
+	b = append(b, 'u')
+	if o.ContentType != "" {
+		b = append(b, "\r\nContent-Type: "...)
+		b = append(b, o.ContentType...)
+	}
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(o.Body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, o.Body...)
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,107 @@
+// Package limits holds every size, count and time that the program keeps to. One value is filled at start
+// from the configuration and handed down; nothing reads a limit from anywhere else.
+package limits
+
+import "time"
+
+// Machine is what the deployment grants one router.
+type Machine struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// Site is what the settings say of times and counts, beside what the decision module reads itself.
+type Site struct {
+	ConnectTimeout  time.Duration
+	IdleClose       time.Duration
+	MaxOpen         int
+	MaxAttempts     int
+	LongestDeadline time.Duration
+}
+
+// Limits are the figures of one running program.
+type Limits struct {
+	Procs       int   // cores that Go may use
+	MemoryBytes int64 // soft limit of the Go heap
+
+	HeadBytes   int   // head of one message
+	BodyBytes   int   // body of one message
+	BodiesBytes int64 // all bodies held at once
+	ReadBuffer  int   // of one connection
+	EventBytes  int   // one event of a stream that is kept whole
+
+	AcquirerConns int // connections from acquirers at once
+	SpareConns    int // further ones, kept only for as long as it takes to decline one authorisation
+	Open          int // authorisations at once
+	IssuerConns   int // connections to issuer hosts, idle ones included
+	IdlePerHost   int // idle connections kept to one issuer host
+	Attempts      int // legs of one authorisation
+
+	HeadWait    time.Duration // for a whole head, from its first byte
+	BodyWait    time.Duration // for a whole body
+	WriteWait   time.Duration // for one write to an acquirer that does not read
+	ConnectWait time.Duration
+	IssuerIdle  time.Duration // an idle connection to an issuer host is closed after this
+	StreamWait  time.Duration // between two events of a stream
+	ProbeWait   time.Duration
+	MaxBudget   time.Duration // no authorisation waits longer, whatever it asks for
+
+	WatchWait   time.Duration // what a watch asks discovery to wait
+	WatchSlack  time.Duration // and what it is given beyond that
+	ListBytes   int64         // one answer of discovery
+	SpareAnswer time.Duration // Retry-After of what is declined for want of room
+
+	DrainIdle   time.Duration // after SIGTERM: idle acquirer connections are closed
+	DrainListen time.Duration // after SIGTERM: the listener is closed
+}
+
+// reserve is kept for what is neither an acquirer's nor an issuer host's: the standard streams, the listener,
+// the poller, discovery, probes and connections that are just being closed.
+const reserve = 48
+
+// New returns the limits of a program on such a machine at such a site.
+func New(m Machine, s Site) Limits {
+	l := Limits{
+		Procs:       max(1, int(m.Cores+0.999)),
+		MemoryBytes: int64(m.MemoryMB) << 20 * 3 / 4,
+
+		HeadBytes:   16 << 10,
+		BodyBytes:   256 << 10,
+		BodiesBytes: int64(m.MemoryMB) << 20 / 4,
+		ReadBuffer:  4 << 10,
+		EventBytes:  64 << 10,
+
+		SpareConns:  16,
+		IdlePerHost: 64,
+		Attempts:    max(s.MaxAttempts, 1),
+
+		HeadWait:    5 * time.Second,
+		BodyWait:    10 * time.Second,
+		WriteWait:   10 * time.Second,
+		ConnectWait: s.ConnectTimeout,
+		IssuerIdle:  s.IdleClose - max(s.IdleClose/5, 250*time.Millisecond),
+		StreamWait:  30 * time.Second,
+		ProbeWait:   time.Second,
+		MaxBudget:   max(4*s.LongestDeadline, time.Minute),
+
+		WatchWait:   20 * time.Second,
+		WatchSlack:  2 * time.Second,
+		ListBytes:   8 << 20,
+		SpareAnswer: 500 * time.Millisecond,
+
+		DrainIdle:   450 * time.Millisecond,
+		DrainListen: 600 * time.Millisecond,
+	}
+	if l.ConnectWait <= 0 {
+		l.ConnectWait = time.Second
+	}
+	usable := max(m.Sockets-reserve-l.SpareConns, 8)
+	l.AcquirerConns = usable / 2
+	l.IssuerConns = usable - l.AcquirerConns
+	l.Open = l.IssuerConns
+	if s.MaxOpen > 0 {
+		l.Open = min(l.Open, s.MaxOpen)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,178 @@
+// Package registry speaks with discovery: it keeps one watch on the list of issuer hosts.
+package registry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+// List is an answer of discovery.
+type List struct {
+	Seq   uint64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []Entry `json:"hosts"`
+}
+
+// Entry is one issuer host in it.
+type Entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS float64 `json:"born_ms"`
+}
+
+// Entries turns a list's entries into the broker's. Zones go by their place in the settings; one that they do
+// not name is far from every other.
+func (l List) Entries(zones []string) ([]broker.Host, error) {
+	hosts := make([]broker.Host, 0, len(l.Hosts))
+	for _, e := range l.Hosts {
+		h := broker.Host{Name: e.Host, Dial: e.Dial, Zone: -1, Cell: e.Block, Weight: e.Share}
+		switch e.Health {
+		case "Ready":
+			h.State = policy.Ready
+		case "Terminating":
+			h.State = policy.Draining
+		case "Gone":
+			h.State = policy.Gone
+		default:
+			return nil, fmt.Errorf("host %q: health %q is unknown", e.Host, e.Health)
+		}
+		if e.Host == "" || !(e.BornMS >= 0 && e.BornMS < 1e15/2) {
+			return nil, fmt.Errorf("host %q: name or born_ms %v is bad", e.Host, e.BornMS)
+		}
+		h.BornAt = time.Duration(e.BornMS * float64(time.Millisecond))
+		for i, z := range zones {
+			if z == e.Site {
+				h.Zone = i
+			}
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts, nil
+}
+
+// Client keeps the watch. Its calls follow one another on one connection.
+type Client struct {
+	Addr  string
+	Zones []string
+	Lim   limits.Limits
+	Post  func(broker.Event)
+	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	seq   uint64
+	known bool
+	conn  net.Conn
+	br    *bufio.Reader
+}
+
+// Known sets the list that the router starts with.
+func (c *Client) Known(l List) { c.seq, c.known = l.Seq, len(l.Hosts) > 0 }
+
+// Run watches each time it is asked to, until a call fails, which it reports. Asking while a watch is on is
+// no further call.
+func (c *Client) Run(ctx context.Context, asked <-chan struct{}) {
+	defer c.hangUp()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-asked:
+		}
+		err := c.watch(ctx)
+		c.hangUp()
+		if ctx.Err() != nil {
+			return
+		}
+		c.Post(broker.Listed{Kind: policy.ListFailed})
+		c.Post(broker.Note("discovery: " + err.Error()))
+	}
+}
+
+// watch calls again and again, each call right after the answer to the last, so that the watch goes on.
+func (c *Client) watch(ctx context.Context) error {
+	for {
+		l, err := c.call(ctx)
+		if err != nil {
+			return err
+		}
+		hosts, err := l.Entries(c.Zones)
+		if err != nil {
+			return err
+		}
+		c.seq, c.known = l.Seq, true
+		kind := policy.ListDelta
+		if l.Whole {
+			kind = policy.ListFull
+		}
+		c.Post(broker.Listed{Kind: kind, Hosts: hosts})
+	}
+}
+
+func (c *Client) call(ctx context.Context) (l List, err error) {
+	if c.conn == nil {
+		dctx, cancel := context.WithTimeout(ctx, c.Lim.WatchSlack)
+		defer cancel()
+		conn, err := c.Dial(dctx, "tcp", c.Addr)
+		if err != nil {
+			return l, err
+		}
+		c.conn, c.br = conn, bufio.NewReaderSize(conn, c.Lim.ReadBuffer)
+	}
+	conn := c.conn
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	path, wait := "/registry/instances", c.Lim.WatchSlack
+	if c.known {
+		path += "?after=" + strconv.FormatUint(c.seq, 10) + "&wait_ms=" + strconv.FormatInt(c.Lim.WatchWait.Milliseconds(), 10)
+		wait += c.Lim.WatchWait
+	}
+	if err := c.conn.SetDeadline(time.Now().Add(wait)); err != nil {
+		return l, err
+	}
+	if _, err := io.WriteString(c.conn, "GET "+path+" HTTP/1.1\r\nHost: "+c.Addr+"\r\n\r\n"); err != nil {
+		return l, err
+	}
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return l, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.Lim.ListBytes+1))
+	switch {
+	case err != nil:
+		return l, err
+	case resp.StatusCode != http.StatusOK:
+		return l, fmt.Errorf("answered %s", resp.Status)
+	case int64(len(body)) > c.Lim.ListBytes:
+		return l, errors.New("the list is too long")
+	}
+	if err := json.Unmarshal(body, &l); err != nil {
+		return l, err
+	}
+	if resp.Close {
+		c.hangUp()
+	}
+	return l, nil
+}
+
+func (c *Client) hangUp() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn, c.br = nil, nil
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,188 @@
+// Package router puts the parts of the program together and runs them.
+package router
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"notchhinge/internal/acquirer"
+	"notchhinge/internal/broker"
+	"notchhinge/internal/config"
+	"notchhinge/internal/issuer"
+	"notchhinge/internal/registry"
+	"notchhinge/policy"
+)
+
+// Router is one program's worth of parts.
+type Router struct {
+	cfg    *config.Config
+	log    *slog.Logger
+	broker *broker.Broker
+	loop   *broker.Loop
+	issuer *issuer.Client
+	list   *registry.Client
+	front  *acquirer.Server
+	asked  chan struct{}
+	ready  atomic.Bool
+}
+
+// Dialer opens connections.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New makes a router out of its configuration.
+func New(cfg *config.Config, log *slog.Logger, dial Dialer, clock broker.Clock) (*Router, error) {
+	b, err := broker.New(cfg.Settings, cfg.Seed, cfg.Limits)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{cfg: cfg, log: log, broker: b, asked: make(chan struct{}, 1)}
+	r.loop = broker.NewLoop(b, clock, r.perform)
+	r.issuer = issuer.New(issuer.Config{
+		Lim: cfg.Limits, Columns: cfg.Columns, Stats: len(cfg.Columns) > 0, Piggyback: cfg.Piggyback,
+		Post: r.loop.Post, Dial: dial,
+	})
+	r.list = &registry.Client{Addr: cfg.Discovery, Zones: cfg.Zones, Lim: cfg.Limits, Post: r.listed, Dial: dial}
+	classes := map[string]int{}
+	for i, c := range cfg.Settings.Classes {
+		classes[c.Name] = i
+	}
+	r.front = &acquirer.Server{
+		Lim: cfg.Limits, Classes: classes, Post: r.loop.Post, Now: r.loop.Now, Ready: r.ready.Load,
+	}
+	return r, nil
+}
+
+// listed passes news of the list on; with the first host the router is ready.
+func (r *Router) listed(e broker.Event) {
+	if l, ok := e.(broker.Listed); ok && len(l.Hosts) > 0 {
+		r.ready.Store(true)
+	}
+	r.loop.Post(e)
+}
+
+// perform has an effect done by its owner. It does not wait.
+func (r *Router) perform(e broker.Effect) {
+	switch e := e.(type) {
+	case broker.SendLeg:
+		r.issuer.Send(e)
+	case broker.Bind:
+		r.issuer.Bind(e.Leg)
+	case broker.DropLeg:
+		r.issuer.Drop(e.Leg)
+	case broker.HangUp:
+		r.issuer.HangUp(e.Line)
+	case broker.Probe:
+		r.issuer.Probe(e)
+	case broker.Decline:
+		go e.To.(decliner).Decline(e.Failed, e.RetryAfter)
+	case broker.Watch:
+		select {
+		case r.asked <- struct{}{}:
+		default: // asked already
+		}
+	case broker.Log:
+		r.log.Info(e.Line)
+	case broker.Counted:
+		r.print(e.Counters)
+	}
+}
+
+// decliner is what every acquirer is, whatever its front.
+type decliner interface {
+	Decline(failed bool, retryAfter time.Duration)
+}
+
+// outcomes names the outcomes of legs, by policy.Result.
+func outcomes() [8]string {
+	return [...]string{
+		policy.OK: "ok", policy.Error: "error", policy.Full: "full", policy.TimedOut: "timed_out",
+		policy.ConnectFailed: "connect_failed", policy.Reset: "reset", policy.Cancelled: "cancelled", policy.Moot: "moot",
+	}
+}
+
+func (r *Router) print(c broker.Counters) {
+	var legs []any
+	for i, name := range outcomes() {
+		if n := c.Outcomes[i]; n > 0 {
+			legs = append(legs, slog.Int(name, n))
+		}
+	}
+	r.log.Info("counters", "taken", c.Taken, "declined", c.Declined, "open", c.Open, "legs", c.Legs,
+		slog.Group("outcomes", legs...),
+		slog.Group("answers", "served", c.Served, "broken", c.Broken, "refused", c.Refused, "failed", c.Failed, "gone", c.Gone),
+		"probes", c.Probes, "lists", c.Lists, "list_lines", c.Lines)
+}
+
+// Signals are what the outside asks of a running router.
+type Signals struct {
+	Stop  <-chan os.Signal // drain and return
+	Audit <-chan os.Signal // print the counters
+}
+
+// Serve runs the router until it is stopped and owes nothing more.
+func (r *Router) Serve(sig Signals) error {
+	runtime.GOMAXPROCS(r.cfg.Limits.Procs)
+	debug.SetMemoryLimit(r.cfg.Limits.MemoryBytes)
+	ln, err := net.Listen("tcp", r.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	return r.ServeOn(ln, sig)
+}
+
+// ServeOn is Serve on a listener that is already open.
+func (r *Router) ServeOn(ln net.Listener, sig Signals) error {
+	defer ln.Close()
+	known, err := r.cfg.Known.Entries(r.cfg.Zones)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() { r.loop.Run(ctx); close(ended) }()
+	r.list.Known(r.cfg.Known)
+	r.listed(broker.Listed{Kind: policy.ListCached, Hosts: known})
+	go r.list.Run(ctx, r.asked)
+	served := make(chan error, 1)
+	go func() { served <- r.front.Serve(ln) }()
+	for {
+		select {
+		case err := <-served:
+			return err
+		case <-sig.Audit:
+			r.loop.Post(broker.Audit{})
+		case <-sig.Stop:
+			r.drain(ctx, ln)
+			r.issuer.Close()
+			r.loop.Post(broker.Audit{})
+			r.loop.Idle(ctx) // the loop has come past the audit
+			cancel()
+			<-ended
+			return nil
+		}
+	}
+}
+
+// drain ends a router in order. Connections keep arriving for a while after SIGTERM, so that the listener
+// outlives it; what is open on others is closed with its answer, and nothing that was taken is left behind.
+func (r *Router) drain(ctx context.Context, ln net.Listener) {
+	r.log.Info("draining")
+	began := time.Now()
+	r.front.Drain()
+	time.Sleep(r.cfg.Limits.DrainIdle)
+	r.front.CloseIdle()
+	time.Sleep(r.cfg.Limits.DrainListen - time.Since(began))
+	ln.Close()
+	r.front.CloseIdle()
+	r.loop.Idle(ctx)
+	r.front.CloseIdle()
+	r.front.Wait(ctx)
+}
