--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -26,10 +26,12 @@
 // badConfig is an error of the configuration; the program ends with exit code 2.
 type badConfig struct{ error }
 
-type serve struct{}
+type serve struct {
+	Batch string `help:"Turn the batch front on, as this file says (deploy/batch.toml)." type:"existingfile" placeholder:"FILE"`
+}
 
 // Run runs a router until SIGTERM or SIGINT; SIGUSR1 prints its counters.
-func (serve) Run() error {
+func (s serve) Run() error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return badConfig{err}
@@ -42,17 +44,37 @@
 	if err != nil {
 		return badConfig{err}
 	}
+	if s.Batch != "" {
+		b, err := cfg.LoadBatch(s.Batch, os.Getenv)
+		if err != nil {
+			return badConfig{err}
+		}
+		ln, err := net.Listen("tcp", b.Listen)
+		if err != nil {
+			return err
+		}
+		if err := r.Batch(b, ln); err != nil {
+			return err
+		}
+	}
 	return r.Serve(router.Signals{Stop: stop, Audit: audit})
 }
 
-type checkConfig struct{}
+type checkConfig struct {
+	Batch string `help:"Check the batch front's file, too." type:"existingfile" placeholder:"FILE"`
+}
 
 // Run loads the configuration as serve does.
-func (checkConfig) Run() error {
+func (c checkConfig) Run() error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return badConfig{err}
 	}
+	if c.Batch != "" {
+		if _, err := cfg.LoadBatch(c.Batch, os.Getenv); err != nil {
+			return badConfig{err}
+		}
+	}
 	fmt.Printf("router %s on %s: %d classes, %d known issuer hosts\n",
 		cfg.Name, cfg.Listen, len(cfg.Settings.Classes), len(cfg.Known.Hosts))
 	return nil
--- /dev/null
+++ b/internal/batch/attempt.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"notchhinge/internal/issuer"
+	"notchhinge/policy"
+)
+
+// attempt is one authorisation made for a line: the acquirer that the broker and the legs see.
+type attempt struct {
+	desk  *Desk
+	try   *try
+	order issuer.Order
+	got   collector
+}
+
+// end is how an attempt ended.
+type end struct {
+	kind         int
+	retryAfter   time.Duration
+	code, reason string
+	body         json.RawMessage
+}
+
+const (
+	endServed = iota
+	endRefused
+	endFailed
+	endBroken // a stream that broke; the line may be tried again whole
+)
+
+func newAttempt(d *Desk, w *try) *attempt {
+	return &attempt{
+		desk: d, try: w, got: collector{most: d.lim.AnswerBytes},
+		order: issuer.Order{
+			Method: "POST", Target: endpoint, Host: "batch.notchhinge", CallID: fmt.Sprintf("%016x", rand.Uint64()),
+			ContentType: "application/json", Body: w.body,
+		},
+	}
+}
+
+// Order implements issuer.Customer.
+func (a *attempt) Order() *issuer.Order { return &a.order }
+
+// Relay implements issuer.Customer: what comes is collected.
+func (a *attempt) Relay(events []byte) error {
+	err := a.got.add(events)
+	if errors.Is(err, errAnswerTooLong) {
+		a.desk.ended(a, end{kind: endFailed, code: "answer_too_long", reason: err.Error()})
+	}
+	return err
+}
+
+// Finish implements issuer.Customer.
+func (a *attempt) Finish(whole bool) error {
+	switch {
+	case whole:
+		a.desk.ended(a, end{kind: endServed, body: a.got.answer()})
+	case a.desk.classes[a.try.job.rec.Class].Effect == policy.Safe:
+		a.desk.ended(a, end{kind: endBroken})
+	default:
+		a.desk.ended(a, end{kind: endFailed, code: "broken", reason: "the answer broke off"})
+	}
+	return nil
+}
+
+// Decline is the broker's final answer that serves nothing.
+func (a *attempt) Decline(failedForGood bool, retryAfter time.Duration) {
+	if failedForGood {
+		a.desk.ended(a, end{kind: endFailed, code: "timed_out", reason: "not served in time"})
+		return
+	}
+	a.desk.ended(a, end{kind: endRefused, retryAfter: retryAfter})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"notchhinge/internal/batch"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/registry"
 	"notchhinge/internal/wire"
@@ -132,4 +133,21 @@
 	}, nil
 }
 
+// LoadBatch reads the file of the batch front. It listens on loopback only.
+func (c *Config) LoadBatch(path string, getenv func(string) string) (*batch.Config, error) {
+	classes := map[string]int{}
+	for i, k := range c.Settings.Classes {
+		classes[k.Name] = i
+	}
+	b, err := batch.Load(path, classes, getenv)
+	if err != nil {
+		return nil, err
+	}
+	host, _, err := net.SplitHostPort(b.Listen)
+	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+		return nil, fmt.Errorf("%s: listen: %q is no loopback address with a port", path, b.Listen)
+	}
+	return b, nil
+}
+
 func micros(us float64) time.Duration { return time.Duration(us * float64(time.Microsecond)) }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -52,6 +52,15 @@
 	ListBytes   int64         // one answer of discovery
 	SpareAnswer time.Duration // Retry-After of what is declined for want of room
 
+	FileBytes   int64         // of one uploaded batch file
+	LineBytes   int           // of one line in it
+	AnswerBytes int           // of one line's collected answer
+	JSONBytes   int64         // of one message to the batch API that is not a file
+	TeamJobs    int           // batches of one team that are not at their end
+	DeclineWait time.Duration // before a declined line is tried again, where no Retry-After says
+	FeedIdle    time.Duration // between two comments on a feed where nothing happens
+	BatchDrain  time.Duration // for answers of the batch API that are under way at the end
+
 	DrainIdle   time.Duration // after SIGTERM: idle acquirer connections are closed
 	DrainListen time.Duration // after SIGTERM: the listener is closed
 }
@@ -90,6 +99,15 @@
 		ListBytes:   8 << 20,
 		SpareAnswer: 500 * time.Millisecond,
 
+		FileBytes:   64 << 20,
+		LineBytes:   256<<10 + 4<<10,
+		AnswerBytes: 1 << 20,
+		JSONBytes:   64 << 10,
+		TeamJobs:    64,
+		DeclineWait: 500 * time.Millisecond,
+		FeedIdle:    15 * time.Second,
+		BatchDrain:  time.Second,
+
 		DrainIdle:   450 * time.Millisecond,
 		DrainListen: 600 * time.Millisecond,
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -13,6 +15,7 @@
 	"time"
 
 	"notchhinge/internal/acquirer"
+	"notchhinge/internal/batch"
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
 	"notchhinge/internal/issuer"
@@ -31,6 +34,8 @@
 	front  *acquirer.Server
 	asked  chan struct{}
 	ready  atomic.Bool
+	desk   *batch.Desk // nil where the batch front is off
+	door   net.Listener
 }
 
 // Dialer opens connections.
@@ -59,6 +64,40 @@
 	return r, nil
 }
 
+// Batch turns the second front on, at a listener.
+func (r *Router) Batch(cfg *batch.Config, ln net.Listener) error {
+	desk, err := batch.NewDesk(batch.Options{
+		Config: cfg, Lim: r.cfg.Limits, Classes: r.cfg.Settings.Classes, Post: r.loop.Post, Now: r.loop.Now, Log: r.log,
+	})
+	r.desk, r.door = desk, ln
+	return err
+}
+
+// serveBatch runs the second front, if it is on, and returns what ends it.
+func (r *Router) serveBatch(served chan<- error) (stop func()) {
+	if r.desk == nil {
+		return func() {}
+	}
+	halt := make(chan struct{})
+	go r.desk.Run(halt)
+	lim := r.cfg.Limits
+	web := &http.Server{Handler: r.desk.Handler(), ReadHeaderTimeout: lim.HeadWait, MaxHeaderBytes: lim.HeadBytes}
+	go func() {
+		if err := web.Serve(r.door); !errors.Is(err, http.ErrServerClosed) {
+			served <- err
+		}
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lim.BatchDrain)
+		defer cancel()
+		if web.Shutdown(ctx) != nil {
+			web.Close() // feeds stay open as long as their batch; their clients take them up again
+		}
+		close(halt)
+		r.desk.Close()
+	}
+}
+
 // listed passes news of the list on; with the first host the router is ready.
 func (r *Router) listed(e broker.Event) {
 	if l, ok := e.(broker.Listed); ok && len(l.Hosts) > 0 {
@@ -151,7 +190,8 @@
 	r.list.Known(r.cfg.Known)
 	r.listed(broker.Listed{Kind: policy.ListCached, Hosts: known})
 	go r.list.Run(ctx, r.asked)
-	served := make(chan error, 1)
+	served := make(chan error, 2)
+	stopBatch := r.serveBatch(served)
 	go func() { served <- r.front.Serve(ln) }()
 	for {
 		select {
@@ -160,7 +200,11 @@
 		case <-sig.Audit:
 			r.loop.Post(broker.Audit{})
 		case <-sig.Stop:
+			if r.desk != nil {
+				r.desk.Stop()
+			}
 			r.drain(ctx, ln)
+			stopBatch()
 			r.issuer.Close()
 			r.loop.Post(broker.Audit{})
 			r.loop.Idle(ctx) // the loop has come past the audit
