--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,241 @@
+package broker
+
+import (
+	"fmt"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+const sec = time.Second
+
+func settings() policy.Settings {
+	return policy.Settings{
+		Gateways: 1, Zones: 1, ColdFrom: 0.5, WarmUp: sec, DrainGrace: sec / 2, AskDiscovery: true, AskWithin: 10 * sec,
+		Classes: []policy.Class{{Name: "chat", Aim: sec, Deadline: 10 * sec, Worth: 1, Streaming: true}},
+		Limits:  policy.Limits{Cancel: true, Probes: true, RetryAfter: true, MaxAttempts: 3, MaxRetryAfter: 2 * sec},
+	}
+}
+
+// rig is a broker with hosts and the effects of its last turn, one word each.
+type rig struct {
+	*Broker
+	t   *testing.T
+	now time.Duration
+}
+
+func newRig(t *testing.T, hosts int, change func(*limits.Limits)) *rig {
+	t.Helper()
+	lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024},
+		limits.Site{ConnectTimeout: sec / 10, IdleClose: 5 * sec, MaxAttempts: 3, LongestDeadline: 10 * sec})
+	if change != nil {
+		change(&lim)
+	}
+	b, err := New(settings(), 7, lim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{Broker: b, t: t, now: 1000 * sec}
+	var l Listed
+	for i := range hosts {
+		l.Hosts = append(l.Hosts, Host{Name: fmt.Sprint("h", i), Dial: fmt.Sprint("d", i), Weight: 1})
+	}
+	l.Kind = policy.ListFull
+	r.Reduce(r.now, l)
+	return r
+}
+
+func (r *rig) turn(at time.Duration, e Event) []string {
+	var words []string
+	for _, f := range r.Reduce(r.now+at, e) {
+		switch f := f.(type) {
+		case SendLeg:
+			words = append(words, fmt.Sprintf("send %d.%d for %v", f.Leg.Auth, f.Leg.N, f.Wait))
+		case Bind:
+			words = append(words, fmt.Sprintf("bind %d.%d", f.Leg.Auth, f.Leg.N))
+		case DropLeg:
+			words = append(words, fmt.Sprintf("drop %d.%d", f.Leg.Auth, f.Leg.N))
+		case Decline:
+			words = append(words, fmt.Sprintf("decline %v failed=%v after %v", f.To, f.Failed, f.RetryAfter))
+		case HangUp:
+			words = append(words, fmt.Sprintf("hang up %d", f.Line))
+		case Probe:
+			words = append(words, "probe "+f.Dial)
+		}
+	}
+	return words
+}
+
+func (r *rig) expect(at time.Duration, e Event, want ...string) {
+	r.t.Helper()
+	if diff := cmp.Diff(want, r.turn(at, e)); diff != "" {
+		r.t.Fatalf("after %T at %v (-want +got):\n%s", e, at, diff)
+	}
+}
+
+func taken(from string, at, budget time.Duration) Taken {
+	return Taken{From: from, At: at, Request: policy.Request{Session: 9, ExpiresIn: budget}}
+}
+
+func TestServedLeg(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.expect(0, taken("a", r.now, 4*sec), "send 1.0 for 4s")
+	r.expect(sec, LegBegan{LegID{1, 0}}, "bind 1.0")
+	r.expect(9*sec, Tick{}) // once begun, the deadline runs no longer
+	r.expect(9*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.OK})
+	r.expect(9*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Reset}) // a second outcome is none
+	if c := r.counts; c.Served != 1 || c.Outcomes[int(policy.OK)] != 1 || c.Outcomes[int(policy.Reset)] != 0 || len(r.auths) != 0 {
+		t.Errorf("counters %+v, %d open", c, len(r.auths))
+	}
+}
+
+func TestDeadlineAnswersAtOnce(t *testing.T) {
+	// Guards against an authorisation that outlives its time because its legs are silent.
+	r := newRig(t, 2, nil)
+	r.expect(sec, taken("a", r.now, 4*sec), "send 1.0 for 3s") // its time runs from its last byte
+	r.expect(4*sec-1, Tick{})
+	r.expect(4*sec, Tick{}, "drop 1.0", "decline a failed=true after 0s")
+	r.expect(5*sec, LegBegan{LegID{1, 0}}, "drop 1.0") // too late to be the acquirer's
+	r.expect(5*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Cancelled})
+	if n := r.counts.Outcomes[int(policy.TimedOut)]; n != 1 || r.Open() != 0 {
+		t.Errorf("%d time-outs, %d open", n, r.Open())
+	}
+}
+
+func TestAttemptsAreCapped(t *testing.T) {
+	// The module may go on only to hosts that it has not tried, and to three legs at the most.
+	r := newRig(t, 5, nil)
+	r.expect(0, taken("a", r.now, 4*sec), "send 1.0 for 4s")
+	r.expect(sec, LegEnded{Leg: LegID{1, 0}, Result: policy.ConnectFailed}, "send 1.1 for 3s")
+	r.expect(sec, LegEnded{Leg: LegID{1, 1}, Result: policy.Full}, "send 1.2 for 3s")
+	r.expect(sec, LegEnded{Leg: LegID{1, 2}, Result: policy.Full}, "decline a failed=false after 500ms")
+	r.Send(1, 0, 0) // over: no effect, and no leg
+	if r.counts.Legs != 3 {
+		t.Errorf("%d legs", r.counts.Legs)
+	}
+}
+
+func TestMootSends(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.turn(0, taken("a", r.now, 4*sec))
+	r.turn(0, LegBegan{LegID{1, 0}})
+	for name, host := range map[string]policy.ReplicaID{"bound": r.hostID("h1"), "unknown host": 1} {
+		r.effects = nil
+		r.Send(1, host, 0)
+		r.settle()
+		if len(r.effects) != 0 {
+			t.Errorf("%s: %v", name, r.effects)
+		}
+	}
+	if n := r.counts.Outcomes[int(policy.Moot)]; n != 2 {
+		t.Errorf("%d moot", n)
+	}
+}
+
+func TestFirstEventBinds(t *testing.T) {
+	// With two copies out, the first event takes the authorisation and the other copy is called off.
+	r := newRig(t, 2, nil)
+	r.turn(0, taken("a", r.now, 4*sec))
+	for _, name := range []string{"h0", "h1"} {
+		if id := r.hostID(name); id != r.auths[1].legs[0].host {
+			r.Send(1, id, 0)
+		}
+	}
+	r.expect(sec, LegBegan{LegID{1, 1}}, "bind 1.1", "drop 1.0")
+	r.expect(sec, LegBegan{LegID{1, 0}}, "drop 1.0")
+	r.expect(sec, LegEnded{Leg: LegID{1, 1}, Result: policy.Reset}) // a broken stream ends the authorisation
+	if c := r.counts; c.Broken != 1 || c.Outcomes[int(policy.Cancelled)] != 1 || len(r.auths) != 0 {
+		t.Errorf("counters %+v, %d open", c, len(r.auths))
+	}
+}
+
+func TestLegTimeout(t *testing.T) {
+	r := newRig(t, 3, nil)
+	r.turn(0, taken("a", r.now, 4*sec))
+	for _, name := range []string{"h0", "h1", "h2"} {
+		if id := r.hostID(name); id != r.auths[1].legs[0].host {
+			r.Send(1, id, sec)
+			break
+		}
+	}
+	r.expect(sec, Tick{}, "drop 1.1") // the first leg stays out
+	if n := r.counts.Outcomes[int(policy.TimedOut)]; n != 1 || r.auths[1].running != 1 {
+		t.Errorf("%d time-outs, %d running", n, r.auths[1].running)
+	}
+}
+
+func TestDeparted(t *testing.T) {
+	for name, begun := range map[string]bool{"waiting": false, "streaming": true} {
+		r := newRig(t, 2, nil)
+		r.turn(0, taken("a", r.now, 4*sec))
+		if begun {
+			r.turn(0, LegBegan{LegID{1, 0}})
+		}
+		r.expect(sec, Departed{"a"}, "drop 1.0")
+		r.expect(sec, Departed{"a"})
+		if c := r.counts; c.Gone != 1 || c.Outcomes[int(policy.Cancelled)] != 1 || len(r.auths) != 0 {
+			t.Errorf("%s: counters %+v, %d open", name, c, len(r.auths))
+		}
+	}
+}
+
+func TestNoRoom(t *testing.T) {
+	// More authorisations than there are descriptors are declined before the module hears of them.
+	r := newRig(t, 2, func(l *limits.Limits) { l.Open = 1 })
+	r.turn(0, taken("a", r.now, 4*sec))
+	r.expect(0, taken("b", r.now, 4*sec), "decline b failed=false after 500ms")
+	if c := r.counts; c.Taken != 1 || c.Declined != 1 {
+		t.Errorf("counters %+v", c)
+	}
+}
+
+func TestClockNeverGoesBack(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.turn(2*sec, Tick{})
+	r.expect(0, taken("a", r.now+2*sec, 4*sec), "send 1.0 for 4s")
+	r.expect(6*sec, Tick{}, "drop 1.0", "decline a failed=true after 0s")
+}
+
+func TestParkedLineIsHungUp(t *testing.T) {
+	r := newRig(t, 0, nil)
+	r.expect(0, Parked{3})
+	r.expect(4*sec-1, Tick{})
+	r.expect(4*sec, Tick{}, "hang up 3") // a second before the host would
+}
+
+func TestGoneHostGetsNothing(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.expect(0, Listed{Kind: policy.ListDelta, Hosts: []Host{{Name: "h0", State: policy.Gone}}})
+	r.expect(0, taken("a", r.now, 4*sec), "decline a failed=false after 500ms")
+}
+
+func TestHostIDs(t *testing.T) {
+	// Every router must give a host the same number, since the module draws by it.
+	x, y := newRig(t, 3, nil), newRig(t, 9, nil)
+	if x.hostID("h2") != y.hostID("h2") || x.hostID("h1") == x.hostID("h2") {
+		t.Error("host ids differ between routers, or are shared")
+	}
+}
+
+func TestImports(t *testing.T) {
+	// The core deals in no wire: neither it nor what it is built on may come to know one.
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	deps := strings.Fields(string(out))
+	for _, p := range deps {
+		if p == "net" || strings.HasPrefix(p, "net/") || strings.HasPrefix(p, "encoding/json") {
+			t.Errorf("the broker depends on %s", p)
+		}
+	}
+	if len(deps) < 5 {
+		t.Errorf("only %d packages listed", len(deps))
+	}
+}
