--- /dev/null
+++ b/internal/issuer/issuer_test.go
@@ -0,0 +1,333 @@
+package issuer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/exchange"
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+// customer notes what a leg passes on, a write each.
+type customer struct {
+	got  []string
+	err  error // of Relay
+	body []byte
+}
+
+func (c *customer) Order() *Order {
+	return &Order{Method: "POST", Target: "/v1/chat/completions?q=%41", Host: "origin.svc", CallID: "9b1f03aa5c7e2d41",
+		ContentType: "application/json", Body: c.body}
+}
+func (c *customer) Relay(events []byte) error { c.got = append(c.got, string(events)); return c.err }
+func (c *customer) Finish(whole bool) error {
+	c.got = append(c.got, map[bool]string{true: "whole", false: "broken"}[whole])
+	return nil
+}
+
+// desk stands for the broker: it binds every leg that begins and notes how it ended.
+type desk struct {
+	*Client
+	ends   []broker.LegEnded
+	events []broker.Event
+}
+
+func newDesk(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *desk {
+	d := &desk{}
+	lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024},
+		limits.Site{ConnectTimeout: 100 * time.Millisecond, IdleClose: 5 * time.Second})
+	d.Client = New(Config{Lim: lim, Columns: []string{"x1", "concurrent"}, Stats: true, Piggyback: true, Dial: dial,
+		Post: func(e broker.Event) {
+			switch e := e.(type) {
+			case broker.LegBegan:
+				d.Bind(e.Leg)
+			case broker.LegEnded:
+				d.ends = append(d.ends, e)
+			default:
+				d.events = append(d.events, e)
+			}
+		}})
+	return d
+}
+
+// pipes dials in-memory connections; the far ends come out of the channel.
+func pipes() (func(context.Context, string, string) (net.Conn, error), chan net.Conn) {
+	far := make(chan net.Conn, 8)
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, other := net.Pipe()
+		far <- other
+		return near, nil
+	}, far
+}
+
+func send(n int, c *customer) broker.SendLeg {
+	return broker.SendLeg{Leg: broker.LegID{Auth: 1, N: n}, From: c, Dial: "d", Wait: 4 * time.Second}
+}
+
+const (
+	one     = `data: {"choices":[{"delta":{"content":"oq"}}]}` + "\n\n"
+	last    = `data: {"usage":{"prompt_tokens_details":{"cached_tokens":4096}}}` + "\n\ndata: [DONE]\n\n"
+	comment = ": X-Load-Report: x1=1.5,concurrent=7\n\n"
+)
+
+// TestOutcomes goes through the protocol's table of outcomes row by row. Time-outs are the broker's.
+func TestOutcomes(t *testing.T) {
+	report := policy.Report{N: 2, Values: [4]float64{1.5, 7}}
+	for name, want := range map[string]struct {
+		result policy.Result
+		kept   float64
+		report policy.Report
+		got    []string
+	}{
+		"served":          {policy.OK, 4096, report, []string{one, last + comment, "whole"}},
+		"served_split":    {policy.OK, 4096, policy.Report{}, []string{one, last, "whole"}},
+		"error":           {policy.Error, 0, report, nil},
+		"full_503":        {policy.Full, 0, policy.Report{}, nil},
+		"full_504":        {policy.Full, 0, policy.Report{}, nil},
+		"unmarked_503":    {policy.Error, 0, policy.Report{}, nil},
+		"other_status":    {policy.Error, 0, policy.Report{}, nil},
+		"no_events":       {policy.Error, 0, policy.Report{}, nil},
+		"reset":           {policy.Reset, 0, policy.Report{}, nil},
+		"reset_in_head":   {policy.Reset, 0, policy.Report{}, nil},
+		"reset_no_event":  {policy.Reset, 0, policy.Report{}, nil},
+		"reset_in_stream": {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
+		"bad_answer":      {policy.Reset, 0, policy.Report{}, nil},
+		"cut_request":     {policy.ConnectFailed, 0, policy.Report{}, nil},
+		"silent_stream":   {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial, far := pipes()
+				d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
+				d.Send(send(0, c))
+				conn := <-far
+				does := exchange.Does{"request": func(string) {
+					exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
+				}}
+				exchange.Play(t, conn, filepath.Join("testdata", name+".txt"), does)
+				synctest.Wait()
+				conn.Close()
+				d.Close()
+				end := []broker.LegEnded{{Leg: broker.LegID{Auth: 1}, Result: want.result, Kept: want.kept, Report: want.report}}
+				if diff := cmp.Diff(end, d.ends); diff != "" {
+					t.Errorf("outcome (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(want.got, c.got); diff != "" {
+					t.Errorf("passed on (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+func TestConnectFails(t *testing.T) {
+	// Refused at once, or a connection that never comes up: both prove that nothing ran.
+	for name, refused := range map[string]bool{"refused": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDesk(func(ctx context.Context, _, _ string) (net.Conn, error) {
+					if !refused {
+						<-ctx.Done()
+					}
+					return nil, errors.New("no connection")
+				})
+				began := time.Now()
+				d.Send(send(0, &customer{}))
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if len(d.ends) != 1 || d.ends[0].Result != policy.ConnectFailed || d.pool.open != 0 {
+					t.Errorf("ends %v after %v, %d lines open", d.ends, time.Since(began), d.pool.open)
+				}
+			})
+		})
+	}
+}
+
+func TestLineServesAgainAndIsHungUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
+		var conn net.Conn
+		does := exchange.Does{"request": func(string) {
+			exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
+		}}
+		for n := range 2 {
+			d.Send(send(n, c))
+			if n == 0 {
+				conn = <-far
+			}
+			exchange.Play(t, conn, filepath.Join("testdata", "served.txt"), does)
+			synctest.Wait()
+		}
+		want := []broker.Event{broker.Parked{Line: 1}, broker.Parked{Line: 2}}
+		if diff := cmp.Diff(want, d.events); diff != "" || len(far) != 0 {
+			t.Errorf("parked, %d more connections (-want +got):\n%s", len(far), diff)
+		}
+		d.HangUp(1) // parked anew since: nothing
+		if d.pool.open != 1 {
+			t.Error("a line was hung up under its old number")
+		}
+		d.HangUp(2)
+		if d.pool.open != 0 || len(d.pool.idle) != 0 {
+			t.Error("the line was not hung up")
+		}
+	})
+}
+
+func TestStaleLineIsReported(t *testing.T) {
+	// A request on a line that the host closes under it is a reset; it is not sent again behind the module's back.
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
+		d.Send(send(0, c))
+		conn := <-far
+		does := exchange.Does{"request": func(string) {
+			exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
+		}}
+		exchange.Play(t, conn, filepath.Join("testdata", "served.txt"), does)
+		synctest.Wait()
+		d.Send(send(1, c))
+		exchange.Play(t, conn, filepath.Join("testdata", "reset.txt"), does)
+		synctest.Wait()
+		if len(d.ends) != 2 || d.ends[1].Result != policy.Reset || len(far) != 0 {
+			t.Errorf("ends %v, %d more connections", d.ends, len(far))
+		}
+	})
+}
+
+func TestDropClosesTheLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
+		d.Send(send(0, c))
+		conn := <-far
+		exchange.Play(t, conn, filepath.Join("testdata", "dropped.txt"), exchange.Does{
+			"request": func(string) { exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil) },
+			"drop":    func(string) { d.Drop(broker.LegID{Auth: 1}) },
+		})
+		synctest.Wait()
+		if len(d.ends) != 1 || d.pool.open != 0 || len(d.legs) != 0 {
+			t.Errorf("ends %v, %d lines, %d legs", d.ends, d.pool.open, len(d.legs))
+		}
+	})
+}
+
+func TestAcquirerThatCannotBeWrittenTo(t *testing.T) {
+	// It has gone: the leg is called off, and says nothing against the host.
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`), err: errors.New("gone")}
+		d.Send(send(0, c))
+		conn := <-far
+		exchange.Play(t, conn, filepath.Join("testdata", "unread.txt"), exchange.Does{
+			"request": func(string) { exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil) },
+		})
+		synctest.Wait()
+		if diff := cmp.Diff([]broker.Event{broker.Departed{From: c}}, d.events, cmp.Comparer(func(x, y *customer) bool { return x == y })); diff != "" {
+			t.Errorf("events (-want +got):\n%s", diff)
+		}
+		if len(d.ends) != 1 || d.ends[0].Result != policy.Cancelled {
+			t.Errorf("ends %v", d.ends)
+		}
+	})
+}
+
+func TestRoomForLines(t *testing.T) {
+	// Descriptors are bounded: an idle line to one host makes room for another, and with none idle a leg fails
+	// as one that could not connect.
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d := newDesk(dial)
+		d.pool.lim.IssuerConns = 1
+		first, err := d.pool.get(t.Context(), "a", time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.pool.get(t.Context(), "b", time.Second); !errors.Is(err, errNoRoom) {
+			t.Errorf("a second line: %v", err)
+		}
+		d.pool.put(first)
+		second, err := d.pool.get(t.Context(), "b", time.Second)
+		if err != nil || d.pool.open != 1 {
+			t.Fatalf("%v, %d open", err, d.pool.open)
+		}
+		second.Close()
+		for range 2 {
+			(<-far).Close()
+		}
+	})
+}
+
+func TestProbe(t *testing.T) {
+	for name, want := range map[string]broker.Probed{
+		"probe_ok":     {Result: policy.OK, Report: policy.Report{N: 2, Values: [4]float64{0.25, 3}}},
+		"probe_error":  {Result: policy.Error},
+		"probe_silent": {Result: policy.TimedOut},
+		"probe_reset":  {Result: policy.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial, far := pipes()
+				d := newDesk(dial)
+				d.Probe(broker.Probe{Host: 5, Dial: "d"})
+				conn := <-far
+				exchange.Play(t, conn, filepath.Join("testdata", name+".txt"), nil)
+				synctest.Wait()
+				conn.Close()
+				d.Close()
+				want.Host = 5
+				var got []broker.Event
+				for _, e := range d.events {
+					if p, ok := e.(broker.Probed); ok {
+						got = append(got, p)
+					}
+				}
+				if diff := cmp.Diff([]broker.Event{want}, got); diff != "" {
+					t.Errorf("(-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+func TestParseReport(t *testing.T) {
+	columns := []string{"x1", "err_ps"}
+	for text, want := range map[string]policy.Report{
+		"x1=1.5, err_ps=2":  {N: 2, Values: [4]float64{1.5, 2}},
+		"err_ps=2,other=9":  {N: 2, Values: [4]float64{0, 2}},
+		"x1=NaN":            {},
+		"x1=1e999,err_ps=x": {},
+		"":                  {},
+		"nonsense":          {},
+	} {
+		if diff := cmp.Diff(want, ParseReport(text, columns)); diff != "" {
+			t.Errorf("%q (-want +got):\n%s", text, diff)
+		}
+	}
+}
+
+func TestLongEventPassesInParts(t *testing.T) {
+	// Memory is bounded whatever a host sends: an event beyond the most is passed on unfinished.
+	ev := events{from: strings.NewReader("data: " + strings.Repeat("x", 100) + "\n\n"), most: 64, buf: make([]byte, 0, 16)}
+	var got []int
+	for {
+		part, err := ev.next()
+		got = append(got, len(part))
+		if err != nil {
+			break
+		}
+	}
+	if diff := cmp.Diff([]int{64, 44, 0}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
