Prove the batch front on loopback: 5,000 lines, killed hosts, one outcome a line

Checked: 5,000 lines, two of five stand-ins killed mid-file with answers half sent, the file sent again in the middle and after a restart, a drain in between: exactly one outcome a line, all valid lines served.

--- /dev/null
+++ b/internal/batch/desk_test.go
@@ -0,0 +1,284 @@
+package batch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+// rig is a desk with a given clock. What it hands to the broker is noted; the test answers in its place.
+type rig struct {
+	*Desk
+	t   *testing.T
+	at  time.Duration
+	out []*attempt
+}
+
+const key = "secret"
+
+func newRig(t *testing.T, spool string, change func(*Contract)) *rig {
+	t.Helper()
+	k := Contract{
+		Team: "crews", Classes: []string{"batch-summary", "doc-lookup"}, Lines: 9, AtOnce: 4, BudgetTokens: 10000,
+		BudgetPeriod: Period(time.Hour), LineDeadline: Period(20 * time.Second), key: key,
+	}
+	if change != nil {
+		change(&k)
+	}
+	r := &rig{t: t, at: 1000 * time.Second}
+	lim := limits.New(limits.Machine{MemoryMB: 192, Sockets: 1024}, limits.Site{})
+	lim.LineBytes = 1000
+	d, err := NewDesk(Options{
+		Config: &Config{Spool: spool, Contracts: []Contract{k}}, Lim: lim,
+		Classes: []policy.Class{{Name: "doc-lookup", Deadline: 6 * time.Second}, {Name: "batch-summary", Deadline: 12 * time.Second}},
+		Now:     func() time.Duration { return r.at }, Log: slog.New(slog.DiscardHandler),
+		Post: func(e broker.Event) {
+			switch e := e.(type) {
+			case broker.Taken:
+				r.out = append(r.out, e.From.(*attempt))
+			case broker.Departed:
+				r.out = append(r.out, nil) // called off
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	r.Desk = d
+	return r
+}
+
+// after lets time pass, takes a turn, and returns what was handed out in it.
+func (r *rig) after(d time.Duration) []*attempt {
+	r.at += d
+	r.out = nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turn()
+	return r.out
+}
+
+func (r *rig) job(text string) *job {
+	r.t.Helper()
+	t := r.teams[key]
+	f, err := r.store(t, "in.jsonl", strings.NewReader(text))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	j, err := r.create(t, f.ID, "", nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return j
+}
+
+func lineText(id string) string {
+	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"max_tokens":10,"messages":[{"content":"a"}]}}`+"\n", id)
+}
+
+func fileText(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(lineText(fmt.Sprint("id-", i)))
+	}
+	return b.String()
+}
+
+// outcomesOf reads a job's result file: custom_id, outcome, code and tries of each line.
+func outcomesOf(t *testing.T, j *job) []string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(j.dir, resultName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for l := range bytes.Lines(text) {
+		var o Outcome
+		if err := json.Unmarshal(l, &o); err != nil {
+			t.Fatal(err)
+		}
+		code := ""
+		if o.Error != nil {
+			code = o.Error.Code
+		}
+		got = append(got, strings.TrimSpace(fmt.Sprintf("%d %s %s %s", o.Line, o.CustomID, o.Outcome, code)))
+	}
+	return got
+}
+
+func same(t *testing.T, what string, want, got any) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func (a *attempt) serve() {
+	a.Relay([]byte(`data: {"choices":[{"delta":{"content":"hi"},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"))
+	a.Finish(true)
+}
+
+func TestEveryLineHasOneOutcome(t *testing.T) {
+	r := newRig(t, t.TempDir(), nil)
+	j := r.job(lineText("a") + "not JSON\n\n" + lineText("b") + `{"custom_id":"c","method":"GET"}` + "\n" +
+		strings.Repeat("x", 1200) + "\n" + lineText("d") + strings.TrimSpace(lineText("e")))
+	out := r.after(0)
+	same(t, "handed out", 4, len(out))
+	out[0].serve()
+	out[1].Decline(true, 0)
+	out[1].serve() // a second end is none
+	out[2].Decline(false, time.Minute)
+	out[3].Finish(false) // broke; it is tried again whole
+	again := r.after(time.Second)
+	same(t, "handed out again", 1, len(again))
+	again[0].serve()
+	same(t, "status", "completed", j.status())
+	same(t, "result", []string{"1 a served", "2  failed invalid_line", "3 b failed timed_out", "4 c failed invalid_line",
+		"5  failed line_too_long", "6 d refused declined", "7 e served"}, outcomesOf(t, j))
+}
+
+func TestDeclinesSlowTheTeamDown(t *testing.T) {
+	// What is declined comes back after its Retry-After and not before, and fewer at once: a batch must not
+	// flood hosts that have just started.
+	r := newRig(t, t.TempDir(), nil)
+	r.job(fileText(9))
+	out := r.after(0)
+	same(t, "at once", 4, len(out))
+	for _, a := range out[:3] {
+		a.Decline(false, 2*time.Second)
+	}
+	same(t, "while one is out", 0, len(r.after(time.Second)))
+	out[3].Decline(false, 2*time.Second)
+	same(t, "after four declines", 1, len(r.after(time.Second-1)))
+	r.out[0].serve()
+	next := r.after(time.Second)
+	same(t, "after an answer", 2, len(next))
+	same(t, "a declined line goes first", "id-0", next[0].try.id)
+}
+
+func TestLineDeadline(t *testing.T) {
+	r := newRig(t, t.TempDir(), func(k *Contract) { k.AtOnce = 1 })
+	j := r.job(fileText(1))
+	for tries := 0; tries < 7; tries++ {
+		out := r.after(3 * time.Second)
+		if len(out) != 1 {
+			break
+		}
+		same(t, "time for an answer", min(12*time.Second, 20*time.Second-time.Duration(tries)*3*time.Second), out[0].try.request.ExpiresIn)
+		out[0].Decline(false, 3*time.Second)
+	}
+	same(t, "result", []string{"1 id-0 refused declined"}, outcomesOf(t, j))
+}
+
+func TestResubmission(t *testing.T) {
+	// The same file from the same team is the same job, before and after a restart; it is never run twice.
+	dir := t.TempDir()
+	r := newRig(t, dir, nil)
+	j := r.job(fileText(2))
+	same(t, "second submission", true, r.job(fileText(2)) == j)
+	for _, a := range r.after(0) {
+		a.serve()
+	}
+	same(t, "third submission", true, r.job(fileText(2)) == j)
+	again := newRig(t, dir, nil)
+	same(t, "after a restart", "completed", again.job(fileText(2)).status())
+	same(t, "handed out", 0, len(again.after(0)))
+	if _, err := again.create(again.teams[key], j.rec.ID, "doc-lookup", nil); err == nil {
+		t.Error("the same file as another class is no conflict")
+	}
+}
+
+func TestRestartResumes(t *testing.T) {
+	// A program that dies leaves lines without an outcome, and maybe half a line in its notes. Both are run
+	// again; what has an outcome is not.
+	dir := t.TempDir()
+	r := newRig(t, dir, nil)
+	j := r.job(fileText(5))
+	out := r.after(0)
+	out[1].serve()
+	out[2].Decline(true, 0)
+	notes := filepath.Join(j.dir, outcomesName)
+	f, err := os.OpenFile(notes, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.WriteString(`{"line":1,"custom_id":"id-0","outc`)
+	f.Close()
+	again := newRig(t, dir, nil)
+	var ids []string
+	for _, a := range again.after(0) {
+		ids = append(ids, a.try.id)
+		a.serve()
+	}
+	same(t, "run again", []string{"id-0", "id-3", "id-4"}, ids)
+	same(t, "result", []string{"1 id-0 served", "2 id-1 served", "3 id-2 failed timed_out", "4 id-3 served", "5 id-4 served"},
+		outcomesOf(t, again.teams[key].jobs[j.rec.ID]))
+}
+
+func TestStopBeginsNothing(t *testing.T) {
+	r := newRig(t, t.TempDir(), nil)
+	j := r.job(fileText(6))
+	out := r.after(0)
+	r.Stop()
+	for _, a := range out {
+		a.serve()
+	}
+	same(t, "handed out while stopping", 0, len(r.after(time.Second)))
+	same(t, "lines left", 2, j.left)
+}
+
+func TestCancel(t *testing.T) {
+	r := newRig(t, t.TempDir(), nil)
+	j := r.job(fileText(6))
+	out := r.after(0)
+	out[0].serve()
+	if err := r.cancel(j); err != nil {
+		t.Fatal(err)
+	}
+	same(t, "called off", 3, len(r.after(0)))
+	out[1].serve() // too late
+	same(t, "status", "cancelled", j.status())
+	same(t, "served, failed", []int{1, 5}, []int{j.counts[served], j.counts[failed]})
+	same(t, "still out", 0, r.teams[key].out)
+	if err := r.cancel(j); err == nil {
+		t.Error("a batch that has ended can be cancelled")
+	}
+}
+
+func TestSpoolThatCannotBeWritten(t *testing.T) {
+	// A full disk must not lose or repeat an outcome: the job stalls, and the next start takes it up.
+	dir := t.TempDir()
+	r := newRig(t, dir, nil)
+	j := r.job(fileText(3))
+	out := r.after(0)
+	out[0].serve()
+	j.outcomes.Close()
+	out[1].serve()
+	same(t, "status", "failed", j.status())
+	same(t, "handed out", 0, len(r.after(time.Second)))
+	same(t, "resumed", 2, len(newRig(t, dir, nil).after(0)))
+}
+
+func TestAnswerThatIsTooLong(t *testing.T) {
+	r := newRig(t, t.TempDir(), nil)
+	j := r.job(fileText(1))
+	a := r.after(0)[0]
+	a.got.most = 3
+	if a.Relay([]byte(`data: {"choices":[{"delta":{"content":"long"}}]}`+"\n\n")) == nil {
+		t.Error("no error")
+	}
+	same(t, "result", []string{"1 id-0 failed answer_too_long"}, outcomesOf(t, j))
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func env(pairs ...string) func(string) string {
+	m := map[string]string{}
+	for i := 0; i < len(pairs); i += 2 {
+		m[pairs[i]] = pairs[i+1]
+	}
+	return func(name string) string { return m[name] }
+}
+
+func TestLoad(t *testing.T) {
+	c, err := Load(env("BALANCER_CONFIG", "testdata/config.json", "BALANCER_LISTEN", "127.0.0.7:5000"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := []any{c.Name, c.Listen, c.Discovery, c.Seed, c.Known.Seq, len(c.Known.Hosts), c.Zones, c.Columns, c.Piggyback,
+		len(c.Settings.Classes), c.Limits.ConnectWait, c.Limits.IssuerIdle, c.Limits.Attempts}
+	want := []any{"n1", "127.0.0.7:5000", "127.0.0.1:8500", uint64(0x8c1f30d27a5be964), uint64(41), 1, []string{"room"},
+		[]string{"x1", "concurrent"}, false, 2, 100 * time.Millisecond, 4 * time.Second, 4}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestDescriptorsAreWithinTheLimit(t *testing.T) {
+	c, err := Load(env("BALANCER_CONFIG", "testdata/config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := c.Limits
+	if all := l.AcquirerConns + l.SpareConns + l.IssuerConns; all > 1024-32 || l.Open > l.IssuerConns {
+		t.Errorf("%d connections of 1024 descriptors, %d open for %d lines", all, l.Open, l.IssuerConns)
+	}
+	if l.MemoryBytes+l.BodiesBytes > 192<<20 {
+		t.Errorf("a heap of %d and bodies of %d exceed the memory", l.MemoryBytes, l.BodiesBytes)
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	text, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[string]string{
+		`{"name"=>{"name`:                                  "invalid character",
+		`"seed": "8c=>"seed": "zz`:                         "seed:",
+		`"listen": "127.0.0.1:5000"=>"listen": "here"`:     "listen:",
+		`"discovery": "127.0.0.1:8500"=>"discovery": ""`:   "discovery:",
+		`"cores": 1.0=>"cores": 0`:                         "limits:",
+		`"memory_mb": 192=>"memory_mb": -1`:                "limits:",
+		`"effect": "pure"=>"effect": "odd"`:                "effect",
+		`"mostTries": 4=>"mostTries": 0`:                   "MaxAttempts",
+		`"idleClose": 5000000=>"idleClose": 0`:             "idleClose",
+		`"discovery": "subscribe"=>"discovery": "guesses"`: "discovery",
+	} {
+		from, to, _ := strings.Cut(change, "=>")
+		bad := strings.Replace(string(text), from, to, 1)
+		if bad == string(text) {
+			t.Fatalf("%q is not in the file", from)
+		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(env("BALANCER_CONFIG", path)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+	for _, path := range []string{"", "testdata/none.json"} {
+		if _, err := Load(env("BALANCER_CONFIG", path)); err == nil {
+			t.Errorf("%q: no error", path)
+		}
+	}
+}
+
+func TestLoadBatch(t *testing.T) {
+	c, err := Load(env("BALANCER_CONFIG", "testdata/config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const contract = "\n[[contract]]\nteam='crews'\nkey_env='K'\nclasses=['batch-summary']\nlines=9\nat_once=2\n" +
+		"budget_tokens=99\nbudget_period='24h'\nline_deadline='1m'\n"
+	head := "listen='127.0.0.1:5080'\nspool='s'\n"
+	for name, f := range map[string]struct{ text, want string }{
+		"good":          {head + contract, ""},
+		"no contract":   {head, "one contract"},
+		"not loopback":  {strings.Replace(head, "127.0.0.1", "0.0.0.0", 1) + contract, "loopback"},
+		"unknown key":   {head + "speed=3\n" + contract, "not a key"},
+		"unknown class": {head + strings.Replace(contract, "batch-summary", "x", 1), "unknown to the settings"},
+		"no key":        {head + strings.Replace(contract, "'K'", "'L'", 1), "holds no key"},
+		"two teams":     {head + contract + contract, "another's"},
+		"bad team":      {head + strings.Replace(contract, "crews", "../x", 1), "team must be"},
+		"bad period":    {head + strings.Replace(contract, "24h", "soon", 1), "soon"},
+		"nothing":       {head + strings.Replace(contract, "at_once=2", "at_once=0", 1), "above 0"},
+		"no openapi":    {head + contract + "openapi='none.yaml'\n", "none.yaml"},
+	} {
+		path := filepath.Join(t.TempDir(), "batch.toml")
+		if err := os.WriteFile(path, []byte(f.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		b, err := c.LoadBatch(path, env("K", "secret"))
+		if f.want == "" && (err != nil || b.Spool != filepath.Join(filepath.Dir(path), "s")) {
+			t.Errorf("%s: %+v, %v", name, b, err)
+		}
+		if f.want != "" && (err == nil || !strings.Contains(err.Error(), f.want)) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/batch_test.go
@@ -0,0 +1,250 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"mime/multipart"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"notchhinge/internal/batch"
+	"notchhinge/internal/broker"
+	"notchhinge/internal/registry"
+)
+
+const (
+	proofLines = 5000
+	proofBad   = 7 // every so many-hundredth line is not valid
+)
+
+// fleet is stand-in issuer hosts that die after so many requests each; 0 = never.
+type fleet struct {
+	hosts  []*httptest.Server
+	served atomic.Int64
+	at     map[int64]func() // what happens with the so-manieth request, over all hosts
+}
+
+func newFleet(t *testing.T, lives ...int64) *fleet {
+	f := &fleet{at: map[int64]func(){}}
+	for _, life := range lives {
+		var taken atomic.Int64
+		var dead atomic.Bool
+		s := httptest.NewUnstartedServer(nil)
+		s.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			if n := taken.Add(1); n == life {
+				dead.Store(true)
+				s.Listener.Close() // new connections are refused from here on
+			}
+			if do := f.at[f.served.Add(1)]; do != nil {
+				do()
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			if !dead.Load() || taken.Load()%2 == 0 { // of those that a dying host holds, half have begun
+				io.WriteString(w, `data: {"choices":[{"delta":{"content":"summary"},"finish_reason":"stop"}]}`+"\n\n")
+				http.NewResponseController(w).Flush()
+			}
+			if dead.Load() {
+				panic(http.ErrAbortHandler) // its connections are reset
+			}
+			io.WriteString(w, "data: [DONE]\n\n")
+		})
+		s.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)
+		s.Start()
+		t.Cleanup(s.Close)
+		f.hosts = append(f.hosts, s)
+	}
+	return f
+}
+
+// start runs a router with its batch front on loopback until stop; done gives its end.
+func (f *fleet) start(t *testing.T, spool string) (api string, stop chan os.Signal, done chan error) {
+	t.Helper()
+	cfg := load(t)
+	cfg.Known.Hosts = nil
+	for i, h := range f.hosts {
+		cfg.Known.Hosts = append(cfg.Known.Hosts, registry.Entry{
+			Host: fmt.Sprint("s-", i), Dial: h.Listener.Addr().String(), Site: "room", Health: "Ready", Share: 1,
+		})
+	}
+	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody.Close()
+	cfg.Discovery = nobody.Addr().String() // discovery is down throughout
+	path := filepath.Join(spool, "batch.toml")
+	text := "listen='127.0.0.1:1'\nspool='jobs'\n[[contract]]\nteam='crews'\nkey_env='K'\nclasses=['batch-summary']\n" +
+		"lines=5000\nat_once=32\nbudget_tokens=10000000\nbudget_period='24h'\nline_deadline='5m'\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b, err := cfg.LoadBatch(path, func(string) string { return "key" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(cfg, slog.New(slog.DiscardHandler), (&net.Dialer{}).DialContext, broker.UnixClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var doors [2]net.Listener
+	for i := range doors {
+		if doors[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.Batch(b, doors[1]); err != nil {
+		t.Fatal(err)
+	}
+	stop, done = make(chan os.Signal, 1), make(chan error, 1)
+	go func() { done <- r.ServeOn(doors[0], Signals{Stop: stop}) }()
+	return "http://" + doors[1].Addr().String(), stop, done
+}
+
+// ask makes a call to the batch API and decodes its answer.
+func ask(t *testing.T, method, url, contentType string, body io.Reader) map[string]any {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Content-Type", contentType)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var m map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&m); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s %s: %s, %v %v", method, url, resp.Status, m, err)
+	}
+	return m
+}
+
+// submit uploads a file and makes a batch of it.
+func submit(t *testing.T, api string, file []byte) map[string]any {
+	t.Helper()
+	var b bytes.Buffer
+	form := multipart.NewWriter(&b)
+	form.WriteField("purpose", "batch")
+	part, _ := form.CreateFormFile("file", "period.jsonl")
+	part.Write(file)
+	form.Close()
+	f := ask(t, "POST", api+"/v1/files", form.FormDataContentType(), &b)
+	return ask(t, "POST", api+"/v1/batches", "application/json",
+		strings.NewReader(fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions"}`, f["id"])))
+}
+
+// get opens an answer that is no JSON.
+func get(t *testing.T, url string) io.ReadCloser {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), "GET", url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%s: %v %v", url, resp, err)
+	}
+	return resp.Body
+}
+
+func valid(i int) bool { return i%(100*proofBad) != 0 }
+
+// TestBatchProof: 5,000 lines, hosts killed mid-file, the file sent again, and a drain with a restart: every
+// line has exactly one outcome.
+func TestBatchProof(t *testing.T) {
+	var file bytes.Buffer
+	for i := range proofLines {
+		if !valid(i) {
+			fmt.Fprintf(&file, `{"custom_id":"line-%d","method":"PUT"}`+"\n", i)
+			continue
+		}
+		fmt.Fprintf(&file, `{"custom_id":"line-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"chat",`+
+			`"max_tokens":20,"messages":[{"role":"user","content":"period %d"}]}}`+"\n", i, i)
+	}
+	f, dir := newFleet(t, 300, 700, 0, 0, 0), t.TempDir()
+	drain := make(chan struct{})
+	f.at[2500] = func() { close(drain) }
+	api, stop, done := f.start(t, dir)
+	first := submit(t, api, file.Bytes())
+	<-drain
+	second := submit(t, api, file.Bytes())
+	if first["id"] != second["id"] {
+		t.Errorf("the same file became %v and %v", first["id"], second["id"])
+	}
+	stop <- syscall.SIGTERM
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	afterDrain := f.served.Load()
+
+	api, stop, done = f.start(t, dir)
+	third := submit(t, api, file.Bytes())
+	if first["id"] != third["id"] {
+		t.Errorf("after the restart the file became %v", third["id"])
+	}
+	feed := get(t, fmt.Sprintf("%s/v1/batches/%v/events", api, third["id"]))
+	if _, err := io.Copy(io.Discard, feed); err != nil { // it ends with the batch
+		t.Fatal(err)
+	}
+	feed.Close()
+	b := ask(t, "GET", fmt.Sprintf("%s/v1/batches/%v", api, third["id"]), "", nil)
+	if b["status"] != "completed" {
+		t.Fatalf("batch %v", b)
+	}
+	checkResult(t, get(t, fmt.Sprintf("%s/v1/files/%v/content", api, b["output_file_id"])))
+	stop <- syscall.SIGTERM
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if afterDrain >= proofLines || f.served.Load() < proofLines-proofLines/100 {
+		t.Errorf("%d requests before the drain, %d in all: the drain was not mid-file", afterDrain, f.served.Load())
+	}
+}
+
+func checkResult(t *testing.T, r io.ReadCloser) {
+	t.Helper()
+	defer r.Close()
+	seen := map[string]int{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		var o batch.Outcome
+		if err := json.Unmarshal(lines.Bytes(), &o); err != nil {
+			t.Fatal(err)
+		}
+		seen[o.CustomID]++
+		i := o.Line - 1
+		want := "served"
+		if !valid(i) {
+			want = "failed"
+		}
+		if o.CustomID != fmt.Sprint("line-", i) || o.Outcome != want {
+			t.Errorf("line %d: %+v %+v", o.Line, o, o.Error)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		t.Error(err)
+	}
+	for id, n := range seen {
+		if n != 1 {
+			t.Errorf("%s has %d outcomes", id, n)
+		}
+	}
+	if len(seen) != proofLines {
+		t.Errorf("%d lines have an outcome", len(seen))
+	}
+}
