Let idle client connections make room for new ones

At fault: ServeConn in acquirer.go called every connection beyond AcquirerConns spare, however many idle ones there were, and limits.go kept 64 of the 128 descriptors in reserve. Now: the connection that has been idle for the longest is closed for a new one; the reserve is 24 + 8.

--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"notchhinge/internal/batch"
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
 	"notchhinge/internal/router"
@@ -40,15 +41,18 @@
 	stop, audit := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(audit, syscall.SIGUSR1)
+	var b *batch.Config
+	if s.Batch != "" {
+		if b, err = cfg.LoadBatch(s.Batch, os.Getenv); err != nil {
+			return badConfig{err}
+		}
+		cfg.Limits = cfg.Limits.WithBatch(b.Files())
+	}
 	r, err := router.New(cfg, log, (&net.Dialer{}).DialContext, broker.UnixClock())
 	if err != nil {
 		return badConfig{err}
 	}
-	if s.Batch != "" {
-		b, err := cfg.LoadBatch(s.Batch, os.Getenv)
-		if err != nil {
-			return badConfig{err}
-		}
+	if b != nil {
 		ln, err := net.Listen("tcp", b.Listen)
 		if err != nil {
 			return err
--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -61,7 +61,7 @@
 		s.conns = map[*conn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
-	c.spare = len(s.conns) > s.Lim.AcquirerConns
+	c.spare = len(s.conns) > s.Lim.AcquirerConns && !s.makeRoom()
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -72,6 +72,24 @@
 	c.serve()
 }
 
+// makeRoom closes the connection that has been idle for the longest, if one is. A client may well keep more
+// connections than it uses; declining a request while such a one holds a descriptor would be a loss. The lock
+// is held.
+func (s *Server) makeRoom() bool {
+	var oldest *conn
+	var since time.Time
+	for c := range s.conns {
+		if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	if oldest == nil || !oldest.closeIdle() {
+		return false
+	}
+	delete(s.conns, oldest)
+	return true
+}
+
 // Drain has every connection closed with its next answer from now on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -66,7 +66,9 @@
 		a.over.Store(true)
 		err = a.conn.write([]byte("0\r\n\r\n"))
 	}
-	a.end(whole && err == nil && !a.last)
+	// A stream that began before a drain has no word of it in its head; its connection is closed all the same,
+	// lest the acquirer use it for ever.
+	a.end(whole && err == nil && !a.last && !a.conn.s.draining.Load())
 	return err
 }
 
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -24,7 +24,8 @@
 	spare bool // beyond the connections that are kept
 
 	mu   sync.Mutex
-	busy bool // a message has begun to come in, or its answer is not at its end
+	busy bool      // a message has begun to come in, or its answer is not at its end
+	idle time.Time // since its last answer; zero before the first
 }
 
 var errHeadTooLong = errors.New("the head is too long")
@@ -53,15 +54,27 @@
 func (c *conn) setBusy(b bool) {
 	c.mu.Lock()
 	c.busy = b
+	if !b {
+		c.idle = time.Now()
+	}
 	c.mu.Unlock()
 }
 
-func (c *conn) closeIdle() {
+// closeIdle closes the connection unless it is busy.
+func (c *conn) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy {
 		c.Conn.Close()
 	}
+	return !c.busy
+}
+
+// idleSince tells since when a connection that has served is idle. One that has not is about to be used.
+func (c *conn) idleSince() (at time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle, !c.busy && !c.idle.IsZero()
 }
 
 // serve takes messages one after another. While an answer is on its way it already waits for the next
--- a/internal/batch/contract.go
+++ b/internal/batch/contract.go
@@ -85,6 +85,15 @@
 	return &c, nil
 }
 
+// Files tells how many files the lines of all teams may keep open, uploads included.
+func (c *Config) Files() int {
+	n := 0
+	for _, k := range c.Contracts {
+		n += 2*k.AtOnce + 2 // at the most each line that is out is of another job
+	}
+	return n
+}
+
 func under(dir, path string) string {
 	if filepath.IsAbs(path) {
 		return path
--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -219,7 +219,11 @@
 
 // begin reads a line. One that is not valid has its outcome at once, and nil is returned.
 func (d *Desk) begin(j *job, n int) *try {
-	text, err := readLine(j.input, j.spans[n], d.lim.LineBytes)
+	err := j.use()
+	var text []byte
+	if err == nil {
+		text, err = readLine(j.input, j.spans[n], d.lim.LineBytes)
+	}
 	if err != nil {
 		d.stall(j, err)
 		return nil
@@ -308,6 +312,9 @@
 	delete(j.trying, n)
 	o.Line = n + 1
 	b, err := json.Marshal(o)
+	if err == nil {
+		err = j.use()
+	}
 	if err == nil {
 		_, err = j.outcomes.Write(append(b, '\n'))
 	}
@@ -325,6 +332,9 @@
 }
 
 func (d *Desk) finish(j *job) error {
+	if err := j.use(); err != nil {
+		return err
+	}
 	if err := errors.Join(j.outcomes.Sync(), result(j.dir)); err != nil {
 		return err
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -66,23 +66,37 @@
 	if err != nil || !rec.Ended.IsZero() {
 		return j, err
 	}
-	if j.input, err = os.Open(filepath.Join(dir, inputName)); err != nil {
+	input, err := os.Open(filepath.Join(dir, inputName))
+	if err != nil {
 		return nil, err
 	}
-	j.spans, err = index(j.input, d.lim.LineBytes, func(int, []byte) error { return nil })
+	defer input.Close()
+	j.spans, err = index(input, d.lim.LineBytes, func(int, []byte) error { return nil })
 	if err == nil && len(j.spans) != len(j.done) {
 		err = errors.New(dir + ": the input file has changed")
 	}
 	if err != nil {
 		return nil, err
 	}
-	j.outcomes, err = os.OpenFile(filepath.Join(dir, outcomesName), os.O_APPEND|os.O_WRONLY, 0o644)
-	if err == nil && j.left == 0 { // it stopped between its last line and its end
+	if j.left == 0 { // it stopped between its last line and its end
 		err = d.finish(j)
 	}
 	return j, err
 }
 
+// use opens the job's files. Until its first line is begun a job holds no descriptor.
+func (j *job) use() (err error) {
+	if j.input == nil {
+		if j.input, err = os.Open(filepath.Join(j.dir, inputName)); err != nil {
+			return err
+		}
+	}
+	if j.outcomes == nil {
+		j.outcomes, err = os.OpenFile(filepath.Join(j.dir, outcomesName), os.O_APPEND|os.O_WRONLY, 0o644)
+	}
+	return err
+}
+
 // count notes an outcome that is written down.
 func (j *job) count(o *Outcome) {
 	j.done[o.Line-1] = true
@@ -118,8 +132,11 @@
 
 // customID reads the custom_id of a line, as far as it has one.
 func (j *job) customID(n, most int) string {
-	text, err := readLine(j.input, j.spans[n], most)
 	var l line
+	if j.use() != nil {
+		return ""
+	}
+	text, err := readLine(j.input, j.spans[n], most)
 	if err != nil || json.Unmarshal(text, &l) != nil {
 		return ""
 	}
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -229,7 +229,8 @@
 			break
 		}
 	}
-	whole := errors.Is(err, io.EOF)
+	// Only a framed answer shows its end; one that lasts as long as its connection may have been cut off.
+	whole := errors.Is(err, io.EOF) && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	if werr := to.Finish(whole); !whole {
 		end.Result = policy.Reset
 	} else if werr != nil {
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -103,6 +103,7 @@
 		"reset_in_stream": {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
 		"bad_answer":      {policy.Reset, 0, policy.Report{}, nil},
 		"cut_request":     {policy.ConnectFailed, 0, policy.Report{}, nil},
+		"unframed":        {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
 		"silent_stream":   {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,7 +32,7 @@
 	EventBytes  int   // one event of a stream that is kept whole
 
 	AcquirerConns int // connections from acquirers at once
-	SpareConns    int // further ones, kept only for as long as it takes to decline one authorisation
+	SpareConns    int // further ones while all are busy, kept for as long as it takes to decline one authorisation
 	Open          int // authorisations at once
 	IssuerConns   int // connections to issuer hosts, idle ones included
 	IdlePerHost   int // idle connections kept to one issuer host
@@ -48,16 +48,19 @@
 	MaxBudget   time.Duration // no authorisation waits longer, whatever it asks for
 
 	WatchWait   time.Duration // what a watch asks discovery to wait
+	WatchPause  time.Duration // before the next call, after an answer that came at once and told nothing
 	WatchSlack  time.Duration // and what it is given beyond that
 	ListBytes   int64         // one answer of discovery
 	SpareAnswer time.Duration // Retry-After of what is declined for want of room
 
+	BatchConns  int           // connections to the batch API
 	FileBytes   int64         // of one uploaded batch file
 	LineBytes   int           // of one line in it
 	AnswerBytes int           // of one line's collected answer
 	JSONBytes   int64         // of one message to the batch API that is not a file
 	TeamJobs    int           // batches of one team that are not at their end
 	DeclineWait time.Duration // before a declined line is tried again, where no Retry-After says
+	APIIdle     time.Duration // of a connection to the batch API
 	FeedIdle    time.Duration // between two comments on a feed where nothing happens
 	BatchDrain  time.Duration // for answers of the batch API that are under way at the end
 
@@ -67,7 +70,7 @@
 
 // reserve is kept for what is neither an acquirer's nor an issuer host's: the standard streams, the listener,
 // the poller, discovery, probes and connections that are just being closed.
-const reserve = 48
+const reserve = 24
 
 // New returns the limits of a program on such a machine at such a site.
 func New(m Machine, s Site) Limits {
@@ -81,7 +84,7 @@
 		ReadBuffer:  4 << 10,
 		EventBytes:  64 << 10,
 
-		SpareConns:  16,
+		SpareConns:  8,
 		IdlePerHost: 64,
 		Attempts:    max(s.MaxAttempts, 1),
 
@@ -95,16 +98,19 @@
 		MaxBudget:   max(4*s.LongestDeadline, time.Minute),
 
 		WatchWait:   20 * time.Second,
+		WatchPause:  100 * time.Millisecond,
 		WatchSlack:  2 * time.Second,
 		ListBytes:   8 << 20,
 		SpareAnswer: 500 * time.Millisecond,
 
+		BatchConns:  32,
 		FileBytes:   64 << 20,
 		LineBytes:   256<<10 + 4<<10,
 		AnswerBytes: 1 << 20,
 		JSONBytes:   64 << 10,
 		TeamJobs:    64,
 		DeclineWait: 500 * time.Millisecond,
+		APIIdle:     time.Minute,
 		FeedIdle:    15 * time.Second,
 		BatchDrain:  time.Second,
 
@@ -123,3 +129,12 @@
 	}
 	return l
 }
+
+// WithBatch makes room for the batch front: its connections, and the files that its lines keep open.
+func (l Limits) WithBatch(files int) Limits {
+	taken := l.BatchConns + files
+	l.AcquirerConns = max(l.AcquirerConns-(taken+1)/2, 1)
+	l.IssuerConns = max(l.IssuerConns-taken/2, 1)
+	l.Open = min(l.Open, l.IssuerConns)
+	return l
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -106,6 +106,7 @@
 // watch calls again and again, each call right after the answer to the last, so that the watch goes on.
 func (c *Client) watch(ctx context.Context) error {
 	for {
+		began := time.Now()
 		l, err := c.call(ctx)
 		if err != nil {
 			return err
@@ -120,6 +121,13 @@
 			kind = policy.ListFull
 		}
 		c.Post(broker.Listed{Kind: kind, Hosts: hosts})
+		if len(hosts) == 0 && time.Since(began) < c.Lim.WatchPause {
+			// Answers that do not wait must not make calls without end; the watch still goes on.
+			select {
+			case <-ctx.Done():
+			case <-time.After(c.Lim.WatchPause):
+			}
+		}
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"notchhinge/internal/acquirer"
 	"notchhinge/internal/batch"
 	"notchhinge/internal/broker"
@@ -81,9 +83,11 @@
 	halt := make(chan struct{})
 	go r.desk.Run(halt)
 	lim := r.cfg.Limits
-	web := &http.Server{Handler: r.desk.Handler(), ReadHeaderTimeout: lim.HeadWait, MaxHeaderBytes: lim.HeadBytes}
+	web := &http.Server{
+		Handler: r.desk.Handler(), ReadHeaderTimeout: lim.HeadWait, IdleTimeout: lim.APIIdle, MaxHeaderBytes: lim.HeadBytes,
+	}
 	go func() {
-		if err := web.Serve(r.door); !errors.Is(err, http.ErrServerClosed) {
+		if err := web.Serve(netutil.LimitListener(r.door, lim.BatchConns)); !errors.Is(err, http.ErrServerClosed) {
 			served <- err
 		}
 	}()
