End with exit code 2 on a bad configuration, as documented

Seen: the new test of the command line got exit code 1 for every bad configuration. Checked: config.Load returns its error as it should (its own tests pass); kong's Run wraps what a command returns, so that the type assertion in main.go never held. At fault: main() in cmd/notchhinge/main.go; errors.As now.

Also: HTTP/1.0 is declined with 505 (it could not take chunks), a bad known list is an error of the configuration, a session or prefix of 0 means none, a line says when the router serves.

--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -104,7 +105,7 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "notchhinge:", err)
-	if _, bad := err.(badConfig); bad {
+	if bad := (badConfig{}); errors.As(err, &bad) { // kong wraps what a command returns
 		os.Exit(2)
 	}
 	os.Exit(1)
--- /dev/null
+++ b/cmd/notchhinge/main_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestMain lets the test's own program stand for the command.
+func TestMain(m *testing.M) {
+	if os.Getenv("NOTCHHINGE_TEST_COMMAND") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const goodConfig = "../../internal/config/testdata/config.json"
+
+func command(config string, args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), "NOTCHHINGE_TEST_COMMAND=1", "BALANCER_CONFIG="+config, "BALANCER_LISTEN=127.0.0.1:0")
+	return c
+}
+
+func TestExitCodes(t *testing.T) {
+	for _, c := range []struct {
+		config string
+		args   []string
+		code   int
+		says   string
+	}{
+		{goodConfig, []string{"check-config"}, 0, "router n1"},
+		{"none.json", []string{"check-config"}, 2, "none.json"},
+		{"none.json", []string{"serve"}, 2, "none.json"},
+		{"main.go", []string{"serve"}, 2, "main.go"},
+		{goodConfig, []string{"serve", "--batch", "../../deploy/batch.toml"}, 2, "holds no key"}, // keys are in no file
+		{goodConfig, []string{"version"}, 0, "notchhinge"},
+	} {
+		out, err := command(c.config, c.args...).CombinedOutput()
+		code := 0
+		if exit := (*exec.ExitError)(nil); errors.As(err, &exit) {
+			code = exit.ExitCode()
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		if code != c.code || !strings.Contains(string(out), c.says) {
+			t.Errorf("%s with %s: exit code %d\n%s", c.args, c.config, code, out)
+		}
+	}
+}
+
+func TestSignals(t *testing.T) {
+	// SIGUSR1 prints the counters and the program goes on; SIGTERM drains, prints them and ends with 0.
+	c := command(goodConfig, "serve")
+	logs, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Process.Kill()
+	lines := bufio.NewScanner(logs)
+	await := func(word string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), word) {
+				return
+			}
+		}
+		t.Fatalf("the log ends without %q: %v", word, lines.Err())
+	}
+	await("msg=serving")
+	c.Process.Signal(syscall.SIGUSR1)
+	await("msg=counters")
+	c.Process.Signal(syscall.SIGTERM)
+	await("msg=draining")
+	await("msg=counters")
+	for lines.Scan() {
+	}
+	if err := c.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -172,6 +172,10 @@
 		}
 		return nil, &d
 	}
+	if !req.ProtoAtLeast(1, 1) {
+		c.s.Post(broker.Declined{}) // it could not take an answer in chunks
+		return nil, &decline{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.1 is wanted", close: true}
+	}
 	if c.spare {
 		c.s.Post(broker.Declined{})
 		return nil, &decline{
--- a/internal/acquirer/head.go
+++ b/internal/acquirer/head.go
@@ -124,7 +124,7 @@
 	return missing == 0
 }
 
-// word reads a hexadecimal word; anything else is hashed to one. None is 0, which means none.
+// word reads a hexadecimal word; anything else is hashed to one. 0 means none.
 func word(s string) uint64 {
 	v, err := strconv.ParseUint(s, 16, 64)
 	if err != nil {
@@ -132,5 +132,5 @@
 		h.Write([]byte(s))
 		v = h.Sum64()
 	}
-	return max(v, 1)
+	return v
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"time"
 
 	"notchhinge/internal/deadline"
@@ -63,7 +64,7 @@
 		lim: lim, module: module, due: deadline.New[due](),
 		auths: map[policy.RequestID]*auth{}, byParty: map[Acquirer]*auth{},
 		hosts: map[policy.ReplicaID]*Host{}, hostNames: map[string]policy.ReplicaID{},
-		counts: Counters{Outcomes: map[int]int{}},
+		counts: Counters{Outcomes: map[policy.Result]int{}},
 	}, nil
 }
 
@@ -127,10 +128,7 @@
 	case Audit:
 		c := b.counts
 		c.Open = b.Open()
-		c.Outcomes = map[int]int{}
-		for k, n := range b.counts.Outcomes {
-			c.Outcomes[k] = n
-		}
+		c.Outcomes = maps.Clone(c.Outcomes) // the reader is another goroutine
 		b.do(Counted{c})
 	}
 }
@@ -234,7 +232,7 @@
 // tell gives the module the one outcome of a leg. The end of a bound leg, whole or not, ends the authorisation.
 func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, p policy.Report) {
 	a.running--
-	b.counts.Outcomes[int(r)]++
+	b.counts.Outcomes[r]++
 	if a.bound == l && !a.over {
 		if r == policy.OK {
 			b.counts.Served++
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -90,7 +90,7 @@
 	r.expect(9*sec, Tick{}) // once begun, the deadline runs no longer
 	r.expect(9*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.OK})
 	r.expect(9*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Reset}) // a second outcome is none
-	if c := r.counts; c.Served != 1 || c.Outcomes[int(policy.OK)] != 1 || c.Outcomes[int(policy.Reset)] != 0 || len(r.auths) != 0 {
+	if c := r.counts; c.Served != 1 || c.Outcomes[policy.OK] != 1 || c.Outcomes[policy.Reset] != 0 || len(r.auths) != 0 {
 		t.Errorf("counters %+v, %d open", c, len(r.auths))
 	}
 }
@@ -103,7 +103,7 @@
 	r.expect(4*sec, Tick{}, "drop 1.0", "decline a failed=true after 0s")
 	r.expect(5*sec, LegBegan{LegID{1, 0}}, "drop 1.0") // too late to be the acquirer's
 	r.expect(5*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Cancelled})
-	if n := r.counts.Outcomes[int(policy.TimedOut)]; n != 1 || r.Open() != 0 {
+	if n := r.counts.Outcomes[policy.TimedOut]; n != 1 || r.Open() != 0 {
 		t.Errorf("%d time-outs, %d open", n, r.Open())
 	}
 }
@@ -133,7 +133,7 @@
 			t.Errorf("%s: %v", name, r.effects)
 		}
 	}
-	if n := r.counts.Outcomes[int(policy.Moot)]; n != 2 {
+	if n := r.counts.Outcomes[policy.Moot]; n != 2 {
 		t.Errorf("%d moot", n)
 	}
 }
@@ -150,7 +150,7 @@
 	r.expect(sec, LegBegan{LegID{1, 1}}, "bind 1.1", "drop 1.0")
 	r.expect(sec, LegBegan{LegID{1, 0}}, "drop 1.0")
 	r.expect(sec, LegEnded{Leg: LegID{1, 1}, Result: policy.Reset}) // a broken stream ends the authorisation
-	if c := r.counts; c.Broken != 1 || c.Outcomes[int(policy.Cancelled)] != 1 || len(r.auths) != 0 {
+	if c := r.counts; c.Broken != 1 || c.Outcomes[policy.Cancelled] != 1 || len(r.auths) != 0 {
 		t.Errorf("counters %+v, %d open", c, len(r.auths))
 	}
 }
@@ -165,7 +165,7 @@
 		}
 	}
 	r.expect(sec, Tick{}, "drop 1.1") // the first leg stays out
-	if n := r.counts.Outcomes[int(policy.TimedOut)]; n != 1 || r.auths[1].running != 1 {
+	if n := r.counts.Outcomes[policy.TimedOut]; n != 1 || r.auths[1].running != 1 {
 		t.Errorf("%d time-outs, %d running", n, r.auths[1].running)
 	}
 }
@@ -179,7 +179,7 @@
 		}
 		r.expect(sec, Departed{"a"}, "drop 1.0")
 		r.expect(sec, Departed{"a"})
-		if c := r.counts; c.Gone != 1 || c.Outcomes[int(policy.Cancelled)] != 1 || len(r.auths) != 0 {
+		if c := r.counts; c.Gone != 1 || c.Outcomes[policy.Cancelled] != 1 || len(r.auths) != 0 {
 			t.Errorf("%s: counters %+v, %d open", name, c, len(r.auths))
 		}
 	}
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -137,9 +137,9 @@
 // Counters tell what a router took in, sent and answered since its start.
 type Counters struct {
 	Taken    int
-	Declined int         // by a front, before the module saw them
-	Legs     int         // sent
-	Outcomes map[int]int // of legs, by policy.Result
+	Declined int                   // by a front, before the module saw them
+	Legs     int                   // sent
+	Outcomes map[policy.Result]int // of legs
 	Served   int
 	Broken   int // streams that broke after their first event
 	Refused  int
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -114,6 +114,9 @@
 	if err := json.Unmarshal(f.Settings, &r); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if _, err := f.Known.Entries(r.AZs); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
 	var longest time.Duration
 	for _, g := range settings.Classes {
 		longest = max(longest, g.Deadline)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -60,6 +60,7 @@
 		`"memory_mb": 192=>"memory_mb": -1`:                "limits:",
 		`"effect": "pure"=>"effect": "odd"`:                "effect",
 		`"mostTries": 4=>"mostTries": 0`:                   "MaxAttempts",
+		`"health": "Ready"=>"health": "Odd"`:               "known:",
 		`"idleClose": 5000000=>"idleClose": 0`:             "idleClose",
 		`"discovery": "subscribe"=>"discovery": "guesses"`: "discovery",
 	} {
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -70,6 +70,14 @@
 	}, far
 }
 
+// play plays a recording, in which "request" stands for the order as the host must get it.
+func play(t *testing.T, conn net.Conn, name string) {
+	t.Helper()
+	exchange.Play(t, conn, filepath.Join("testdata", name+".txt"), exchange.Does{"request": func(string) {
+		exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
+	}})
+}
+
 func send(n int, c *customer) broker.SendLeg {
 	return broker.SendLeg{Leg: broker.LegID{Auth: 1, N: n}, From: c, Dial: "d", Wait: 4 * time.Second}
 }
@@ -112,10 +120,7 @@
 				d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
 				d.Send(send(0, c))
 				conn := <-far
-				does := exchange.Does{"request": func(string) {
-					exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
-				}}
-				exchange.Play(t, conn, filepath.Join("testdata", name+".txt"), does)
+				play(t, conn, name)
 				synctest.Wait()
 				conn.Close()
 				d.Close()
@@ -159,15 +164,12 @@
 		dial, far := pipes()
 		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
 		var conn net.Conn
-		does := exchange.Does{"request": func(string) {
-			exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
-		}}
 		for n := range 2 {
 			d.Send(send(n, c))
 			if n == 0 {
 				conn = <-far
 			}
-			exchange.Play(t, conn, filepath.Join("testdata", "served.txt"), does)
+			play(t, conn, "served")
 			synctest.Wait()
 		}
 		want := []broker.Event{broker.Parked{Line: 1}, broker.Parked{Line: 2}}
@@ -192,13 +194,10 @@
 		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
 		d.Send(send(0, c))
 		conn := <-far
-		does := exchange.Does{"request": func(string) {
-			exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil)
-		}}
-		exchange.Play(t, conn, filepath.Join("testdata", "served.txt"), does)
+		play(t, conn, "served")
 		synctest.Wait()
 		d.Send(send(1, c))
-		exchange.Play(t, conn, filepath.Join("testdata", "reset.txt"), does)
+		play(t, conn, "reset")
 		synctest.Wait()
 		if len(d.ends) != 2 || d.ends[1].Result != policy.Reset || len(far) != 0 {
 			t.Errorf("ends %v, %d more connections", d.ends, len(far))
@@ -212,10 +211,9 @@
 		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
 		d.Send(send(0, c))
 		conn := <-far
-		exchange.Play(t, conn, filepath.Join("testdata", "dropped.txt"), exchange.Does{
-			"request": func(string) { exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil) },
-			"drop":    func(string) { d.Drop(broker.LegID{Auth: 1}) },
-		})
+		play(t, conn, "request_sent")
+		d.Drop(broker.LegID{Auth: 1})
+		play(t, conn, "is_closed")
 		synctest.Wait()
 		if len(d.ends) != 1 || d.pool.open != 0 || len(d.legs) != 0 {
 			t.Errorf("ends %v, %d lines, %d legs", d.ends, d.pool.open, len(d.legs))
@@ -230,9 +228,7 @@
 		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`), err: errors.New("gone")}
 		d.Send(send(0, c))
 		conn := <-far
-		exchange.Play(t, conn, filepath.Join("testdata", "unread.txt"), exchange.Does{
-			"request": func(string) { exchange.Play(t, conn, filepath.Join("testdata", "request.txt"), nil) },
-		})
+		play(t, conn, "unread")
 		synctest.Wait()
 		if diff := cmp.Diff([]broker.Event{broker.Departed{From: c}}, d.events, cmp.Comparer(func(x, y *customer) bool { return x == y })); diff != "" {
 			t.Errorf("events (-want +got):\n%s", diff)
@@ -282,7 +278,7 @@
 				d := newDesk(dial)
 				d.Probe(broker.Probe{Host: 5, Dial: "d"})
 				conn := <-far
-				exchange.Play(t, conn, filepath.Join("testdata", name+".txt"), nil)
+				play(t, conn, name)
 				synctest.Wait()
 				conn.Close()
 				d.Close()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -153,7 +153,7 @@
 func (r *Router) print(c broker.Counters) {
 	var legs []any
 	for i, name := range outcomes() {
-		if n := c.Outcomes[i]; n > 0 {
+		if n := c.Outcomes[policy.Result(i)]; n > 0 {
 			legs = append(legs, slog.Int(name, n))
 		}
 	}
@@ -194,6 +194,7 @@
 	r.list.Known(r.cfg.Known)
 	r.listed(broker.Listed{Kind: policy.ListCached, Hosts: known})
 	go r.list.Run(ctx, r.asked)
+	r.log.Info("serving", "listen", ln.Addr().String(), "known_hosts", len(known))
 	served := make(chan error, 2)
 	stopBatch := r.serveBatch(served)
 	go func() { served <- r.front.Serve(ln) }()
