Bound what an ended batch holds, and close races in the batch front

Seen in review: an ended batch kept its lines' outcomes in memory for ever (about 2 MB for 20,000 lines); the list of batches and the end of a broken answer read a job's record outside the desk's lock. Checked: with the bounded version, cancelling a batch whose last line was done panicked (the new test does so without the guard in cancelRest), so that the guard is there now. At fault: job.count and job.open (kept j.ends), listBatches and attempt.Finish. Now: feeds of ended batches are read from the spool.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -17,6 +17,7 @@
 	try   *try
 	order issuer.Order
 	got   collector
+	safe  bool // the line may be run again whole
 }
 
 // end is how an attempt ended.
@@ -36,7 +37,7 @@
 
 func newAttempt(d *Desk, w *try) *attempt {
 	return &attempt{
-		desk: d, try: w, got: collector{most: d.lim.AnswerBytes},
+		desk: d, try: w, safe: d.classes[w.job.rec.Class].Effect == policy.Safe, got: collector{most: d.lim.AnswerBytes},
 		order: issuer.Order{
 			Method: "POST", Target: endpoint, Host: "batch.notchhinge", CallID: fmt.Sprintf("%016x", rand.Uint64()),
 			ContentType: "application/json", Body: w.body,
@@ -61,7 +62,7 @@
 	switch {
 	case whole:
 		a.desk.ended(a, end{kind: endServed, body: a.got.answer()})
-	case a.desk.classes[a.try.job.rec.Class].Effect == policy.Safe:
+	case a.safe:
 		a.desk.ended(a, end{kind: endBroken})
 	default:
 		a.desk.ended(a, end{kind: endFailed, code: "broken", reason: "the answer broke off"})
--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -306,7 +306,7 @@
 
 // record writes the one outcome of a line down. A job whose last line it was is at its end.
 func (d *Desk) record(j *job, n int, o *Outcome) {
-	if j.done[n] || j.err != nil {
+	if j.done == nil || j.done[n] || j.err != nil {
 		return
 	}
 	delete(j.trying, n)
@@ -344,6 +344,7 @@
 	}
 	j.close()
 	j.leave()
+	j.shrink()
 	j.tell()
 	return nil
 }
@@ -376,8 +377,9 @@
 		d.callOff(w)
 	}
 	j.ready = nil
-	for n := range j.done {
-		if !j.done[n] {
+	done := j.done // the job lets go of it at its end
+	for n := range done {
+		if !done[n] {
 			d.record(j, n, &Outcome{CustomID: j.customID(n, d.lim.LineBytes), Outcome: failed,
 				Error: &OutcomeError{"cancelled", "the batch was cancelled"}})
 		}
@@ -463,7 +465,7 @@
 		if err := writeJSON(filepath.Join(j.dir, jobName), rec); err != nil {
 			return err
 		}
-		j.rec = rec
+		j.rec.Cancelled = rec.Cancelled
 		d.nudge()
 	}
 	return nil
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -146,6 +146,9 @@
 	same(t, "handed out again", 1, len(again))
 	again[0].serve()
 	same(t, "status", "completed", j.status())
+	if j.done != nil || j.ends != nil || j.input != nil {
+		t.Error("a batch that has ended still holds what it needed at work")
+	}
 	same(t, "result", []string{"1 a served", "2  failed invalid_line", "3 b failed timed_out", "4 c failed invalid_line",
 		"5  failed line_too_long", "6 d refused declined", "7 e served"}, outcomesOf(t, j))
 }
@@ -258,6 +261,19 @@
 	}
 }
 
+func TestCancelWithTheLastLineDone(t *testing.T) {
+	// Guards against a look at a line of a batch that has just come to its end.
+	r := newRig(t, t.TempDir(), nil)
+	j := r.job(fileText(4))
+	r.after(0)[3].serve()
+	if err := r.cancel(j); err != nil {
+		t.Fatal(err)
+	}
+	r.after(0)
+	same(t, "result", []string{"1 id-0 failed cancelled", "2 id-1 failed cancelled", "3 id-2 failed cancelled", "4 id-3 served"},
+		outcomesOf(t, j))
+}
+
 func TestSpoolThatCannotBeWritten(t *testing.T) {
 	// A full disk must not lose or repeat an outcome: the job stalls, and the next start takes it up.
 	dir := t.TempDir()
--- a/internal/batch/http.go
+++ b/internal/batch/http.go
@@ -312,8 +312,8 @@
 	for _, j := range t.jobs {
 		jobs = append(jobs, j)
 	}
-	d.mu.Unlock()
 	slices.SortFunc(jobs, func(x, y *job) int { return y.rec.Created.Compare(x.rec.Created) })
+	d.mu.Unlock()
 	data := []any{}
 	for _, j := range jobs {
 		data = append(data, d.object(j))
@@ -338,7 +338,7 @@
 		"status": j.status(), "created_at": j.rec.Created.Unix(), "completed_at": nil,
 		"cancelling_at": stamp(j.rec.Cancelled), "cancelled_at": nil, "metadata": j.rec.Metadata, "class": j.rec.Class,
 		"request_counts": map[string]int{
-			"total": len(j.done), "completed": j.counts[served], "failed": j.counts[refused] + j.counts[failed],
+			"total": j.file.Lines, "completed": j.counts[served], "failed": j.counts[refused] + j.counts[failed],
 		},
 		"outcomes": map[string]int{served: j.counts[served], refused: j.counts[refused], failed: j.counts[failed]},
 	}
@@ -374,12 +374,8 @@
 	w.Header().Set("Cache-Control", "no-cache")
 	out := http.NewResponseController(w)
 	for {
-		d.mu.Lock()
-		at = min(at, len(j.ends))
-		news, changed := j.ends[at:], j.changed
-		over := !j.rec.Ended.IsZero() || j.err != nil
-		d.mu.Unlock()
-		for _, e := range news {
+		ends, over, changed := d.news(j)
+		for _, e := range ends[min(at, len(ends)):] {
 			at++
 			fmt.Fprintf(w, "id: %d\nevent: line\ndata: %s\n\n", at, compact(e))
 		}
@@ -403,6 +399,22 @@
 	}
 }
 
+// news is what the feed of a job can tell so far, whether that is all, and what is closed when there is more.
+func (d *Desk) news(j *job) (ends []lineEnd, over bool, changed <-chan struct{}) {
+	d.mu.Lock()
+	ends, changed = j.ends, j.changed
+	ended := !j.rec.Ended.IsZero()
+	over = ended || j.err != nil
+	d.mu.Unlock()
+	if ended { // its notes change no more
+		err := outcomes(filepath.Join(j.dir, outcomesName), func(o *Outcome, _ span) { ends = append(ends, o.end()) })
+		if err != nil {
+			d.log.Error("batch feed", "batch", j.rec.ID, "err", err)
+		}
+	}
+	return ends, over, changed
+}
+
 func compact(v any) []byte {
 	b, _ := json.Marshal(v) // plain fields, strings and numbers: it cannot fail
 	return b
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -26,7 +26,7 @@
 	err      error // why it is stalled
 
 	counts  map[string]int
-	ends    []lineEnd     // in their order, for the feed
+	ends    []lineEnd     // in their order, for the feed; at the job's end they are in its notes only
 	changed chan struct{} // closed when there is news
 }
 
@@ -64,6 +64,7 @@
 		err = fmt.Errorf("%s: %d outcomes for lines that have one, or that there are not", dir, twice)
 	}
 	if err != nil || !rec.Ended.IsZero() {
+		j.shrink()
 		return j, err
 	}
 	input, err := os.Open(filepath.Join(dir, inputName))
@@ -102,12 +103,17 @@
 	j.done[o.Line-1] = true
 	j.left--
 	j.counts[o.Outcome]++
+	j.ends = append(j.ends, o.end())
+	j.tell()
+}
+
+// end is what the feed tells of an outcome.
+func (o *Outcome) end() lineEnd {
 	e := lineEnd{Line: o.Line, CustomID: o.CustomID, Outcome: o.Outcome}
 	if o.Error != nil {
 		e.Code = o.Error.Code
 	}
-	j.ends = append(j.ends, e)
-	j.tell()
+	return e
 }
 
 // tell wakes those who follow the job's feed.
@@ -116,6 +122,9 @@
 	j.changed = make(chan struct{})
 }
 
+// shrink drops what only a job at work needs; there may be very many that have ended.
+func (j *job) shrink() { j.done, j.spans, j.ends, j.ready, j.trying = nil, nil, nil, nil, nil }
+
 func (j *job) leave() {
 	j.team.queue = slices.DeleteFunc(j.team.queue, func(other *job) bool { return other == j })
 }
