--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"notchhinge/internal/broker"
-	"notchhinge/internal/deadline"
 	"notchhinge/internal/limits"
 	"notchhinge/policy"
 )
@@ -39,9 +38,8 @@
 
 	mu       sync.Mutex
 	teams    map[string]*team // by key
-	waiting  *deadline.Queue[*try]
 	stopping bool
-	wake     chan struct{} // something may be due earlier than before
+	wake     chan struct{} // something may be started
 }
 
 type class struct {
@@ -60,6 +58,7 @@
 
 // try is a line that was begun and has no outcome yet.
 type try struct {
+	desk    *Desk
 	job     *job
 	line    int // counted from 0
 	id      string
@@ -67,15 +66,15 @@
 	request policy.Request
 	until   time.Duration // the line's deadline
 	tries   int
-	wait    deadline.Key // in the waiting queue; zero if not
-	out     *attempt     // in the broker's hands; nil if not
+	waiting bool     // for the reminder to try again
+	out     *attempt // in the broker's hands; nil if not
 }
 
 // NewDesk takes the jobs of the spool up where they were left.
 func NewDesk(o Options) (*Desk, error) {
 	d := &Desk{
 		cfg: o.Config, lim: o.Lim, classes: map[string]class{}, post: o.Post, now: o.Now, log: o.Log,
-		teams: map[string]*team{}, waiting: deadline.New[*try](), wake: make(chan struct{}, 1),
+		teams: map[string]*team{}, wake: make(chan struct{}, 1),
 	}
 	for i, c := range o.Classes {
 		d.classes[c.Name] = class{c, i}
@@ -127,22 +126,16 @@
 
 // Run starts lines as they may be started until stop is closed.
 func (d *Desk) Run(stop <-chan struct{}) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	d.nudge()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-timer.C:
 		case <-d.wake:
 		}
 		d.mu.Lock()
 		d.turn()
-		at, ok := d.waiting.Next()
 		d.mu.Unlock()
-		if ok {
-			timer.Reset(max(at-d.now(), 0))
-		}
 	}
 }
 
@@ -174,11 +167,6 @@
 
 // turn starts all that may be started now. The lock is held.
 func (d *Desk) turn() {
-	now := d.now()
-	for w, ok := d.waiting.Due(now); ok; w, ok = d.waiting.Due(now) {
-		w.wait = deadline.Key{}
-		w.job.ready = append(w.job.ready, w)
-	}
 	for _, t := range d.teams {
 		for _, j := range slices.Clone(t.queue) {
 			if !j.rec.Cancelled.IsZero() {
@@ -195,6 +183,17 @@
 	}
 }
 
+// Due is called when the wait of a declined line is over. The broker keeps it with all other deadlines.
+func (w *try) Due() {
+	w.desk.mu.Lock()
+	defer w.desk.mu.Unlock()
+	if w.waiting {
+		w.waiting = false
+		w.job.ready = append(w.job.ready, w)
+		w.desk.nudge()
+	}
+}
+
 // pick returns the line that is next: of the oldest job, and there one that was declined before a new one.
 func (d *Desk) pick(t *team) *try {
 	for _, j := range slices.Clone(t.queue) {
@@ -243,7 +242,7 @@
 	q.Class = d.classes[j.rec.Class].number
 	q.Session = hash([]byte(j.rec.ID), []byte(l.CustomID))
 	w := &try{
-		job: j, line: n, id: l.CustomID, body: body, request: q, until: d.now() + time.Duration(j.team.LineDeadline),
+		desk: d, job: j, line: n, id: l.CustomID, body: body, request: q, until: d.now() + time.Duration(j.team.LineDeadline),
 	}
 	j.trying[n] = w
 	return w
@@ -296,7 +295,8 @@
 			again = d.lim.DeclineWait
 		}
 		if at := d.now() + again; at < w.until {
-			w.wait = d.waiting.Add(at, w)
+			w.waiting = true
+			d.post(broker.Remind{At: at, Of: w})
 		} else {
 			d.giveUp(w)
 		}
@@ -362,7 +362,7 @@
 
 // callOff takes a line back from the broker or from its wait.
 func (d *Desk) callOff(w *try) {
-	d.waiting.Remove(w.wait)
+	w.waiting = false
 	if a := w.out; a != nil {
 		w.out = nil
 		w.job.team.out--
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -24,6 +24,7 @@
 	t   *testing.T
 	at  time.Duration
 	out []*attempt
+	due []broker.Remind
 }
 
 const key = "secret"
@@ -48,6 +49,8 @@
 			switch e := e.(type) {
 			case broker.Taken:
 				r.out = append(r.out, e.From.(*attempt))
+			case broker.Remind:
+				r.due = append(r.due, e)
 			case broker.Departed:
 				r.out = append(r.out, nil) // called off
 			}
@@ -65,6 +68,15 @@
 func (r *rig) after(d time.Duration) []*attempt {
 	r.at += d
 	r.out = nil
+	due := r.due
+	r.due = nil
+	for _, e := range due {
+		if e.At <= r.at {
+			e.Of.(*try).Due()
+		} else {
+			r.due = append(r.due, e)
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.turn()
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -46,11 +46,12 @@
 	ended bool // its one outcome was told
 }
 
-// due is what a deadline is for: a leg, an authorisation, a parked line or a timer of the module.
+// due is what a deadline is for: a leg, an authorisation, a parked line, a front's reminder or a timer of the module.
 type due struct {
 	auth  *auth
 	leg   *leg
 	line  uint64 // never 0
+	of    any    // what a front is to be reminded of
 	token uint64
 }
 
@@ -123,6 +124,8 @@
 		b.listed(e)
 	case Parked:
 		b.due.Add(b.now+b.lim.IssuerIdle, due{line: e.Line})
+	case Remind:
+		b.due.Add(e.At, due{of: e.Of})
 	case Note:
 		b.do(Log{string(e)})
 	case Audit:
@@ -268,6 +271,8 @@
 		if !d.auth.over {
 			b.Fail(d.auth.id)
 		}
+	case d.of != nil:
+		b.do(Reminded{d.of})
 	case d.line != 0:
 		b.do(HangUp{d.line})
 	default:
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -65,6 +65,8 @@
 			words = append(words, fmt.Sprintf("decline %v failed=%v after %v", f.To, f.Failed, f.RetryAfter))
 		case HangUp:
 			words = append(words, fmt.Sprintf("hang up %d", f.Line))
+		case Reminded:
+			words = append(words, fmt.Sprint("remind ", f.Of))
 		case Probe:
 			words = append(words, "probe "+f.Dial)
 		}
@@ -209,6 +211,14 @@
 	r.expect(4*sec, Tick{}, "hang up 3") // a second before the host would
 }
 
+func TestReminder(t *testing.T) {
+	r := newRig(t, 0, nil)
+	r.expect(0, Remind{At: r.now + sec, Of: "line"})
+	r.expect(sec-1, Tick{})
+	r.expect(sec, Tick{}, "remind line")
+	r.expect(2*sec, Tick{})
+}
+
 func TestGoneHostGetsNothing(t *testing.T) {
 	r := newRig(t, 1, nil)
 	r.expect(0, Listed{Kind: policy.ListDelta, Hosts: []Host{{Name: "h0", State: policy.Gone}}})
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -66,6 +66,11 @@
 	}
 	// Parked: a line to an issuer host is idle, and is to be hung up before the host closes it.
 	Parked struct{ Line uint64 }
+	// Remind: a front wants to be told of something at a time.
+	Remind struct {
+		At time.Duration
+		Of any
+	}
 	// Tick: something may be due.
 	Tick struct{}
 	// Audit asks for the counters.
@@ -82,6 +87,7 @@
 func (Probed) event()   {}
 func (Listed) event()   {}
 func (Parked) event()   {}
+func (Remind) event()   {}
 func (Tick) event()     {}
 func (Audit) event()    {}
 func (Note) event()     {}
@@ -116,6 +122,8 @@
 	}
 	// HangUp closes a line if it is still parked under that number.
 	HangUp struct{ Line uint64 }
+	// Reminded answers Remind, at its time or a little later.
+	Reminded struct{ Of any }
 	// Watch asks discovery for changes from now on.
 	Watch struct{}
 	// Log is a line for the staff.
@@ -124,15 +132,16 @@
 	Counted struct{ Counters Counters }
 )
 
-func (SendLeg) effect() {}
-func (Bind) effect()    {}
-func (DropLeg) effect() {}
-func (Decline) effect() {}
-func (Probe) effect()   {}
-func (HangUp) effect()  {}
-func (Watch) effect()   {}
-func (Log) effect()     {}
-func (Counted) effect() {}
+func (SendLeg) effect()  {}
+func (Bind) effect()     {}
+func (DropLeg) effect()  {}
+func (Decline) effect()  {}
+func (Probe) effect()    {}
+func (HangUp) effect()   {}
+func (Reminded) effect() {}
+func (Watch) effect()    {}
+func (Log) effect()      {}
+func (Counted) effect()  {}
 
 // Counters tell what a router took in, sent and answered since its start.
 type Counters struct {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -125,6 +125,8 @@
 		r.issuer.Probe(e)
 	case broker.Decline:
 		go e.To.(decliner).Decline(e.Failed, e.RetryAfter)
+	case broker.Reminded:
+		go e.Of.(reminder).Due()
 	case broker.Watch:
 		select {
 		case r.asked <- struct{}{}:
@@ -142,6 +144,9 @@
 	Decline(failed bool, retryAfter time.Duration)
 }
 
+// reminder is what a front has itself reminded of.
+type reminder interface{ Due() }
+
 // outcomes names the outcomes of legs, by policy.Result.
 func outcomes() [8]string {
 	return [...]string{
