--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -373,14 +373,16 @@
 
 // cancelRest gives every line without one its outcome: cancelled.
 func (d *Desk) cancelRest(j *job) {
+	tries := map[int]int{}
 	for _, w := range j.trying {
+		tries[w.line] = w.tries
 		d.callOff(w)
 	}
 	j.ready = nil
 	done := j.done // the job lets go of it at its end
 	for n := range done {
 		if !done[n] {
-			d.record(j, n, &Outcome{CustomID: j.customID(n, d.lim.LineBytes), Outcome: failed,
+			d.record(j, n, &Outcome{CustomID: j.customID(n, d.lim.LineBytes), Outcome: failed, Tries: tries[n],
 				Error: &OutcomeError{"cancelled", "the batch was cancelled"}})
 		}
 	}
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -123,8 +123,11 @@
 			t.Fatal(err)
 		}
 		code := ""
+		if o.Tries > 1 {
+			code = fmt.Sprintf("(%d tries) ", o.Tries)
+		}
 		if o.Error != nil {
-			code = o.Error.Code
+			code += o.Error.Code
 		}
 		got = append(got, strings.TrimSpace(fmt.Sprintf("%d %s %s %s", o.Line, o.CustomID, o.Outcome, code)))
 	}
@@ -162,7 +165,7 @@
 		t.Error("a batch that has ended still holds what it needed at work")
 	}
 	same(t, "result", []string{"1 a served", "2  failed invalid_line", "3 b failed timed_out", "4 c failed invalid_line",
-		"5  failed line_too_long", "6 d refused declined", "7 e served"}, outcomesOf(t, j))
+		"5  failed line_too_long", "6 d refused declined", "7 e served (2 tries)"}, outcomesOf(t, j))
 }
 
 func TestDeclinesSlowTheTeamDown(t *testing.T) {
@@ -195,7 +198,7 @@
 		same(t, "time for an answer", min(12*time.Second, 20*time.Second-time.Duration(tries)*3*time.Second), out[0].try.request.ExpiresIn)
 		out[0].Decline(false, 3*time.Second)
 	}
-	same(t, "result", []string{"1 id-0 refused declined"}, outcomesOf(t, j))
+	same(t, "result", []string{"1 id-0 refused (7 tries) declined"}, outcomesOf(t, j))
 }
 
 func TestResubmission(t *testing.T) {
@@ -277,12 +280,16 @@
 	// Guards against a look at a line of a batch that has just come to its end.
 	r := newRig(t, t.TempDir(), nil)
 	j := r.job(fileText(4))
-	r.after(0)[3].serve()
+	out := r.after(0)
+	out[1].serve()
+	out[3].serve()
+	out[0].Decline(false, time.Second)
+	r.after(time.Second)
 	if err := r.cancel(j); err != nil {
 		t.Fatal(err)
 	}
 	r.after(0)
-	same(t, "result", []string{"1 id-0 failed cancelled", "2 id-1 failed cancelled", "3 id-2 failed cancelled", "4 id-3 served"},
+	same(t, "result", []string{"1 id-0 failed (2 tries) cancelled", "2 id-1 served", "3 id-2 failed cancelled", "4 id-3 served"},
 		outcomesOf(t, j))
 }
 
