--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -154,6 +154,30 @@
 	})
 }
 
+func TestSlowAcquirerHoldsNobodyUp(t *testing.T) {
+	// One that does not read its answer stalls its own leg only, and is cut off in the end.
+	synctest.Test(t, func(t *testing.T) {
+		front, stop, done, log := bubble(t, time.Second)
+		slow, quick := must(front.dial()), must(front.dial())
+		began := time.Now()
+		exchange.Play(t, slow, "testdata/request.txt", nil)
+		exchange.Play(t, quick, "testdata/served.txt", nil)
+		if d := time.Since(began); d != time.Second {
+			t.Errorf("the other was served after %v", d)
+		}
+		time.Sleep(11 * time.Second)
+		exchange.Play(t, slow, "testdata/is_closed.txt", nil)
+		quick.Close()
+		stop <- syscall.SIGTERM
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if !strings.Contains(log.String(), "answers.served=1") || !strings.Contains(log.String(), "answers.gone=1") {
+			t.Errorf("the counters at the end: %s", log)
+		}
+	})
+}
+
 func must(c net.Conn, err error) net.Conn {
 	if err != nil {
 		panic(err)
