Decline what is framed twice, close silent connections, make room among the silent

Checked: 426 descriptors in use, so neither descriptors nor memory (16 MB) ran out; the engines' errors were 0 for the usual clients.

At fault: http.ReadRequest drops Content-Length beside Transfer-Encoding; conn.serve waited for a first byte without a deadline; makeRoom never closed a connection that had not asked; Serve stopped accepting when full; HeadWait and BodyWait were 5 and 10 s.

Now: a head is looked at as a whole before it is parsed (its buffer bounds it); one time for a whole message, from the connection for the first; silent connections go before idle ones; beyond all room a connection is closed at once; the id of another open request is answered 409.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,12 +34,9 @@
 
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
-	room := make(chan struct{}, s.Lim.AcquirerConns+s.Lim.SpareConns)
 	for {
-		room <- struct{}{} // with no room at all, connections wait to be accepted
 		nc, err := ln.Accept()
 		if err != nil {
-			<-room
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -47,7 +45,7 @@
 		}
 		s.wg.Add(1)
 		go func() {
-			defer func() { <-room; s.wg.Done() }()
+			defer s.wg.Done()
 			s.ServeConn(nc)
 		}()
 	}
@@ -61,26 +59,35 @@
 		s.conns = map[*conn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
-	c.spare = len(s.conns) > s.Lim.AcquirerConns && !s.makeRoom()
+	c.spare = len(s.conns) > s.Lim.AcquirerConns && !s.makeRoom(c.came)
+	full := len(s.conns) > s.Lim.AcquirerConns+s.Lim.SpareConns
 	s.mu.Unlock()
+	if full {
+		s.Post(broker.Declined{}) // not even a word to decline it has room
+	}
 	defer func() {
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
 		nc.Close()
 	}()
-	c.serve()
+	if !full {
+		c.serve()
+	}
 }
 
-// makeRoom closes the connection that has been idle for the longest, if one is. A client may well keep more
-// connections than it uses; declining a request while such a one holds a descriptor would be a loss. The lock
+// makeRoom closes the connection that has been idle for the longest, if one is: those first on which nothing
+// has ever been asked. A client may well keep more connections than it uses, and others open them by the
+// hundreds and say nothing; declining a request while such a one holds a descriptor would be a loss. The lock
 // is held.
-func (s *Server) makeRoom() bool {
+func (s *Server) makeRoom(now time.Time) bool {
 	var oldest *conn
 	var since time.Time
+	var used bool
 	for c := range s.conns {
-		if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
+		at, asked, idle := c.idleSince(now)
+		if idle && (oldest == nil || used && !asked || used == asked && at.Before(since)) {
+			oldest, since, used = c, at, asked
 		}
 	}
 	if oldest == nil || !oldest.closeIdle() {
@@ -130,7 +137,8 @@
 
 // route checks method and path; ok tells whether the message is an authorisation.
 func (s *Server) route(req *http.Request) (d decline, ok bool) {
-	switch req.URL.Path {
+	path, _, _ := strings.Cut(req.RequestURI, "?") // as it came, for so it is passed on
+	switch path {
 	case callsPath:
 		if req.Method != http.MethodPost {
 			return decline{status: http.StatusMethodNotAllowed, reason: "only POST is served here", allow: "POST"}, false
@@ -140,7 +148,7 @@
 		switch {
 		case req.Method != http.MethodGet:
 			return decline{status: http.StatusMethodNotAllowed, reason: "only GET is served here", allow: "GET"}, false
-		case req.URL.Path == readyPath && (s.draining.Load() || !s.Ready()):
+		case path == readyPath && (s.draining.Load() || !s.Ready()):
 			return decline{status: http.StatusServiceUnavailable, reason: "not ready"}, false
 		}
 		return decline{status: http.StatusOK, reason: "ok"}, false
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -49,7 +49,7 @@
 		},
 	}
 	if filepath.Base(file) == "spare.txt" {
-		s.conns = map[*conn]struct{}{{busy: true}: {}}
+		s.conns = map[*conn]struct{}{{s: s, busy: true, asked: true}: {}}
 	}
 	preset := int64(0)
 	if filepath.Base(file) == "no_room.txt" {
@@ -96,13 +96,13 @@
 		"relay":  func(text string) { go open.Relay([]byte(text + "\n\n")) },
 		"finish": func(string) { go open.Finish(true) },
 		"break":  func(string) { go open.Finish(false) },
-		"fail":   func(string) { go open.Decline(true, 0) },
+		"fail":   func(string) { go open.Decline(broker.Failed, 0) },
 		"refuse": func(text string) {
 			d, err := time.ParseDuration(text)
 			if err != nil {
 				t.Fatal(err)
 			}
-			go open.Decline(false, d)
+			go open.Decline(broker.Refused, d)
 		},
 		"drain": func(string) { s.Drain() },
 		"idle":  func(string) { synctest.Wait(); s.CloseIdle() },
@@ -118,29 +118,39 @@
 }
 
 func TestIdleConnectionMakesRoom(t *testing.T) {
-	// With all connections taken, a new one replaces the one that has been idle for the longest; one that has
-	// not served yet is about to, and stays.
+	// With all connections taken, a new one replaces one on which nothing has been asked for a while, and then
+	// the one that has been idle for the longest; one that is new is about to be used, and stays.
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{
 			Lim: limits.New(limits.Machine{MemoryMB: 192, Sockets: 1024}, limits.Site{}), Ready: func() bool { return true },
 			Post: func(broker.Event) {}, Now: func() time.Duration { return 0 },
 		}
-		s.Lim.AcquirerConns = 3
+		s.Lim.AcquirerConns, s.Lim.SpareConns = 3, 0
 		open := func() net.Conn {
 			near, far := net.Pipe()
 			go s.ServeConn(near)
 			synctest.Wait()
 			return far
 		}
-		fresh, old, young := open(), open(), open()
+		silent, old, young := open(), open(), open()
 		for _, c := range []net.Conn{old, young} {
 			exchange.Play(t, c, "testdata/parts/health_once.txt", nil)
 			time.Sleep(time.Second)
 		}
 		next := open()
+		exchange.Play(t, silent, "testdata/parts/is_closed.txt", nil)
+		last := open()
 		exchange.Play(t, old, "testdata/parts/is_closed.txt", nil)
-		for _, c := range []net.Conn{fresh, young, next} {
+		for _, c := range []net.Conn{young, next, last} {
 			exchange.Play(t, c, "testdata/parts/health_once.txt", nil)
+			time.Sleep(time.Millisecond)
+		}
+		fresh := open() // takes the place of young; then all are new or at work, and one more is closed at once
+		for _, c := range []net.Conn{next, last} {
+			exchange.Play(t, c, "testdata/parts/health_begun.txt", nil)
+		}
+		exchange.Play(t, open(), "testdata/parts/is_closed.txt", nil)
+		for _, c := range []net.Conn{fresh, next, last} {
 			c.Close()
 		}
 	})
@@ -171,7 +181,7 @@
 				Classes: map[string]int{"chat": 0}, Ready: func() bool { return true }, Now: func() time.Duration { return 0 },
 				Post: func(e broker.Event) {
 					if e, ok := e.(broker.Taken); ok {
-						go e.From.(*authorisation).Decline(false, 0)
+						go e.From.(*authorisation).Decline(broker.Refused, 0)
 					}
 				},
 			}
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
 	"notchhinge/policy"
 )
@@ -73,10 +74,13 @@
 }
 
 // Decline does broker.Decline.
-func (a *authorisation) Decline(failed bool, retryAfter time.Duration) {
+func (a *authorisation) Decline(why broker.Verdict, retryAfter time.Duration) {
 	d := decline{status: http.StatusServiceUnavailable, reason: "try again", retry: retryAfter, close: a.last}
-	if failed {
+	switch why {
+	case broker.Failed:
 		d.status, d.reason = http.StatusGatewayTimeout, "not served in time"
+	case broker.Taking:
+		d.status, d.reason = http.StatusConflict, "this id is that of an open request"
 	}
 	a.over.Store(true)
 	a.end(a.conn.answer(&d))
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -2,15 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
 )
@@ -19,43 +21,28 @@
 type conn struct {
 	net.Conn
 	s     *Server
-	in    *headLimit
 	br    *bufio.Reader
-	spare bool // beyond the connections that are kept
-
-	mu   sync.Mutex
-	busy bool      // a message has begun to come in, or its answer is not at its end
-	idle time.Time // since its last answer; zero before the first
-}
-
-var errHeadTooLong = errors.New("the head is too long")
+	spare bool      // beyond the connections that are kept
+	came  time.Time // when it was accepted
 
-// headLimit bounds what is read until it is lifted.
-type headLimit struct {
-	from io.Reader
-	left int
-}
-
-func (h *headLimit) Read(p []byte) (int, error) {
-	if h.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.from.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
+	mu    sync.Mutex
+	busy  bool      // a message has begun to come in, or its answer is not at its end
+	idle  time.Time // since its last answer
+	asked bool      // it has sent something
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{Conn: nc, s: s, in: &headLimit{from: nc}}
-	c.br = bufio.NewReaderSize(c.in, s.Lim.ReadBuffer)
-	return c
+	// A head is looked at as a whole before it is parsed, so that the buffer is what bounds it.
+	return &conn{Conn: nc, s: s, br: bufio.NewReaderSize(nc, s.Lim.HeadBytes), came: time.Now()}
 }
 
 func (c *conn) setBusy(b bool) {
 	c.mu.Lock()
-	c.busy = b
+	c.busy, c.asked = b, true
 	if !b {
 		c.idle = time.Now()
+		// Closing on a message that crosses it is harmless: its acquirer sends that one again.
+		c.SetReadDeadline(c.idle.Add(c.s.Lim.IdleWait))
 	}
 	c.mu.Unlock()
 }
@@ -70,19 +57,23 @@
 	return !c.busy
 }
 
-// idleSince tells since when a connection that has served is idle. One that has not is about to be used.
-func (c *conn) idleSince() (at time.Time, idle bool) {
+// idleSince tells since when a connection is idle, and whether anything has ever been asked on it. One that is
+// new is about to be used.
+func (c *conn) idleSince(now time.Time) (at time.Time, asked, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, !c.busy && !c.idle.IsZero()
+	if c.asked {
+		return c.idle, true, !c.busy
+	}
+	return c.came, false, now.Sub(c.came) > c.s.Lim.FreshWait
 }
 
 // serve takes messages one after another. While an answer is on its way it already waits for the next
 // message, since that is how it learns that the acquirer has gone.
 func (c *conn) serve() {
 	var open *authorisation
-	for {
-		c.in.left = c.s.Lim.HeadBytes
+	c.SetReadDeadline(c.came.Add(c.s.Lim.MessageWait))
+	for first := true; ; first = false {
 		_, err := c.br.Peek(1)
 		if open != nil {
 			if err != nil && !open.finished() {
@@ -99,9 +90,13 @@
 		}
 		c.setBusy(true)
 		var d *decline
-		open, d = c.read()
+		from := time.Now()
+		if first {
+			from = c.came // one that dawdles before its first byte gets no more time than any other
+		}
+		open, d = c.read(from.Add(c.s.Lim.MessageWait))
 		if open != nil {
-			c.s.Post(broker.Taken{From: open, At: open.at, Request: open.request})
+			c.s.Post(broker.Taken{From: open, Name: open.order.CallID, At: open.at, Request: open.request})
 			continue
 		}
 		if d == nil {
@@ -114,23 +109,79 @@
 	}
 }
 
+// head returns the head that comes next, without taking it from the buffer.
+func (c *conn) head() ([]byte, error) {
+	for {
+		b, _ := c.br.Peek(c.br.Buffered())
+		if n := headEnd(b); n > 0 {
+			return b[:n], nil
+		}
+		if _, err := c.br.Peek(len(b) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// headEnd tells where the first empty line in b ends, or 0.
+func headEnd(b []byte) int {
+	for at := 0; ; {
+		n := bytes.IndexByte(b[at:], '\n')
+		if n < 0 {
+			return 0
+		}
+		at += n + 1
+		if rest := b[at:]; bytes.HasPrefix(rest, []byte("\n")) {
+			return at + 1
+		} else if bytes.HasPrefix(rest, []byte("\r\n")) {
+			return at + 2
+		}
+	}
+}
+
+// framed tells whether a head says in just one way where its message ends. http.ReadRequest takes heads that
+// another reader of the same bytes could end elsewhere, and the rest of the body would pass for a further
+// request: a length beside chunks, a length given twice, lines that are folded, a bare carriage return.
+func framed(head []byte) bool {
+	lengths, codings := 0, 0
+	for line := range bytes.Lines(head) {
+		if line[0] == ' ' || line[0] == '\t' {
+			return false
+		}
+		switch name, _, _ := bytes.Cut(line, []byte(":")); string(bytes.ToLower(bytes.TrimSpace(name))) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			codings++
+		}
+	}
+	return lengths+codings <= 1 && bytes.Count(head, []byte("\r")) == bytes.Count(head, []byte("\r\n"))
+}
+
 // read reads one message: an authorisation, or what to decline it with, or neither.
-func (c *conn) read() (*authorisation, *decline) {
+func (c *conn) read(until time.Time) (*authorisation, *decline) {
 	defer c.SetReadDeadline(time.Time{})
-	c.SetReadDeadline(time.Now().Add(c.s.Lim.HeadWait))
-	req, err := http.ReadRequest(c.br)
+	c.SetReadDeadline(until)
+	head, err := c.head()
+	var req *http.Request
+	if err == nil && !framed(head) {
+		return nil, c.bad(http.StatusBadRequest, "the head is ambiguous")
+	}
+	if err == nil {
+		left := c.br.Buffered() - len(head)
+		if req, err = http.ReadRequest(c.br); err == nil && c.br.Buffered() != left {
+			return nil, c.bad(http.StatusBadRequest, "the head is ambiguous")
+		}
+	}
 	switch {
-	case errors.Is(err, errHeadTooLong):
+	case errors.Is(err, bufio.ErrBufferFull):
 		return nil, c.bad(http.StatusRequestHeaderFieldsTooLarge, "the head is too long")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, c.bad(http.StatusRequestTimeout, "the head took too long")
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNet(err):
+	case errors.Is(err, io.EOF), isNet(err):
 		return nil, nil
 	case err != nil, req.Host == "" && req.ProtoAtLeast(1, 1):
 		return nil, c.bad(http.StatusBadRequest, "the head is malformed")
 	}
-	c.in.left = math.MaxInt
-	c.SetReadDeadline(time.Now().Add(c.s.Lim.BodyWait))
 	if req.Header.Get("Expect") == "100-continue" && req.ContentLength != 0 {
 		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, nil
@@ -183,6 +234,11 @@
 		}
 	}
 	q, reason := parseRequest(req.Header, c.s.Classes, c.s.Lim.MaxBudget)
+	switch {
+	case reason != "":
+	case !httpguts.ValidHostHeader(req.Host), !httpguts.ValidHeaderFieldValue(req.Header.Get("Content-Type")):
+		reason = "Host or Content-Type is bad" // they are passed on
+	}
 	if reason != "" {
 		c.s.Post(broker.Declined{})
 		return nil, &decline{status: http.StatusBadRequest, reason: reason}
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
 	"notchhinge/policy"
 )
@@ -71,8 +72,8 @@
 }
 
 // Decline is the broker's final answer that serves nothing.
-func (a *attempt) Decline(failedForGood bool, retryAfter time.Duration) {
-	if failedForGood {
+func (a *attempt) Decline(why broker.Verdict, retryAfter time.Duration) {
+	if why != broker.Refused {
 		a.desk.ended(a, end{kind: endFailed, code: "timed_out", reason: "not served in time"})
 		return
 	}
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -153,9 +153,9 @@
 	out := r.after(0)
 	same(t, "handed out", 4, len(out))
 	out[0].serve()
-	out[1].Decline(true, 0)
+	out[1].Decline(broker.Failed, 0)
 	out[1].serve() // a second end is none
-	out[2].Decline(false, time.Minute)
+	out[2].Decline(broker.Refused, time.Minute)
 	out[3].Finish(false) // broke; it is tried again whole
 	again := r.after(time.Second)
 	same(t, "handed out again", 1, len(again))
@@ -176,10 +176,10 @@
 	out := r.after(0)
 	same(t, "at once", 4, len(out))
 	for _, a := range out[:3] {
-		a.Decline(false, 2*time.Second)
+		a.Decline(broker.Refused, 2*time.Second)
 	}
 	same(t, "while one is out", 0, len(r.after(time.Second)))
-	out[3].Decline(false, 2*time.Second)
+	out[3].Decline(broker.Refused, 2*time.Second)
 	same(t, "after four declines", 1, len(r.after(time.Second-1)))
 	r.out[0].serve()
 	next := r.after(time.Second)
@@ -196,7 +196,7 @@
 			break
 		}
 		same(t, "time for an answer", min(12*time.Second, 20*time.Second-time.Duration(tries)*3*time.Second), out[0].try.request.ExpiresIn)
-		out[0].Decline(false, 3*time.Second)
+		out[0].Decline(broker.Refused, 3*time.Second)
 	}
 	same(t, "result", []string{"1 id-0 refused (7 tries) declined"}, outcomesOf(t, j))
 }
@@ -227,7 +227,7 @@
 	j := r.job(fileText(5))
 	out := r.after(0)
 	out[1].serve()
-	out[2].Decline(true, 0)
+	out[2].Decline(broker.Failed, 0)
 	notes := filepath.Join(j.dir, outcomesName)
 	f, err := os.OpenFile(notes, os.O_APPEND|os.O_WRONLY, 0)
 	if err != nil {
@@ -283,7 +283,7 @@
 	out := r.after(0)
 	out[1].serve()
 	out[3].serve()
-	out[0].Decline(false, time.Second)
+	out[0].Decline(broker.Refused, time.Second)
 	r.after(time.Second)
 	if err := r.cancel(j); err != nil {
 		t.Fatal(err)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -21,6 +21,7 @@
 	lastID    policy.RequestID
 	auths     map[policy.RequestID]*auth
 	byParty   map[Acquirer]*auth
+	names     map[string]bool // of open authorisations
 	hosts     map[policy.ReplicaID]*Host
 	hostNames map[string]policy.ReplicaID
 	counts    Counters
@@ -29,6 +30,7 @@
 type auth struct {
 	id       policy.RequestID
 	from     Acquirer
+	name     string
 	deadline time.Duration
 	key      deadline.Key
 	legs     []*leg
@@ -63,7 +65,7 @@
 	}
 	return &Broker{
 		lim: lim, module: module, due: deadline.New[due](),
-		auths: map[policy.RequestID]*auth{}, byParty: map[Acquirer]*auth{},
+		auths: map[policy.RequestID]*auth{}, byParty: map[Acquirer]*auth{}, names: map[string]bool{},
 		hosts: map[policy.ReplicaID]*Host{}, hostNames: map[string]policy.ReplicaID{},
 		counts: Counters{Outcomes: map[policy.Result]int{}},
 	}, nil
@@ -140,6 +142,11 @@
 	if b.byParty[e.From] != nil {
 		return
 	}
+	if b.names[e.Name] {
+		b.counts.Declined++
+		b.do(Decline{To: e.From, Why: Taking})
+		return
+	}
 	if len(b.byParty) >= b.lim.Open {
 		// More would need more descriptors than there are; the module need not know of what cannot be sent.
 		b.counts.Declined++
@@ -151,6 +158,9 @@
 	a := &auth{id: b.lastID, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn}
 	a.key = b.due.Add(a.deadline, due{auth: a})
 	b.auths[a.id], b.byParty[a.from] = a, a
+	if a.name = e.Name; a.name != "" {
+		b.names[a.name] = true
+	}
 	e.Request.ID, e.Request.ExpiresIn = a.id, a.deadline-b.now
 	b.module.Arrive(b.now, b, e.Request)
 }
@@ -178,6 +188,7 @@
 	a.over = true
 	b.due.Remove(a.key)
 	delete(b.byParty, a.from)
+	delete(b.names, a.name)
 	b.forget(a)
 }
 
@@ -343,23 +354,23 @@
 
 // Refuse implements policy.Actions.
 func (b *Broker) Refuse(id policy.RequestID, retryAfter time.Duration) {
-	b.answer(id, false, retryAfter)
+	b.answer(id, Refused, retryAfter)
 }
 
 // Fail implements policy.Actions.
-func (b *Broker) Fail(id policy.RequestID) { b.answer(id, true, 0) }
+func (b *Broker) Fail(id policy.RequestID) { b.answer(id, Failed, 0) }
 
-func (b *Broker) answer(id policy.RequestID, failed bool, retryAfter time.Duration) {
+func (b *Broker) answer(id policy.RequestID, why Verdict, retryAfter time.Duration) {
 	a := b.auths[id]
 	if a == nil || a.over || a.bound != nil {
 		return // an answer for what is over is no fault and does nothing
 	}
-	if failed {
+	if why == Failed {
 		b.counts.Failed++
 	} else {
 		b.counts.Refused++
 	}
-	b.do(Decline{To: a.from, Failed: failed, RetryAfter: retryAfter})
+	b.do(Decline{To: a.from, Why: why, RetryAfter: retryAfter})
 	b.close(a)
 	for _, l := range a.legs {
 		if !l.ended {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -62,7 +62,7 @@
 		case DropLeg:
 			words = append(words, fmt.Sprintf("drop %d.%d", f.Leg.Auth, f.Leg.N))
 		case Decline:
-			words = append(words, fmt.Sprintf("decline %v failed=%v after %v", f.To, f.Failed, f.RetryAfter))
+			words = append(words, fmt.Sprintf("decline %v %s after %v", f.To, [...]string{"refused", "failed", "taking"}[f.Why], f.RetryAfter))
 		case HangUp:
 			words = append(words, fmt.Sprintf("hang up %d", f.Line))
 		case Reminded:
@@ -102,7 +102,7 @@
 	r := newRig(t, 2, nil)
 	r.expect(sec, taken("a", r.now, 4*sec), "send 1.0 for 3s") // its time runs from its last byte
 	r.expect(4*sec-1, Tick{})
-	r.expect(4*sec, Tick{}, "drop 1.0", "decline a failed=true after 0s")
+	r.expect(4*sec, Tick{}, "drop 1.0", "decline a failed after 0s")
 	r.expect(5*sec, LegBegan{LegID{1, 0}}, "drop 1.0") // too late to be the acquirer's
 	r.expect(5*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Cancelled})
 	if n := r.counts.Outcomes[policy.TimedOut]; n != 1 || r.Open() != 0 {
@@ -110,13 +110,27 @@
 	}
 }
 
+func TestIDOfAnOpenRequest(t *testing.T) {
+	// Passing a second authorisation on under the id of an open one would be a second copy of that one's leg.
+	r := newRig(t, 2, nil)
+	second := taken("b", r.now, 4*sec)
+	first := taken("a", r.now, 4*sec)
+	first.Name, second.Name = "9b1f", "9b1f"
+	r.expect(0, first, "send 1.0 for 4s")
+	r.expect(0, second, "decline b taking after 0s")
+	r.expect(sec, LegBegan{LegID{1, 0}}, "bind 1.0")
+	r.expect(sec, LegEnded{Leg: LegID{1, 0}, Result: policy.OK})
+	second.At = r.now + sec
+	r.expect(sec, second, "send 2.0 for 4s")
+}
+
 func TestAttemptsAreCapped(t *testing.T) {
 	// The module may go on only to hosts that it has not tried, and to three legs at the most.
 	r := newRig(t, 5, nil)
 	r.expect(0, taken("a", r.now, 4*sec), "send 1.0 for 4s")
 	r.expect(sec, LegEnded{Leg: LegID{1, 0}, Result: policy.ConnectFailed}, "send 1.1 for 3s")
 	r.expect(sec, LegEnded{Leg: LegID{1, 1}, Result: policy.Full}, "send 1.2 for 3s")
-	r.expect(sec, LegEnded{Leg: LegID{1, 2}, Result: policy.Full}, "decline a failed=false after 500ms")
+	r.expect(sec, LegEnded{Leg: LegID{1, 2}, Result: policy.Full}, "decline a refused after 500ms")
 	r.Send(1, 0, 0) // over: no effect, and no leg
 	if r.counts.Legs != 3 {
 		t.Errorf("%d legs", r.counts.Legs)
@@ -191,7 +205,7 @@
 	// More authorisations than there are descriptors are declined before the module hears of them.
 	r := newRig(t, 2, func(l *limits.Limits) { l.Open = 1 })
 	r.turn(0, taken("a", r.now, 4*sec))
-	r.expect(0, taken("b", r.now, 4*sec), "decline b failed=false after 500ms")
+	r.expect(0, taken("b", r.now, 4*sec), "decline b refused after 500ms")
 	if c := r.counts; c.Taken != 1 || c.Declined != 1 {
 		t.Errorf("counters %+v", c)
 	}
@@ -201,7 +215,7 @@
 	r := newRig(t, 2, nil)
 	r.turn(2*sec, Tick{})
 	r.expect(0, taken("a", r.now+2*sec, 4*sec), "send 1.0 for 4s")
-	r.expect(6*sec, Tick{}, "drop 1.0", "decline a failed=true after 0s")
+	r.expect(6*sec, Tick{}, "drop 1.0", "decline a failed after 0s")
 }
 
 func TestParkedLineIsHungUp(t *testing.T) {
@@ -222,7 +236,7 @@
 func TestGoneHostGetsNothing(t *testing.T) {
 	r := newRig(t, 1, nil)
 	r.expect(0, Listed{Kind: policy.ListDelta, Hosts: []Host{{Name: "h0", State: policy.Gone}}})
-	r.expect(0, taken("a", r.now, 4*sec), "decline a failed=false after 500ms")
+	r.expect(0, taken("a", r.now, 4*sec), "decline a refused after 500ms")
 }
 
 func TestHostIDs(t *testing.T) {
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -29,6 +29,16 @@
 	BornAt time.Duration // its latest start on the clock of the events; 0 = long ago
 }
 
+// Verdict says why an authorisation is not served.
+type Verdict uint8
+
+// The verdicts: trying again is harmless; no promise; its id is that of another open one.
+const (
+	Refused Verdict = iota
+	Failed
+	Taking
+)
+
 // Event is something that happened.
 type Event interface{ event() }
 
@@ -36,6 +46,7 @@
 	// Taken: an authorisation has come in whole. Its ID is the broker's to give.
 	Taken struct {
 		From    Acquirer
+		Name    string        // under which it is passed on, one open authorisation each; "" = none
 		At      time.Duration // of its last byte; its time runs from there
 		Request policy.Request
 	}
@@ -111,7 +122,7 @@
 	// Decline is a final answer that serves nothing.
 	Decline struct {
 		To         Acquirer
-		Failed     bool          // with no promise; otherwise trying again is harmless
+		Why        Verdict
 		RetryAfter time.Duration // 0 = no advice
 	}
 	// Probe asks an issuer host for a sign of life.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -38,8 +38,9 @@
 	IdlePerHost   int // idle connections kept to one issuer host
 	Attempts      int // legs of one authorisation
 
-	HeadWait    time.Duration // for a whole head, from its first byte
-	BodyWait    time.Duration // for a whole body
+	MessageWait time.Duration // for a whole message, from its first byte; the first from when it was connected
+	IdleWait    time.Duration // an acquirer's connection with nothing open is closed after this
+	FreshWait   time.Duration // so long a new connection that says nothing need not make room for others
 	WriteWait   time.Duration // for one write to an acquirer that does not read
 	ConnectWait time.Duration
 	IssuerIdle  time.Duration // an idle connection to an issuer host is closed after this
@@ -78,9 +79,9 @@
 		Procs:       max(1, int(m.Cores+0.999)),
 		MemoryBytes: int64(m.MemoryMB) << 20 * 3 / 4,
 
-		HeadBytes:   16 << 10,
+		HeadBytes:   8 << 10, // also what each connection has for a buffer; a good head has 400 bytes
 		BodyBytes:   256 << 10,
-		BodiesBytes: int64(m.MemoryMB) << 20 / 4,
+		BodiesBytes: int64(m.MemoryMB) << 20 / 6, // a leg copies its body once more to write it
 		ReadBuffer:  4 << 10,
 		EventBytes:  64 << 10,
 
@@ -88,8 +89,9 @@
 		IdlePerHost: 64,
 		Attempts:    max(s.MaxAttempts, 1),
 
-		HeadWait:    5 * time.Second,
-		BodyWait:    10 * time.Second,
+		MessageWait: 2500 * time.Millisecond, // bad clients are owed an answer or a close within 3 s
+		IdleWait:    4 * time.Second,         // 2 s is the least; some clients never come again
+		FreshWait:   100 * time.Millisecond,
 		WriteWait:   10 * time.Second,
 		ConnectWait: s.ConnectTimeout,
 		IssuerIdle:  s.IdleClose - max(s.IdleClose/5, 250*time.Millisecond),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,7 +84,7 @@
 	go r.desk.Run(halt)
 	lim := r.cfg.Limits
 	web := &http.Server{
-		Handler: r.desk.Handler(), ReadHeaderTimeout: lim.HeadWait, IdleTimeout: lim.APIIdle, MaxHeaderBytes: lim.HeadBytes,
+		Handler: r.desk.Handler(), ReadHeaderTimeout: lim.MessageWait, IdleTimeout: lim.APIIdle, MaxHeaderBytes: lim.HeadBytes,
 	}
 	go func() {
 		if err := web.Serve(netutil.LimitListener(r.door, lim.BatchConns)); !errors.Is(err, http.ErrServerClosed) {
@@ -124,7 +124,7 @@
 	case broker.Probe:
 		r.issuer.Probe(e)
 	case broker.Decline:
-		go e.To.(decliner).Decline(e.Failed, e.RetryAfter)
+		go e.To.(decliner).Decline(e.Why, e.RetryAfter)
 	case broker.Reminded:
 		go e.Of.(reminder).Due()
 	case broker.Watch:
@@ -141,7 +141,7 @@
 
 // decliner is what every acquirer is, whatever its front.
 type decliner interface {
-	Decline(failed bool, retryAfter time.Duration)
+	Decline(why broker.Verdict, retryAfter time.Duration)
 }
 
 // reminder is what a front has itself reminded of.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -117,7 +117,7 @@
 		stop <- syscall.SIGTERM
 		time.Sleep(400 * time.Millisecond)
 		late := must(front.dial())
-		go func() { exchange.Play(t, late, "testdata/last_answer.txt", nil); played <- time.Since(began) }()
+		go func() { exchange.Play(t, late, "testdata/late_answer.txt", nil); played <- time.Since(began) }()
 		got := []time.Duration{<-played, <-played, <-played}
 		want := []time.Duration{1450 * time.Millisecond, 3 * time.Second, 4400 * time.Millisecond}
 		if diff := cmp.Diff(want, got); diff != "" {
