Read the configuration again on SIGHUP and move the watch to the discovery it names

At fault: cmd/notchhinge/main.go knew SIGTERM, SIGINT and SIGUSR1 only; config.Load lets BALANCER_DISCOVERY prevail; registry.Client had one address for its life.

Now: SIGHUP reads the file, in which discovery's address prevails; the call that waits at the old service is given up, the module hears of no failure, and the new one is asked for its whole list. A bad file leaves all as it was.

--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -32,16 +32,17 @@
 	Batch string `help:"Turn the batch front on, as this file says (deploy/batch.toml)." type:"existingfile" placeholder:"FILE"`
 }
 
-// Run runs a router until SIGTERM or SIGINT; SIGUSR1 prints its counters.
+// Run runs a router until SIGTERM or SIGINT; SIGUSR1 prints its counters, SIGHUP has the configuration read again.
 func (s serve) Run() error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return badConfig{err}
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("router", cfg.Name)
-	stop, audit := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	stop, audit, reload := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(audit, syscall.SIGUSR1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var b *batch.Config
 	if s.Batch != "" {
 		if b, err = cfg.LoadBatch(s.Batch, os.Getenv); err != nil {
@@ -62,7 +63,10 @@
 			return err
 		}
 	}
-	return r.Serve(router.Signals{Stop: stop, Audit: audit})
+	return r.Serve(router.Signals{
+		Stop: stop, Audit: audit, Reload: reload,
+		Reread: func() (*config.Config, error) { return config.Reload(os.Getenv) },
+	})
 }
 
 type checkConfig struct {
--- a/cmd/notchhinge/main_test.go
+++ b/cmd/notchhinge/main_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -55,8 +56,21 @@
 }
 
 func TestSignals(t *testing.T) {
-	// SIGUSR1 prints the counters and the program goes on; SIGTERM drains, prints them and ends with 0.
-	c := command(goodConfig, "serve")
+	// SIGUSR1 prints the counters and the program goes on, as it does on SIGHUP, whether the configuration has
+	// become another or a bad one; SIGTERM drains, prints them and ends with 0.
+	text, err := os.ReadFile(goodConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(string(text))
+	c := command(config, "serve")
 	logs, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -78,6 +92,12 @@
 	await("msg=serving")
 	c.Process.Signal(syscall.SIGUSR1)
 	await("msg=counters")
+	write("{")
+	c.Process.Signal(syscall.SIGHUP)
+	await("configuration not taken over")
+	write(strings.Replace(string(text), `"discovery": "127.0.0.1:8500"`, `"discovery": "127.0.0.1:8501"`, 1))
+	c.Process.Signal(syscall.SIGHUP)
+	await("discovery=127.0.0.1:8501 moved=true")
 	c.Process.Signal(syscall.SIGTERM)
 	await("msg=draining")
 	await("msg=counters")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,6 +61,17 @@
 	} `json:"report"`
 }
 
+// Reload reads the file again. It may have been replaced since the start, which is what the variable for
+// discovery's address describes: the address in the file prevails.
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(name string) string {
+		if name == "BALANCER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 // Load reads the file that BALANCER_CONFIG names; the other variables override what it says.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("BALANCER_CONFIG")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,6 +32,17 @@
 	}
 }
 
+func TestReloadTakesDiscoveryFromTheFile(t *testing.T) {
+	// The variable describes the start; after a replacement of the file its address would be the old one's.
+	vars := env("BALANCER_CONFIG", "testdata/config.json", "BALANCER_DISCOVERY", "127.0.0.9:1", "BALANCER_LISTEN", "127.0.0.7:5000")
+	for name, want := range map[string]string{"start": "127.0.0.9:1", "again": "127.0.0.1:8500"} {
+		c, err := map[string]func(func(string) string) (*Config, error){"start": Load, "again": Reload}[name](vars)
+		if err != nil || c.Discovery != want || c.Listen != "127.0.0.7:5000" {
+			t.Errorf("%s: %+v, %v", name, c, err)
+		}
+	}
+}
+
 func TestDescriptorsAreWithinTheLimit(t *testing.T) {
 	c, err := Load(env("BALANCER_CONFIG", "testdata/config.json"))
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -74,35 +74,82 @@
 	Post  func(broker.Event)
 	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 
+	moves chan string
 	seq   uint64
 	known bool
 	conn  net.Conn
 	br    *bufio.Reader
 }
 
+// New returns a client of the discovery at addr.
+func New(c Client) *Client {
+	c.moves = make(chan string, 1)
+	return &c
+}
+
+// Move has the client watch another discovery from now on. It does not wait; of moves that come at once the
+// latest counts. One goroutine calls it.
+func (c *Client) Move(addr string) {
+	select {
+	case <-c.moves:
+	default:
+	}
+	c.moves <- addr
+}
+
 // Known sets the list that the router starts with.
 func (c *Client) Known(l List) { c.seq, c.known = l.Seq, len(l.Hosts) > 0 }
 
 // Run watches each time it is asked to, until a call fails, which it reports. Asking while a watch is on is
-// no further call.
+// no further call. A move ends the watch, which is no failure, and begins another at once.
 func (c *Client) Run(ctx context.Context, asked <-chan struct{}) {
 	defer c.hangUp()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case addr := <-c.moves:
+			c.moveTo(addr)
 		case <-asked:
 		}
-		err := c.watch(ctx)
+		err := c.watchUntilMoved(ctx)
 		c.hangUp()
 		if ctx.Err() != nil {
 			return
 		}
+		select {
+		case <-asked: // while the watch was on
+		default:
+		}
 		c.Post(broker.Listed{Kind: policy.ListFailed})
 		c.Post(broker.Note("discovery: " + err.Error()))
 	}
 }
 
+// moveTo starts over: the new discovery's versions need not follow the old one's, so that a whole list comes first.
+func (c *Client) moveTo(addr string) {
+	c.hangUp()
+	c.Addr, c.seq, c.known = addr, 0, false
+}
+
+// watchUntilMoved watches until a call fails that was not cut short by a move.
+func (c *Client) watchUntilMoved(ctx context.Context) error {
+	for {
+		watching, cancel := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- c.watch(watching) }()
+		select {
+		case err := <-ended:
+			cancel()
+			return err
+		case addr := <-c.moves:
+			cancel()
+			<-ended
+			c.moveTo(addr)
+		}
+	}
+}
+
 // watch calls again and again, each call right after the answer to the last, so that the watch goes on.
 func (c *Client) watch(ctx context.Context) error {
 	for {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -78,3 +78,41 @@
 		})
 	}
 }
+
+func TestMove(t *testing.T) {
+	// A new configuration names another discovery: the call that waits at the old one is given up at once, the
+	// whole list of the new one comes first, and the module hears of no failure.
+	synctest.Test(t, func(t *testing.T) {
+		var got []broker.Event
+		far := make(chan net.Conn, 1)
+		cl := New(Client{
+			Addr: "127.0.0.8:8500", Lim: limits.New(limits.Machine{Sockets: 1024}, limits.Site{}),
+			Post: func(e broker.Event) { got = append(got, e) },
+			Dial: func(context.Context, string, string) (net.Conn, error) {
+				near, other := net.Pipe()
+				far <- other
+				return near, nil
+			},
+		})
+		cl.Known(List{Seq: 41, Hosts: make([]Entry, 1)})
+		ctx, cancel := context.WithCancel(t.Context())
+		asked := make(chan struct{}, 1)
+		asked <- struct{}{}
+		go cl.Run(ctx, asked)
+		old := <-far
+		exchange.Play(t, old, "testdata/parts/waits.txt", nil)
+		cl.Move("127.0.0.8:8501")
+		synctest.Wait()
+		exchange.Play(t, old, "testdata/parts/is_closed.txt", nil)
+		exchange.Play(t, <-far, "testdata/parts/moved.txt", nil)
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		want := []broker.Event{broker.Listed{Kind: policy.ListFull, Hosts: []broker.Host{
+			{Name: "s-5b", Dial: "127.0.0.9:5000", Zone: -1, Cell: 3, Weight: 1, State: policy.Ready},
+		}}}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,7 +55,7 @@
 		Lim: cfg.Limits, Columns: cfg.Columns, Stats: len(cfg.Columns) > 0, Piggyback: cfg.Piggyback,
 		Post: r.loop.Post, Dial: dial,
 	})
-	r.list = &registry.Client{Addr: cfg.Discovery, Zones: cfg.Zones, Lim: cfg.Limits, Post: r.listed, Dial: dial}
+	r.list = registry.New(registry.Client{Addr: cfg.Discovery, Zones: cfg.Zones, Lim: cfg.Limits, Post: r.listed, Dial: dial})
 	classes := map[string]int{}
 	for i, c := range cfg.Settings.Classes {
 		classes[c.Name] = i
@@ -170,8 +170,10 @@
 
 // Signals are what the outside asks of a running router.
 type Signals struct {
-	Stop  <-chan os.Signal // drain and return
-	Audit <-chan os.Signal // print the counters
+	Stop   <-chan os.Signal // drain and return
+	Audit  <-chan os.Signal // print the counters
+	Reload <-chan os.Signal // read the configuration again
+	Reread func() (*config.Config, error)
 }
 
 // Serve runs the router until it is stopped and owes nothing more.
@@ -209,6 +211,8 @@
 			return err
 		case <-sig.Audit:
 			r.loop.Post(broker.Audit{})
+		case <-sig.Reload:
+			r.reload(sig.Reread)
 		case <-sig.Stop:
 			if r.desk != nil {
 				r.desk.Stop()
@@ -225,6 +229,21 @@
 	}
 }
 
+// reload takes over what a running router can: discovery's address. A configuration that is bad changes nothing.
+func (r *Router) reload(reread func() (*config.Config, error)) {
+	cfg, err := reread()
+	if err != nil {
+		r.log.Error("configuration not taken over", "err", err)
+		return
+	}
+	moved := cfg.Discovery != r.cfg.Discovery
+	if moved {
+		r.cfg.Discovery = cfg.Discovery
+		r.list.Move(cfg.Discovery)
+	}
+	r.log.Info("configuration read again", "discovery", cfg.Discovery, "moved", moved)
+}
+
 // drain ends a router in order. Connections keep arriving for a while after SIGTERM, so that the listener
 // outlives it; what is open on others is closed with its answer, and nothing that was taken is left behind.
 func (r *Router) drain(ctx context.Context, ln net.Listener) {
