Bound and check what issuer hosts send, so that a spoilt stream ends its leg in time

At fault: readResponse bounded neither head, interim answers nor time; events.next passed 64 KiB without an event's end on as an event; StreamWait was 30 s where 5 are allowed; whatever could not be read was a reset, which closes the replica, though such streams come from any engine alike.

Now: heads are looked at as a whole on both sides (internal/framing); what is no event spoils the stream; a spoilt answer is an error of the leg, whose connection works; a load report is blanked where it cannot stand in a header.

--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"notchhinge/internal/broker"
+	"notchhinge/internal/framing"
 	"notchhinge/internal/issuer"
 )
 
@@ -109,61 +109,13 @@
 	}
 }
 
-// head returns the head that comes next, without taking it from the buffer.
-func (c *conn) head() ([]byte, error) {
-	for {
-		b, _ := c.br.Peek(c.br.Buffered())
-		if n := headEnd(b); n > 0 {
-			return b[:n], nil
-		}
-		if _, err := c.br.Peek(len(b) + 1); err != nil {
-			return nil, err
-		}
-	}
-}
-
-// headEnd tells where the first empty line in b ends, or 0.
-func headEnd(b []byte) int {
-	for at := 0; ; {
-		n := bytes.IndexByte(b[at:], '\n')
-		if n < 0 {
-			return 0
-		}
-		at += n + 1
-		if rest := b[at:]; bytes.HasPrefix(rest, []byte("\n")) {
-			return at + 1
-		} else if bytes.HasPrefix(rest, []byte("\r\n")) {
-			return at + 2
-		}
-	}
-}
-
-// framed tells whether a head says in just one way where its message ends. http.ReadRequest takes heads that
-// another reader of the same bytes could end elsewhere, and the rest of the body would pass for a further
-// request: a length beside chunks, a length given twice, lines that are folded, a bare carriage return.
-func framed(head []byte) bool {
-	lengths, codings := 0, 0
-	for line := range bytes.Lines(head) {
-		if line[0] == ' ' || line[0] == '\t' {
-			return false
-		}
-		switch name, _, _ := bytes.Cut(line, []byte(":")); string(bytes.ToLower(bytes.TrimSpace(name))) {
-		case "content-length":
-			lengths++
-		case "transfer-encoding":
-			codings++
-		}
-	}
-	return lengths+codings <= 1 && bytes.Count(head, []byte("\r")) == bytes.Count(head, []byte("\r\n"))
-}
-
 // read reads one message: an authorisation, or what to decline it with, or neither.
 func (c *conn) read(until time.Time) (*authorisation, *decline) {
 	defer c.SetReadDeadline(time.Time{})
 	c.SetReadDeadline(until)
-	head, err := c.head()
+	head, err := framing.Head(c.br)
 	var req *http.Request
-	if err == nil && !framed(head) {
+	if err == nil && !framing.Single(head) {
 		return nil, c.bad(http.StatusBadRequest, "the head is ambiguous")
 	}
 	if err == nil {
--- /dev/null
+++ b/internal/framing/framing.go
@@ -0,0 +1,56 @@
+// Package framing looks at the head of an HTTP message as a whole before it is parsed, on either side.
+package framing
+
+import (
+	"bufio"
+	"bytes"
+)
+
+// Head returns the head that comes next, without taking it from the buffer, which bounds it: one that does not
+// fit ends in bufio.ErrBufferFull.
+func Head(br *bufio.Reader) ([]byte, error) {
+	for {
+		b, _ := br.Peek(br.Buffered())
+		if n := end(b); n > 0 {
+			return b[:n], nil
+		}
+		if _, err := br.Peek(len(b) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// end tells where the first empty line in b ends, or 0.
+func end(b []byte) int {
+	for at := 0; ; {
+		n := bytes.IndexByte(b[at:], '\n')
+		if n < 0 {
+			return 0
+		}
+		at += n + 1
+		if rest := b[at:]; bytes.HasPrefix(rest, []byte("\n")) {
+			return at + 1
+		} else if bytes.HasPrefix(rest, []byte("\r\n")) {
+			return at + 2
+		}
+	}
+}
+
+// Single tells whether a head says in just one way where its message ends. net/http takes heads that another
+// reader of the same bytes could end elsewhere, and the rest of the body would pass for a further message: a
+// length beside chunks, a length given twice, lines that are folded, a bare carriage return.
+func Single(head []byte) bool {
+	lengths, codings := 0, 0
+	for line := range bytes.Lines(head) {
+		if line[0] == ' ' || line[0] == '\t' {
+			return false
+		}
+		switch name, _, _ := bytes.Cut(line, []byte(":")); string(bytes.ToLower(bytes.TrimSpace(name))) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			codings++
+		}
+	}
+	return lengths+codings <= 1 && bytes.Count(head, []byte("\r")) == bytes.Count(head, []byte("\r\n"))
+}
--- a/internal/issuer/events.go
+++ b/internal/issuer/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"math"
 	"strconv"
@@ -20,25 +21,36 @@
 }
 
 // next returns the whole events that have come in, waiting for one at least. With the stream's end it returns
-// what is left and the reason: io.EOF if the stream is whole. A part is valid until the next call.
+// the reason: io.EOF if the stream is whole, and then what is left as well. What is no event, or has no end, is
+// no part of the stream, and spoils it. A part is valid until the next call.
 func (e *events) next() ([]byte, error) {
 	n := copy(e.buf[:cap(e.buf)], e.buf[e.sent:])
 	e.buf, e.sent = e.buf[:n], 0
 	for {
 		if e.err != nil {
 			e.sent = len(e.buf)
+			if !errors.Is(e.err, io.EOF) {
+				return nil, e.err
+			}
+			if n, ok := wellFormed(e.buf); !ok {
+				return e.buf[:n], errSpoilt
+			}
 			return e.buf, e.err
 		}
 		if len(e.buf) == cap(e.buf) {
-			if len(e.buf) >= e.most { // too long to be kept whole
-				e.sent = len(e.buf)
-				return e.buf, nil
+			if len(e.buf) >= e.most {
+				e.err = errSpoilt
+				return nil, e.err
 			}
 			e.buf = append(make([]byte, 0, min(2*cap(e.buf), e.most)), e.buf...)
 		}
 		n, err := e.from.Read(e.buf[len(e.buf):cap(e.buf)])
 		e.buf, e.err = e.buf[:len(e.buf)+n], err
 		if end := max(endOf(e.buf, "\n\n"), endOf(e.buf, "\n\r\n")); end > 0 {
+			if n, ok := wellFormed(e.buf[:end]); !ok {
+				e.sent, e.err = len(e.buf), errSpoilt
+				return e.buf[:n], e.err
+			}
 			e.sent = end
 			if e.sent < len(e.buf) {
 				return e.buf[:e.sent], nil
@@ -48,6 +60,25 @@
 	}
 }
 
+// wellFormed tells whether b holds nothing but fields of events, or else where its last good event ends. A chunk
+// whose size is wrong makes the framing of the next one pass for data.
+func wellFormed(b []byte) (good int, ok bool) {
+	at := 0
+	for line := range bytes.Lines(b) {
+		at += len(line)
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch {
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			good = at
+		case len(name) == 0: // a comment
+		case string(name) == "data", string(name) == "event", string(name) == "id", string(name) == "retry":
+		default:
+			return good, false
+		}
+	}
+	return len(b), true
+}
+
 // endOf tells where the last mark in b ends, or -1.
 func endOf(b []byte, mark string) int {
 	if at := bytes.LastIndex(b, []byte(mark)); at >= 0 {
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -3,10 +3,10 @@
 package issuer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +16,7 @@
 	"time"
 
 	"notchhinge/internal/broker"
+	"notchhinge/internal/framing"
 	"notchhinge/internal/limits"
 	"notchhinge/policy"
 )
@@ -151,9 +152,9 @@
 		end.Result = policy.ConnectFailed // not written to its last byte, so that it cannot have run
 		return
 	}
-	resp, err := readResponse(ln.br)
+	resp, err := c.readResponse(ln, time.Time{})
 	if err != nil {
-		end.Result = policy.Reset // a stale line ends here too: nothing is sent again behind the module's back
+		end.Result = ended(err) // a stale line ends here too: nothing is sent again behind the module's back
 		return
 	}
 	if c.Piggyback {
@@ -202,7 +203,7 @@
 	part, err := ev.next()
 	if len(part) == 0 {
 		// An answer without any event is not a stream; one that breaks before its first event is a reset.
-		end.Result = policy.Reset
+		end.Result = ended(err)
 		if errors.Is(err, io.EOF) {
 			end.Result = policy.Error
 		}
@@ -233,6 +234,9 @@
 	whole := errors.Is(err, io.EOF) && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	if werr := to.Finish(whole); !whole {
 		end.Result = policy.Reset
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			end.Result = ended(err)
+		}
 	} else if werr != nil {
 		c.Post(broker.Departed{From: e.From})
 		end.Result = policy.Cancelled
@@ -292,12 +296,13 @@
 	if c.Stats {
 		path = "/stats"
 	}
-	ln.SetDeadline(time.Now().Add(c.Lim.ProbeWait))
+	until := time.Now().Add(c.Lim.ProbeWait)
+	ln.SetDeadline(until)
 	if _, err := io.WriteString(ln, "GET "+path+" HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
 		ln.Close()
 		return policy.ConnectFailed, policy.Report{}
 	}
-	resp, err := readResponse(ln.br)
+	resp, err := c.readResponse(ln, until)
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, int64(c.Lim.ReadBuffer)))
@@ -322,12 +327,61 @@
 	return policy.OK, ParseReport(text, c.Columns)
 }
 
-// readResponse reads the head of an answer, past any interim ones.
-func readResponse(br *bufio.Reader) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(br, nil)
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
+// errSpoilt is an answer that cannot be read, on a connection that works: its host lives, and may have run what
+// it was sent.
+var errSpoilt = errors.New("the answer is spoilt")
+
+// ended tells how an answer that broke off counts. One that ended with its connection is a reset; one that came
+// and cannot be read, or does not come to its end, is an error.
+func ended(err error) policy.Result {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.ErrClosedPipe), errors.As(err, &op):
+		return policy.Reset
+	}
+	return policy.Error
+}
+
+// readResponse reads the head of an answer, past a few interim ones. How long it is silent before that is the
+// broker's to bound, or until's; from the answer's first byte to its first event it has AnswerWait.
+func (c *Client) readResponse(ln *line, until time.Time) (*http.Response, error) {
+	for range c.Lim.Interim + 1 {
+		if _, err := ln.br.Peek(1); err != nil {
+			return nil, err
+		}
+		if soon := time.Now().Add(c.Lim.AnswerWait); until.IsZero() || soon.Before(until) {
+			ln.SetReadDeadline(soon)
+		}
+		head, err := framing.Head(ln.br)
+		if err != nil {
+			return nil, err
+		}
+		if !framing.Single(head) {
+			return nil, errSpoilt
+		}
+		blank(head)
+		resp, err := http.ReadResponse(ln.br, nil)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errSpoilt, err)
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+		ln.SetReadDeadline(until)
+	}
+	return nil, errSpoilt
+}
+
+// blank takes what cannot stand in a header out of a load report: an unreadable report must not spoil a good answer.
+func blank(head []byte) {
+	for line := range bytes.Lines(head) {
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(name, []byte(loadHeader)) {
+			for i, b := range value {
+				if b < ' ' && b != '\r' && b != '\n' || b == 0x7f {
+					value[i] = ' '
+				}
+			}
 		}
 	}
 }
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -109,7 +109,18 @@
 		"reset_in_head":   {policy.Reset, 0, policy.Report{}, nil},
 		"reset_no_event":  {policy.Reset, 0, policy.Report{}, nil},
 		"reset_in_stream": {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
-		"bad_answer":      {policy.Reset, 0, policy.Report{}, nil},
+		"bad_answer":      {policy.Error, 0, policy.Report{}, nil},
+		"long_head":       {policy.Error, 0, policy.Report{}, nil},
+		"stopped_head":    {policy.Error, 0, policy.Report{}, nil},
+		"many_interim":    {policy.Error, 0, policy.Report{}, nil},
+		"two_framings":    {policy.Error, 0, policy.Report{}, nil},
+		"noise":           {policy.Error, 0, policy.Report{}, nil},
+		"bad_chunk":       {policy.Error, 0, policy.Report{}, []string{one, "broken"}},
+		"wide_chunk":      {policy.Error, 0, policy.Report{}, []string{one, "data: {}\n\n\r\n", "broken"}},
+		"huge_chunk":      {policy.Error, 0, policy.Report{}, []string{one, "broken"}},
+		"interim":         {policy.OK, 4096, report, []string{one, last + comment, "whole"}},
+		"bad_report":      {policy.OK, 4096, report, []string{one, last + comment, "whole"}},
+		"second_answer":   {policy.OK, 4096, report, []string{one, last + comment, "whole"}},
 		"cut_request":     {policy.ConnectFailed, 0, policy.Report{}, nil},
 		"unframed":        {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
 		"silent_stream":   {policy.Reset, 0, policy.Report{}, []string{one, "broken"}},
@@ -131,6 +142,9 @@
 				if diff := cmp.Diff(want.got, c.got); diff != "" {
 					t.Errorf("passed on (-want +got):\n%s", diff)
 				}
+				if name == "second_answer" && len(d.events) != 0 {
+					t.Errorf("a line with bytes left over is kept: %v", d.events)
+				}
 			})
 		})
 	}
@@ -313,18 +327,18 @@
 	}
 }
 
-func TestLongEventPassesInParts(t *testing.T) {
-	// Memory is bounded whatever a host sends: an event beyond the most is passed on unfinished.
-	ev := events{from: strings.NewReader("data: " + strings.Repeat("x", 100) + "\n\n"), most: 64, buf: make([]byte, 0, 16)}
-	var got []int
-	for {
-		part, err := ev.next()
-		got = append(got, len(part))
-		if err != nil {
-			break
-		}
+func TestEndlessEventSpoilsTheStream(t *testing.T) {
+	// Memory is bounded whatever a host sends, and what has no end is never passed on: before the first event it
+	// would bind a leg to noise, later a chunk of 3 GB would run on without end.
+	ev := events{from: strings.NewReader("data: 1\n\ndata: " + strings.Repeat("x", 100) + "\n\n"), most: 64, buf: make([]byte, 0, 16)}
+	var got []string
+	var err error
+	for err == nil {
+		var part []byte
+		part, err = ev.next()
+		got = append(got, string(part))
 	}
-	if diff := cmp.Diff([]int{64, 44, 0}, got); diff != "" {
-		t.Errorf("(-want +got):\n%s", diff)
+	if diff := cmp.Diff([]string{"data: 1\n\n", ""}, got); diff != "" || !errors.Is(err, errSpoilt) {
+		t.Errorf("%v (-want +got):\n%s", err, diff)
 	}
 }
--- a/internal/issuer/pool.go
+++ b/internal/issuer/pool.go
@@ -67,7 +67,7 @@
 		p.release()
 		return nil, err
 	}
-	return &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.ReadBuffer), addr: addr, closed: p.release}, nil
+	return &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.HeadBytes), addr: addr, closed: p.release}, nil
 }
 
 // take takes the latest idle line to an address. Where there is none, it makes room for a new one and counts
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -28,8 +28,8 @@
 	HeadBytes   int   // head of one message
 	BodyBytes   int   // body of one message
 	BodiesBytes int64 // all bodies held at once
-	ReadBuffer  int   // of one connection
-	EventBytes  int   // one event of a stream that is kept whole
+	ReadBuffer  int   // of the connection to discovery; what a probe may answer
+	EventBytes  int   // one event of a stream
 
 	AcquirerConns int // connections from acquirers at once
 	SpareConns    int // further ones while all are busy, kept for as long as it takes to decline one authorisation
@@ -44,6 +44,8 @@
 	WriteWait   time.Duration // for one write to an acquirer that does not read
 	ConnectWait time.Duration
 	IssuerIdle  time.Duration // an idle connection to an issuer host is closed after this
+	Interim     int           // 1xx answers in front of an answer
+	AnswerWait  time.Duration // from the first byte of an answer's head to its first event
 	StreamWait  time.Duration // between two events of a stream
 	ProbeWait   time.Duration
 	MaxBudget   time.Duration // no authorisation waits longer, whatever it asks for
@@ -95,7 +97,9 @@
 		WriteWait:   10 * time.Second,
 		ConnectWait: s.ConnectTimeout,
 		IssuerIdle:  s.IdleClose - max(s.IdleClose/5, 250*time.Millisecond),
-		StreamWait:  30 * time.Second,
+		Interim:     8,
+		AnswerWait:  2 * time.Second, // the head comes with the first token, the event a few tokens later
+		StreamWait:  4 * time.Second, // an acquirer may be kept waiting for 5 s after an event
 		ProbeWait:   time.Second,
 		MaxBudget:   max(4*s.LongestDeadline, time.Minute),
 
