Forget hosts that have gone, and keep an idle line to the host it was opened to

Seen in the code: the broker's hosts and hostNames kept an entry for every host ever listed, and the pool keyed idle lines by address, so that a new host at an old one's address would get the old one's line.

What the module keys is bounded already: sessions (65,536, ten minutes), prefixes (halved every 256), orders (made anew with each list), replicas (deleted with the list).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -297,14 +297,25 @@
 		b.counts.Lists++
 		b.counts.Lines += len(e.Hosts)
 	}
+	listed := map[policy.ReplicaID]bool{}
 	for _, h := range e.Hosts {
 		id := b.hostID(h.Name)
+		listed[id] = h.State != policy.Gone
 		b.hosts[id] = &h
 		l.Replicas = append(l.Replicas, policy.Replica{
 			ID: id, Zone: h.Zone, Cell: h.Cell, State: h.State, Weight: h.Weight, ReadyAt: h.BornAt,
 		})
 	}
 	b.module.Listed(b.now, b, l)
+	if e.Kind == policy.ListFailed {
+		return
+	}
+	for id, h := range b.hosts { // on a long day hosts are replaced by others without end
+		if there, told := listed[id]; told && !there || !told && e.Kind != policy.ListDelta {
+			delete(b.hosts, id)
+			delete(b.hostNames, h.Name)
+		}
+	}
 }
 
 // hostID gives a host its number. It is a hash of the name, since the module draws by it and all routers
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -263,3 +263,22 @@
 		t.Errorf("only %d packages listed", len(deps))
 	}
 }
+
+func TestHostsThatHaveGoneAreForgotten(t *testing.T) {
+	// Guards against growth on a day on which hosts are replaced by others, one after the other.
+	r := newRig(t, 3, nil)
+	host := func(i int, s policy.State) Host {
+		return Host{Name: fmt.Sprint("h", i), Dial: "d", Weight: 1, State: s}
+	}
+	for i := range 500 {
+		r.turn(0, Listed{Kind: policy.ListDelta, Hosts: []Host{host(i, policy.Gone), host(i+3, policy.Ready)}})
+	}
+	if len(r.hosts) != 3 || len(r.hostNames) != 3 {
+		t.Errorf("%d hosts, %d names after deltas", len(r.hosts), len(r.hostNames))
+	}
+	r.turn(0, Listed{Kind: policy.ListFull, Hosts: []Host{host(9000, policy.Ready)}})
+	r.turn(0, Listed{Kind: policy.ListFailed})
+	if len(r.hosts) != 1 || len(r.hostNames) != 1 {
+		t.Errorf("%d hosts, %d names after a whole list", len(r.hosts), len(r.hostNames))
+	}
+}
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -60,7 +60,7 @@
 func New(c Config) *Client {
 	return &Client{
 		Config: c, legs: map[broker.LegID]*leg{},
-		pool: pool{lim: c.Lim, dial: c.Dial, post: c.Post, idle: map[string][]*line{}},
+		pool: pool{lim: c.Lim, dial: c.Dial, post: c.Post, idle: map[dest][]*line{}},
 	}
 }
 
@@ -133,7 +133,7 @@
 		}
 	}()
 	began := time.Now()
-	ln, err := c.pool.get(ctx, e.Dial, min(c.Lim.ConnectWait, e.Wait))
+	ln, err := c.pool.get(ctx, dest{e.Host, e.Dial}, min(c.Lim.ConnectWait, e.Wait))
 	if err != nil {
 		end.Result = policy.ConnectFailed
 		return
@@ -280,15 +280,15 @@
 func (c *Client) Probe(e broker.Probe) {
 	go func() {
 		p := broker.Probed{Host: e.Host, Sent: e.Sent}
-		p.Result, p.Report = c.probe(e.Dial)
+		p.Result, p.Report = c.probe(dest{e.Host, e.Dial})
 		c.Post(p)
 	}()
 }
 
-func (c *Client) probe(addr string) (policy.Result, policy.Report) {
+func (c *Client) probe(to dest) (policy.Result, policy.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Lim.ProbeWait)
 	defer cancel()
-	ln, err := c.pool.get(ctx, addr, c.Lim.ConnectWait)
+	ln, err := c.pool.get(ctx, to, c.Lim.ConnectWait)
 	if err != nil {
 		return policy.ConnectFailed, policy.Report{}
 	}
@@ -298,7 +298,7 @@
 	}
 	until := time.Now().Add(c.Lim.ProbeWait)
 	ln.SetDeadline(until)
-	if _, err := io.WriteString(ln, "GET "+path+" HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(ln, "GET "+path+" HTTP/1.1\r\nHost: "+to.addr+"\r\n\r\n"); err != nil {
 		ln.Close()
 		return policy.ConnectFailed, policy.Report{}
 	}
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -255,20 +255,20 @@
 
 func TestRoomForLines(t *testing.T) {
 	// Descriptors are bounded: an idle line to one host makes room for another, and with none idle a leg fails
-	// as one that could not connect.
+	// as one that could not connect. The line of a host that has gone does not serve its successor at the address.
 	synctest.Test(t, func(t *testing.T) {
 		dial, far := pipes()
 		d := newDesk(dial)
 		d.pool.lim.IssuerConns = 1
-		first, err := d.pool.get(t.Context(), "a", time.Second)
+		first, err := d.pool.get(t.Context(), dest{1, "a"}, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := d.pool.get(t.Context(), "b", time.Second); !errors.Is(err, errNoRoom) {
+		if _, err := d.pool.get(t.Context(), dest{2, "a"}, time.Second); !errors.Is(err, errNoRoom) {
 			t.Errorf("a second line: %v", err)
 		}
 		d.pool.put(first)
-		second, err := d.pool.get(t.Context(), "b", time.Second)
+		second, err := d.pool.get(t.Context(), dest{2, "a"}, time.Second)
 		if err != nil || d.pool.open != 1 {
 			t.Fatalf("%v, %d open", err, d.pool.open)
 		}
--- a/internal/issuer/pool.go
+++ b/internal/issuer/pool.go
@@ -11,13 +11,14 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/policy"
 )
 
 // line is a connection to an issuer host.
 type line struct {
 	net.Conn
 	br     *bufio.Reader
-	addr   string
+	to     dest
 	number uint64 // under which it is parked
 	since  time.Time
 	once   sync.Once
@@ -31,6 +32,12 @@
 	return err
 }
 
+// dest is where a line goes. Two hosts may follow each other at one address; a line is the one's it was opened to.
+type dest struct {
+	host policy.ReplicaID
+	addr string
+}
+
 // pool holds the lines that are idle and counts all of them.
 type pool struct {
 	lim  limits.Limits
@@ -38,7 +45,7 @@
 	post func(broker.Event)
 
 	mu     sync.Mutex
-	idle   map[string][]*line // by address, the latest last
+	idle   map[dest][]*line // the latest last
 	open   int
 	number uint64
 }
@@ -46,9 +53,9 @@
 var errNoRoom = errors.New("too many lines to issuer hosts")
 
 // get returns the line that was used last, or opens one.
-func (p *pool) get(ctx context.Context, addr string, wait time.Duration) (*line, error) {
+func (p *pool) get(ctx context.Context, to dest, wait time.Duration) (*line, error) {
 	for {
-		l, err := p.take(addr)
+		l, err := p.take(to)
 		if err != nil {
 			return nil, err
 		}
@@ -62,17 +69,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	conn, err := p.dial(ctx, "tcp", addr)
+	conn, err := p.dial(ctx, "tcp", to.addr)
 	if err != nil {
 		p.release()
 		return nil, err
 	}
-	return &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.HeadBytes), addr: addr, closed: p.release}, nil
+	return &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.HeadBytes), to: to, closed: p.release}, nil
 }
 
-// take takes the latest idle line to an address. Where there is none, it makes room for a new one and counts
-// it; for that an idle line to another address may have to go.
-func (p *pool) take(addr string) (*line, error) {
+// take takes the latest idle line to a host. Where there is none, it makes room for a new one and counts
+// it; for that an idle line to another may have to go.
+func (p *pool) take(to dest) (*line, error) {
 	p.mu.Lock()
 	var victim *line
 	defer func() {
@@ -81,9 +88,9 @@
 			victim.Close()
 		}
 	}()
-	if s := p.idle[addr]; len(s) > 0 {
+	if s := p.idle[to]; len(s) > 0 {
 		l := s[len(s)-1]
-		p.keep(addr, s[:len(s)-1])
+		p.keep(to, s[:len(s)-1])
 		return l, nil
 	}
 	if p.open >= p.lim.IssuerConns {
@@ -100,12 +107,12 @@
 	return nil, nil
 }
 
-func (p *pool) keep(addr string, s []*line) {
+func (p *pool) keep(to dest, s []*line) {
 	if len(s) == 0 {
-		delete(p.idle, addr)
+		delete(p.idle, to)
 		return
 	}
-	p.idle[addr] = s
+	p.idle[to] = s
 }
 
 func (p *pool) release() {
@@ -117,7 +124,7 @@
 // put parks a line that can serve again; the broker has it hung up before the host would.
 func (p *pool) put(l *line) {
 	p.mu.Lock()
-	if l.br.Buffered() > 0 || len(p.idle[l.addr]) >= p.lim.IdlePerHost {
+	if l.br.Buffered() > 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
 		p.mu.Unlock()
 		l.Close()
 		return
@@ -125,7 +132,7 @@
 	p.number++
 	number := p.number
 	l.number, l.since = number, time.Now()
-	p.idle[l.addr] = append(p.idle[l.addr], l)
+	p.idle[l.to] = append(p.idle[l.to], l)
 	p.mu.Unlock()
 	p.post(broker.Parked{Line: number})
 }
@@ -134,11 +141,11 @@
 func (p *pool) hangUp(number uint64) {
 	p.mu.Lock()
 	var l *line
-	for addr, s := range p.idle {
+	for to, s := range p.idle {
 		for i := range s {
 			if s[i].number == number {
 				l = s[i]
-				p.keep(addr, append(s[:i:i], s[i+1:]...))
+				p.keep(to, append(s[:i:i], s[i+1:]...))
 				break
 			}
 		}
@@ -152,7 +159,7 @@
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	all := p.idle
-	p.idle = map[string][]*line{}
+	p.idle = map[dest][]*line{}
 	p.mu.Unlock()
 	for _, s := range all {
 		for _, l := range s {
