Bound new sessions at the mean of own attempts, and never close a lone zone as one

At fault: boundUnsized let a replica take a quarter more than the mean and one; mark closed the only zone, and what is sent as a last resort asks for no marks.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	maxPrefixes  = 1024 // orders kept for each part of the fleet
 
 	boundLoad      = 2                // no new session for a replica with over twice the mean of own attempts
-	boundUnsized   = 1.25             // or over this much, where no list tells how much a replica can hold
+	boundUnsized   = 1                // or over this much, where no list tells how much a replica can hold
 	reportFades    = 10 * time.Second // a report counts for less and less, and no more after this
 	spillStep      = 0.1              // a wholly late answer moves a tenth of the sessions
 	spillPerSecond = 0.1              // and so does a second of overload by the reports
@@ -631,8 +631,8 @@
 
 // mark closes a replica for a spell, unless too much of the fleet is marked already: then the cause is
 // likelier shared, and the rest could not carry the load. When one replica of a zone after the other fails
-// and none answers, the zone is closed as one: a gateway with little traffic would take too long to find each
-// replica of a cut-off zone out.
+// and none answers, the zone (unless it is the only one) is closed as one: a gateway with little traffic
+// would take too long to find each replica of a cut-off zone out.
 func (b *Balancer) mark(now Time, a Actions, to *replica, why string) {
 	f := &b.fleet
 	to.trial = false
@@ -640,7 +640,7 @@
 		return
 	}
 	z := f.zones[to.Zone]
-	if z.failed++; z.failed >= zoneFails && now >= z.until {
+	if z.failed++; b.set.Zones > 1 && z.failed >= zoneFails && now >= z.until {
 		z.closed.mark(now)
 		b.log(now, a, "zone", fmt.Sprintf("zone %d: nothing answers; closed for %v", to.Zone, z.spell))
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -759,6 +759,27 @@
 	}
 }
 
+func TestLoneZoneIsNeverClosedAsOne(t *testing.T) {
+	// That would close the whole fleet: every session would be sent as a last resort, which asks for no
+	// marks, and so to the very replicas that fail.
+	s := settings()
+	s.Zones = 1
+	fleet := fleetOf(30)
+	for i := range fleet {
+		fleet[i].Zone = 0
+	}
+	b, a := start(t, s, fleet)
+	for i := range zoneFails {
+		b.mark(t0, a, b.fleet.near.replicas[i], "test")
+	}
+	for i := range 200 {
+		b.Arrive(t0+ms, a, req(RequestID(i+1), 0, uint64(i+1)))
+		if to := b.fleet.byID[a.last(t).to]; to.spell > 0 {
+			t.Fatalf("sent to replica %d, which is closed", to.ID)
+		}
+	}
+}
+
 func TestTrafficBeyondAShareIsRefusedFirst(t *testing.T) {
 	x := tenants{share: []float64{0.5, 0.5}, count: []float64{0, 0}}
 	for i := range 60 {
@@ -895,7 +916,8 @@
 		}
 		return high
 	}
-	if sized, unsized := most(SizeWeights), most(NoWeights); unsized > 40 || unsized >= sized {
+	// 240 attempts at 8 replicas: at most the mean of 30, and one.
+	if sized, unsized := most(SizeWeights), most(NoWeights); unsized > 31 || unsized >= sized {
 		t.Errorf("of 240 attempts out, one of 8 replicas holds %d with sizes listed, %d without", sized, unsized)
 	}
 }
