Blame stale lines on no host, and refuse nobody for time-outs at a host that hangs

At fault: policy.outcome closed a host for any reset, and again paid for another attempt from what is saved for a crash; policy.Finished took time-outs at a host that answers nobody for an overload.

Now: LegEnded and Outcome say when a line had served before and ended without a word (Stale); that marks nothing, costs nothing and may be tried at the same host, as far as the class permits. Time-outs count as lateness only at a host that has answered somebody since.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -46,6 +46,7 @@
 	at    time.Duration
 	key   deadline.Key
 	ended bool // its one outcome was told
+	stale bool // its line was at fault
 }
 
 // due is what a deadline is for: a leg, an authorisation, a parked line, a front's reminder or a timer of the module.
@@ -116,6 +117,7 @@
 		b.began(e.Leg)
 	case LegEnded:
 		if a, l := b.leg(e.Leg); l != nil && !l.ended {
+			l.stale = e.Stale
 			b.end(a, l, e.Result, e.Kept, e.Report)
 		}
 	case Probed:
@@ -257,7 +259,7 @@
 	}
 	b.module.Finished(b.now, b, policy.Outcome{
 		ID: a.id, Attempt: l.id.N, Replica: l.host, Result: r, Elapsed: b.now - l.at,
-		Ended: a.over || a.bound != nil, KeptTokens: kept, Report: p,
+		Ended: a.over || a.bound != nil, KeptTokens: kept, Report: p, Stale: l.stale,
 	})
 	b.forget(a)
 }
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -60,6 +60,7 @@
 	LegEnded struct {
 		Leg    LegID
 		Result policy.Result
+		Stale  bool // its line had served before and ended without a word of an answer
 		Kept   float64
 		Report policy.Report
 	}
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -150,11 +150,13 @@
 	ln.SetWriteDeadline(began.Add(e.Wait))
 	if _, err := ln.Write(head(customer.Order(), e.Wait-time.Since(began))); err != nil {
 		end.Result = policy.ConnectFailed // not written to its last byte, so that it cannot have run
+		end.Stale = c.stale(ln)
 		return
 	}
 	resp, err := c.readResponse(ln, time.Time{})
 	if err != nil {
 		end.Result = ended(err) // a stale line ends here too: nothing is sent again behind the module's back
+		end.Stale = end.Result == policy.Reset && ln.br.Buffered() == 0 && c.stale(ln)
 		return
 	}
 	if c.Piggyback {
@@ -172,6 +174,16 @@
 	}
 }
 
+// stale tells whether a line that ended without a word of an answer had served before. Its host may have closed it
+// long ago, which says nothing of the host now; the lines parked beside it are no better.
+func (c *Client) stale(ln *line) bool {
+	if ln.number == 0 {
+		return false
+	}
+	c.pool.clear(ln.to)
+	return true
+}
+
 const (
 	loadHeader     = "X-Load-Report"
 	rejectedHeader = "X-Rejected"
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -213,12 +213,38 @@
 		d.Send(send(1, c))
 		play(t, conn, "reset")
 		synctest.Wait()
-		if len(d.ends) != 2 || d.ends[1].Result != policy.Reset || len(far) != 0 {
+		if len(d.ends) != 2 || d.ends[1].Result != policy.Reset || !d.ends[1].Stale || len(far) != 0 {
 			t.Errorf("ends %v, %d more connections", d.ends, len(far))
 		}
 	})
 }
 
+func TestStaleLineTakesThoseBesideIt(t *testing.T) {
+	// Lines parked at the same time are likely as stale; the next leg gets a new one. A new line's end is no stale one's.
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d, c := newDesk(dial), &customer{body: []byte(`{"model":"chat"}`)}
+		var conns []net.Conn
+		for n := range 2 {
+			d.Send(send(n, c))
+			conns = append(conns, <-far)
+		}
+		for _, conn := range conns {
+			play(t, conn, "served")
+			synctest.Wait()
+		}
+		d.Send(send(2, c))
+		play(t, conns[1], "reset")
+		synctest.Wait()
+		d.Send(send(3, c))
+		play(t, <-far, "reset")
+		synctest.Wait()
+		if len(d.ends) != 4 || !d.ends[2].Stale || d.ends[3].Stale || d.pool.open != 0 {
+			t.Errorf("ends %v, %d lines open", d.ends, d.pool.open)
+		}
+	})
+}
+
 func TestDropClosesTheLine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dial, far := pipes()
--- a/internal/issuer/pool.go
+++ b/internal/issuer/pool.go
@@ -156,6 +156,17 @@
 	}
 }
 
+// clear closes the idle lines to a host.
+func (p *pool) clear(to dest) {
+	p.mu.Lock()
+	lines := p.idle[to]
+	delete(p.idle, to)
+	p.mu.Unlock()
+	for _, l := range lines {
+		l.Close()
+	}
+}
+
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	all := p.idle
--- a/policy/api.go
+++ b/policy/api.go
@@ -187,6 +187,7 @@
 	Ended      bool    // the request has its final answer, by this outcome or earlier
 	KeptTokens float64 // prompt tokens that the replica need not read again
 	Report     Report
+	Stale      bool // its connection had served before and ended without a word: no sign against the replica
 }
 
 // ProbeResult is the answer to a Probe.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -154,6 +154,7 @@
 	at    Time
 	done  bool
 	maybe bool // it may have run
+	stale bool // its connection was at fault, and not the replica
 }
 
 // Arrive takes a request on.
@@ -203,10 +204,11 @@
 	}
 	t := &r.attempts[o.Attempt]
 	t.done, t.maybe = true, o.Result != Full && o.Result != ConnectFailed && o.Result != Moot
+	t.stale = o.Stale
 	t.to.out--
 	b.fleet.out--
 	switch {
-	case o.Result == TimedOut || o.Result == Full:
+	case o.Result == TimedOut && t.to.answered > t.at || o.Result == Full: // one that hangs is no overload
 		b.learn(now, r, t, r.class.Deadline)
 	case o.Result == OK && !r.class.Streaming: // no Started told when it was answered
 		b.learn(now, r, t, o.Elapsed)
@@ -277,8 +279,8 @@
 // again makes a further attempt where the rules and the retry budget permit one.
 func (b *Balancer) again(now Time, a Actions, r *request) {
 	cost := 1.0
-	if !r.attempts[len(r.attempts)-1].maybe {
-		cost = 0 // it proved not to have run, and so cost no replica any work
+	if last := &r.attempts[len(r.attempts)-1]; !last.maybe || last.stale {
+		cost = 0 // it proved not to have run, or its connection was gone, and so cost no replica any work
 	}
 	if len(r.attempts) < b.set.Limits.MaxAttempts && b.retries >= cost {
 		if to := b.draw(now, r); to != nil {
@@ -327,7 +329,7 @@
 	for i := range r.attempts {
 		t := &r.attempts[i]
 		switch {
-		case t.to == to:
+		case t.to == to && !t.stale:
 			return false // it had its chance
 		case !t.maybe || r.class.Effect == Safe:
 		case r.class.Effect == Unsafe || now >= t.at+r.class.DedupWindow:
@@ -625,7 +627,9 @@
 	case Full:
 		to.fullUntil = now + fullSpell
 	case ConnectFailed, Reset:
-		b.mark(now, a, to, "no connection")
+		if !o.Stale {
+			b.mark(now, a, to, "no connection")
+		}
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -624,6 +624,42 @@
 	}
 }
 
+func TestStaleConnectionIsNoSignAgainstItsReplica(t *testing.T) {
+	// A replica may close connections that it keeps at any time: that closes no replica, drives no session away
+	// from its kept prompt, and uses up none of what is saved for a crash.
+	b, a := start(t, settings(), fleetOf(1))
+	b.Arrive(t0, a, req(1, 0, 77))
+	saved := b.retries
+	b.Finished(t0+ms, a, Outcome{ID: 1, Replica: 1, Result: Reset, Stale: true})
+	if len(a.sends) != 2 || b.fleet.byID[1].spell != 0 || b.retries != saved {
+		t.Errorf("%d sends, mark %v, %v of %v saved", len(a.sends), b.fleet.byID[1].spell, b.retries, saved)
+	}
+	b.Finished(t0+2*ms, a, Outcome{ID: 1, Attempt: 1, Replica: 1, Result: Reset})
+	if len(a.sends) != 2 || b.fleet.byID[1].spell == 0 {
+		t.Errorf("a reset of a new connection: %d sends, mark %v", len(a.sends), b.fleet.byID[1].spell)
+	}
+}
+
+func TestHungReplicaRefusesNobody(t *testing.T) {
+	// Time-outs at a replica that hangs are no overload: refusing new sessions would not help the ones it holds.
+	for name, answers := range map[string]bool{"hung": false, "overloaded": true} {
+		b, a := start(t, settings(), fleetOf(1))
+		for i := range 40 {
+			b.Arrive(t0, a, req(RequestID(i+1), 0, uint64(i+1)))
+		}
+		for i := range 40 {
+			now := t0 + 5*sec + Time(i)*sec/4
+			if answers {
+				b.fleet.answers(now-ms, 1)
+			}
+			b.Finished(now, a, Outcome{ID: RequestID(i + 1), Replica: 1, Result: TimedOut, Elapsed: now - t0})
+		}
+		if refuses := b.shed > 0; refuses != answers {
+			t.Errorf("%s: new sessions are refused: %v", name, refuses)
+		}
+	}
+}
+
 func TestTimeOutAtAnAnsweringReplicaMarksNothing(t *testing.T) {
 	b, a := start(t, settings(), fleetOf(1))
 	b.Arrive(t0, a, req(1, 0, 77))
