--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -660,6 +660,19 @@
 	}
 }
 
+func TestBeingTurnedAwayRefusesNobody(t *testing.T) {
+	// A replica that drains turns all away while others have room: that is no overload; the request goes on.
+	b, a := start(t, settings(), fleetOf(9))
+	for i := range 40 {
+		now, id := t0+Time(i)*sec/4, RequestID(i+1)
+		b.Arrive(now, a, req(id, 0, uint64(id)))
+		b.Finished(now, a, Outcome{ID: id, Replica: a.last(t).to, Result: Full})
+	}
+	if b.shed > 0 || len(a.sends) < 80 {
+		t.Errorf("%v of the new sessions are refused, %d sends", b.shed, len(a.sends))
+	}
+}
+
 func TestTimeOutAtAnAnsweringReplicaMarksNothing(t *testing.T) {
 	b, a := start(t, settings(), fleetOf(1))
 	b.Arrive(t0, a, req(1, 0, 77))
