Lab: stand-in fleet, open-loop clients with a ledger, experiments and a demo

Need: tracing must be shown on real sockets under faults, and later issues need boxes, clients and charts.

Change: cmd/notchlab with demo and run; engines as arithmetic (internal/lab/model) behind sockets (standin), clients whose calls are drawn ahead (load), routers as processes (fleet), experiment files and reports with charts.

--- /dev/null
+++ b/cmd/notchlab/main.go
@@ -0,0 +1,78 @@
+// Command notchlab is the lab: it tries the router against stand-ins of everything around it, on loopback.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"notchhinge/internal/lab/experiment"
+)
+
+type cli struct {
+	Demo demo `cmd:"" help:"Start discovery, boxes, a collector, two routers and clients on loopback, show requests being served through troubles, and end within a minute."`
+	Run  run  `cmd:"" help:"Run an experiment file (lab/NAME.toml) and hold it to its bars."`
+}
+
+// badFile is an error of a file that was given; the program ends with exit code 2.
+type badFile struct{ error }
+
+// errShort says that a bar fell short; the program ends with exit code 1.
+var errShort = errors.New("a bar falls short")
+
+type run struct {
+	File   string `arg:"" help:"The experiment file."`
+	Short  bool   `help:"Within 45 s, to see that it works."`
+	Router string `help:"The router's program; else the one beside this program, else it is built." placeholder:"PATH"`
+	Out    string `help:"Folder of the results; else lab/results/NAME beside the file, and none for a short run." placeholder:"DIR"`
+}
+
+// Run runs an experiment.
+func (r run) Run(ctx context.Context) error {
+	f, err := experiment.Load(r.File)
+	if err != nil {
+		return badFile{err}
+	}
+	result, err := experiment.Run(ctx, f, experiment.Options{Short: r.Short, Binary: r.Router, Out: os.Stdout})
+	if err != nil {
+		return err
+	}
+	out := r.Out
+	if out == "" && !r.Short {
+		out = filepath.Join(filepath.Dir(r.File), "results", f.Name)
+	}
+	if out != "" {
+		if err := result.Write(out); err != nil {
+			return err
+		}
+		fmt.Println("results in", out)
+	}
+	result.Print(os.Stdout)
+	if _, failed := result.Passed(); failed > 0 {
+		return errShort
+	}
+	return nil
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("notchlab"), kong.Description("Tries the router against stand-ins, on loopback."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	err := k.Run()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "notchlab:", err)
+	if bad := (badFile{}); errors.As(err, &bad) {
+		os.Exit(2)
+	}
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/lab/experiment/cost.go
@@ -0,0 +1,165 @@
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"notchhinge/internal/lab/fleet"
+	"notchhinge/internal/lab/report"
+	"notchhinge/internal/lab/standin"
+)
+
+// cost measures what tracing takes from a router whose one core is full: two routers, one with tracing and one without,
+// are asked in turns by clients that ask again as soon as they are answered, before boxes that answer at once. A pair
+// of turns is a sample; the order within a pair changes.
+func cost(ctx context.Context, r *run) error {
+	o := r.options([]string{"off", "on"}, map[string]string{
+		"on": fmt.Sprintf("[trace]\nshare = %g\n[trace.file]\npath = %q\n", r.Trace.Share, filepath.Join(r.dir, "traces.zst")),
+	})
+	o.Boxes = 0
+	f, err := fleet.StartWith(ctx, o, func(f *fleet.Fleet) error {
+		for i := range r.Fleet.Boxes {
+			if _, err := standin.StartQuick(fmt.Sprintf("q%d", i), f.Discovery); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	turn := func(n int, length time.Duration) (rate, cpu float64, err error) {
+		router := f.Routers[n]
+		before, err := router.CPU()
+		if err != nil {
+			return 0, 0, err
+		}
+		began := time.Now()
+		served, err := r.saturate(ctx, router.Addr, length)
+		took := time.Since(began)
+		after, err2 := router.CPU()
+		if err = errors.Join(err, err2); err != nil {
+			return 0, 0, err
+		}
+		if served == 0 {
+			return 0, 0, fmt.Errorf("router %s served nothing\n%s", router.Name, router.Tail())
+		}
+		return float64(served) / took.Seconds(), (after - before).Seconds() * 1e6 / float64(served), nil
+	}
+	for n := range f.Routers { // warm up
+		if _, _, err := turn(n, r.length/2); err != nil {
+			return err
+		}
+	}
+	var ratios, cpus, off, on, busy []float64
+	rates := [2]report.Series{{Name: "off"}, {Name: "on"}}
+	for round := range r.rounds {
+		var rate, cpu [2]float64
+		for k := range 2 {
+			n := (round + k) % 2
+			if rate[n], cpu[n], err = turn(n, r.length); err != nil {
+				return err
+			}
+			rates[n].Points = append(rates[n].Points, report.Point{X: float64(round + 1), Y: rate[n]})
+		}
+		ratios, cpus = append(ratios, rate[1]/rate[0]), append(cpus, cpu[1]/cpu[0])
+		off, on = append(off, cpu[0]), append(on, cpu[1])
+		busy = append(busy, rate[0]*cpu[0]/1e6)
+		r.say("pair %d of %d: %.0f a second off, %.0f on, ratio %.3f; %.1f and %.1f µs of CPU a request", round+1, r.rounds,
+			rate[0], rate[1], rate[1]/rate[0], cpu[0], cpu[1])
+	}
+	var memory [2]float64
+	for n, router := range f.Routers {
+		bytes, err := router.Memory()
+		if err != nil {
+			return err
+		}
+		memory[n] = float64(bytes) / (1 << 20)
+	}
+	res := r.result
+	throughput := res.Mean("throughput, on against off", ratios, "", "pairs")
+	res.Mean("CPU a request, on against off", cpus, "", "by the process's own account")
+	res.Mean("CPU a request, off", off, "µs", "")
+	res.Mean("CPU a request, on", on, "µs", "")
+	res.Mean("share of the core that the router used, off", busy, "", "")
+	res.Add("memory, off", memory[0], "MB", "most resident")
+	res.Add("memory, on", memory[1], "MB", "most resident")
+	res.Bars = append(res.Bars,
+		report.NewBar("throughput with tracing against without", throughput, "", r.Bars["throughput"], math.MaxFloat64, ""),
+		report.NewBar("memory that tracing adds", memory[1]-memory[0], "MB", -math.MaxFloat64, r.Bars["memory_mb"], ""))
+	res.Charts = append(res.Charts, report.Chart{File: "throughput.svg", Title: "Requests a second with one full core", X: "pair",
+		Y: "requests a second", Series: rates[:]})
+	return nil
+}
+
+// saturate has connections ask one request after another, and returns how many were served.
+func (r *run) saturate(ctx context.Context, addr string, length time.Duration) (served int64, err error) {
+	until := time.Now().Add(length)
+	var mu sync.Mutex
+	latency := hdrhistogram.New(1, 60_000_000, 3) // µs
+	var all sync.WaitGroup
+	for n := range r.Traffic.Clients {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			own := hdrhistogram.New(1, 60_000_000, 3)
+			e := ask(ctx, addr, n, r.classes[0].Name, until, own)
+			mu.Lock()
+			latency.Merge(own)
+			err = errors.Join(err, e)
+			mu.Unlock()
+		}()
+	}
+	all.Wait()
+	return latency.TotalCount(), err
+}
+
+// ask is one connection that asks until a time.
+func ask(ctx context.Context, addr string, n int, class string, until time.Time, to *hdrhistogram.Histogram) error {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	const body = `{"model":"lab","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"which runs began today?"}]}`
+	var head []byte
+	for i := 0; time.Now().Before(until) && ctx.Err() == nil; i++ {
+		id := uint64(n)<<32 | uint64(i)
+		head = append(head[:0], "POST /v1/chat/completions HTTP/1.1\r\nHost: lab\r\nContent-Type: application/json\r\nX-Call-Id: "...)
+		head = fmt.Appendf(head, "%d-%016x-%d\r\nX-Call-Class: %s\r\nX-Route-Hash: %016x\r\nX-Budget: 5000m\r\n"+
+			"X-Call-Info: prompt_len=100,prefix_len=0,max_out=4\r\nContent-Length: %d\r\n\r\n%s",
+			os.Getpid(), until.UnixNano(), id, class, id|1<<60, len(body), body)
+		began := time.Now()
+		if _, err := c.Write(head); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("answer %s: %v", strconv.Itoa(resp.StatusCode), err)
+		}
+		if err := to.RecordValue(time.Since(began).Microseconds()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,203 @@
+// Package experiment reads experiment files and runs them: it has a fleet started, clients ask and troubles happen, and
+// judges what the ledger and the collector say by the bars of its kind.
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"notchhinge/internal/lab/fleet"
+	"notchhinge/internal/lab/load"
+	"notchhinge/internal/lab/report"
+	"notchhinge/internal/settings"
+)
+
+// File is an experiment file.
+type File struct {
+	Name  string `toml:"name"`
+	About string `toml:"about"`
+	Kind  string `toml:"kind"` // tracing, cost or collector
+	Seed  uint64 `toml:"seed"`
+
+	Fleet struct {
+		Routers  int     `toml:"routers"`
+		Boxes    int     `toml:"boxes"`
+		Speed    float64 `toml:"speed"` // times of the deployment's page are divided by this
+		Size     float64 `toml:"size"`  // and tokens multiplied by this
+		Cores    float64 `toml:"cores"` // of a router
+		MemoryMB int     `toml:"memory_mb"`
+		Sockets  int     `toml:"sockets"`
+	} `toml:"fleet"`
+	Traffic struct {
+		Rate    float64           `toml:"rate"` // calls a second
+		Length  settings.Duration `toml:"length"`
+		Carry   float64           `toml:"carry"` // share of sessions that send a trace context
+		Mark    float64           `toml:"mark"`  // share of sessions that mark retries
+		Retries int               `toml:"retries"`
+		Clients int               `toml:"clients"` // of kind cost: connections that ask one after another
+	} `toml:"traffic"`
+	Trace struct {
+		Share float64 `toml:"share"`
+	} `toml:"trace"`
+	Rounds  int       `toml:"rounds"` // of kind cost: pairs
+	Trouble []Trouble `toml:"trouble"`
+	Short   struct {
+		Length settings.Duration `toml:"length"`
+		Rounds int               `toml:"rounds"`
+	} `toml:"short"` // what --short makes of it; troubles are moved in proportion
+	Bars map[string]float64 `toml:"bars"`
+}
+
+// Trouble is a table of the file.
+type Trouble struct {
+	At    settings.Duration `toml:"at"`
+	Lasts settings.Duration `toml:"lasts"`
+	Boxes []int             `toml:"boxes"`
+	What  string            `toml:"what"`
+	Share float64           `toml:"share"`
+}
+
+// Load reads and checks a file.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s%w", path, err)
+	}
+	return f, nil
+}
+
+// Parse is Load on a text. Its errors begin with the line at fault, where there is one.
+func Parse(text []byte) (*File, error) {
+	f := &File{}
+	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := dec.Decode(f); err != nil {
+		var unknown *toml.StrictMissingError
+		var wrong *toml.DecodeError
+		switch {
+		case errors.As(err, &unknown) && len(unknown.Errors) > 0:
+			line, _ := unknown.Errors[0].Position()
+			return nil, fmt.Errorf(":%d: %v is no key of an experiment", line, unknown.Errors[0].Key())
+		case errors.As(err, &wrong):
+			line, _ := wrong.Position()
+			return nil, fmt.Errorf(":%d: %w", line, err)
+		}
+		return nil, fmt.Errorf(": %w", err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf(": %w", err)
+	}
+	return f, nil
+}
+
+func (f *File) check() error {
+	switch {
+	case f.Name == "" || f.About == "":
+		return errors.New("name and about are wanted")
+	case kinds[f.Kind] == nil:
+		return fmt.Errorf("kind: %q is none of tracing, cost and collector", f.Kind)
+	case f.Fleet.Routers < 1 || f.Fleet.Boxes < 1 || !(f.Fleet.Speed > 0) || !(f.Fleet.Size > 0):
+		return errors.New("fleet: routers, boxes, speed and size above 0 are wanted")
+	case !(f.Fleet.Cores > 0) || f.Fleet.MemoryMB < 16 || f.Fleet.Sockets < 64:
+		return errors.New("fleet: cores above 0, memory_mb of 16 and sockets of 64 at least are wanted")
+	case f.Traffic.Length <= 0 || f.Short.Length <= 0:
+		return errors.New("traffic.length and short.length above 0 are wanted")
+	case f.Kind == "cost" && (f.Traffic.Clients < 1 || f.Rounds < 1 || f.Short.Rounds < 1):
+		return errors.New("cost: traffic.clients, rounds and short.rounds of 1 at least are wanted")
+	case !(f.Traffic.Rate > 0):
+		return errors.New("traffic.rate above 0 is wanted")
+	case !(f.Trace.Share > 0 && f.Trace.Share <= 1):
+		return errors.New("trace.share above 0 and up to 1 is wanted")
+	}
+	for i, t := range f.Trouble {
+		if err := t.fleet(1).Check(f.Fleet.Boxes); err != nil {
+			return fmt.Errorf("trouble %d: %w", i+1, err)
+		}
+	}
+	for name := range f.Bars {
+		if !known[f.Kind][name] {
+			return fmt.Errorf("bars: %q is no bar of kind %s", name, f.Kind)
+		}
+	}
+	for name := range known[f.Kind] {
+		if _, ok := f.Bars[name]; !ok {
+			return fmt.Errorf("bars: %q is missing", name)
+		}
+	}
+	return nil
+}
+
+// kinds run the kinds of experiments; known are their bars.
+var kinds = map[string]func(context.Context, *run) error{"tracing": tracing, "cost": cost, "collector": collector}
+
+var known = map[string]map[string]bool{
+	"tracing":   {"requests": true, "phase_error_ms": true, "share_error": true},
+	"cost":      {"throughput": true, "memory_mb": true},
+	"collector": {"answers": true},
+}
+
+func (t *Trouble) fleet(scale float64) *fleet.Trouble {
+	return &fleet.Trouble{
+		At: time.Duration(float64(t.At) * scale), Lasts: time.Duration(float64(t.Lasts) * scale), Boxes: t.Boxes, What: t.What,
+		Share: t.Share,
+	}
+}
+
+// Options are of the one who runs an experiment.
+type Options struct {
+	Short  bool
+	Binary string // the router's program; "" = found or built
+	Out    io.Writer
+}
+
+// run is an experiment under way.
+type run struct {
+	*File
+	o        Options
+	binary   string
+	dir      string
+	length   time.Duration
+	rounds   int
+	troubles []fleet.Trouble
+	classes  []load.Class
+	result   *report.Result
+}
+
+func (r *run) say(format string, args ...any) { fmt.Fprintf(r.o.Out, format+"\n", args...) }
+
+// Run runs an experiment to its result. An error says that it could not be run.
+func Run(ctx context.Context, f *File, o Options) (*report.Result, error) {
+	dir, err := os.MkdirTemp("", "notchlab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	r := &run{File: f, o: o, dir: dir, length: time.Duration(f.Traffic.Length), rounds: f.Rounds,
+		classes: load.Classes(f.Fleet.Speed, f.Fleet.Size),
+		result:  &report.Result{Name: f.Name, About: f.About, Seed: f.Seed, Short: o.Short}}
+	scale := 1.0
+	if o.Short {
+		scale = float64(f.Short.Length) / float64(f.Traffic.Length)
+		r.length, r.rounds = time.Duration(f.Short.Length), f.Short.Rounds
+	}
+	for _, t := range f.Trouble {
+		r.troubles = append(r.troubles, *t.fleet(scale))
+	}
+	if r.binary, err = fleet.Binary(o.Binary, dir); err != nil {
+		return nil, err
+	}
+	if err := kinds[f.Kind](ctx, r); err != nil {
+		return nil, err
+	}
+	return r.result, nil
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,131 @@
+package experiment
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+
+	"notchhinge/internal/lab/load"
+	"notchhinge/internal/lab/report"
+	"notchhinge/internal/lab/standin"
+	"notchhinge/internal/trace"
+	"notchhinge/internal/trace/export"
+	"notchhinge/policy"
+)
+
+func TestFilesOfTheRepository(t *testing.T) {
+	files, err := filepath.Glob("../../../lab/*.toml")
+	if err != nil || len(files) < 3 {
+		t.Fatalf("%d files, %v", len(files), err)
+	}
+	for _, f := range files {
+		if _, err := Load(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestFaultsOfFiles(t *testing.T) {
+	text, err := os.ReadFile("../../../lab/tracing.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(text)
+	for name, c := range map[string]struct{ old, new, want string }{
+		"unknown key":  {"seed = 7", "sed = 7", ":4: [sed] is no key"},
+		"type":         {"seed = 7", "seed = \"x\"", ":4: "},
+		"kind":         {"kind = \"tracing\"", "kind = \"x\"", "kind: \"x\" is none"},
+		"trouble":      {"what = \"die\"", "what = \"dye\"", "trouble 4: what: \"dye\""},
+		"box":          {"boxes = [7]", "boxes = [8]", "boxes: 8 is none of the 8"},
+		"missing bar":  {"share_error = 0.1", "", "\"share_error\" is missing"},
+		"an extra bar": {"share_error = 0.1", "share_error = 0.1\nx = 1", "\"x\" is no bar"},
+		"share":        {"share = 0.2", "share = 0.0", "trace.share"},
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// TestJudge: the judge of traces finds each kind of fault that it is there for.
+func TestJudge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	call := func(id string, o load.Outcome) load.Try {
+		return load.Try{CallID: id, Number: 1, Due: start, Sent: start, First: start.Add(time.Second), End: start.Add(2 * time.Second), Outcome: o, Late: true}
+	}
+	record := func(id string) *trace.Try {
+		y := &trace.Try{
+			Trace: trace.TraceID{1}, Span: trace.SpanID{id[0]}, CallID: id, Number: 1, At: time.Duration(start.UnixNano()),
+			End: 2 * time.Second, First: time.Second, Outcome: trace.Served, Reasons: trace.ForLate,
+			Legs: []trace.Leg{{Span: trace.SpanID{id[0], 1}, Host: "s", First: 1, Told: 2 * time.Second, Result: trace.Result(policy.OK)}},
+		}
+		y.Phases[trace.Stream] = y.End
+		return y
+	}
+	failed := func(t *testing.T, tries []load.Try, records []*trace.Try, boxes ...standin.Span) map[string]bool {
+		b := &boxSpans{all: map[string][]standin.Span{}}
+		for _, s := range boxes {
+			b.add(s)
+		}
+		var spans []*tracepb.Span
+		for _, y := range records {
+			spans = append(spans, export.Spans(y)...)
+		}
+		r := &run{File: &File{Bars: map[string]float64{"phase_error_ms": 5, "share_error": 1}}, o: Options{Out: &strings.Builder{}}, result: &report.Result{}}
+		r.Traffic.Length, r.length, r.Trace.Share = 1, 1, 1
+		r.judge(tries, spans, b)
+		short := map[string]bool{}
+		for _, x := range r.result.Bars {
+			if !x.Holds {
+				short[x.Name] = true
+			}
+		}
+		return short
+	}
+	box := func(id string) standin.Span {
+		return standin.Span{Parent: trace.SpanID{id[0], 1}, CallID: id, Host: "s"}
+	}
+	good := record("a")
+	if short := failed(t, []load.Try{call("a", load.Served)}, []*trace.Try{good}, box("a")); len(short) != 0 {
+		t.Errorf("a good run falls short: %v", short)
+	}
+	slow, open, astray, off := record("a"), record("a"), record("a"), record("a")
+	slow.End, slow.Phases[trace.Stream] = 3*time.Second, 3*time.Second
+	open.Legs[0].Result = trace.None
+	astray.Outcome = trace.Failed
+	off.Phases[trace.Hold] = time.Second
+	for name, c := range map[string]struct {
+		tries   []load.Try
+		records []*trace.Try
+		boxes   []standin.Span
+		bar     string
+	}{
+		"missing":       {[]load.Try{call("a", load.Served)}, nil, nil, "owed traces that are missing"},
+		"invented":      {[]load.Try{call("a", load.Served)}, []*trace.Try{good, record("b")}, []standin.Span{box("a"), box("b")}, "traces of no request, or twice"},
+		"twice":         {[]load.Try{call("a", load.Served)}, []*trace.Try{good, good}, []standin.Span{box("a")}, "traces of no request, or twice"},
+		"no box span":   {[]load.Try{call("a", load.Served)}, []*trace.Try{good}, nil, "traces that are not complete"},
+		"no result":     {[]load.Try{call("a", load.Served)}, []*trace.Try{open}, []standin.Span{box("a")}, "traces that are not complete"},
+		"outcome":       {[]load.Try{call("a", load.Served)}, []*trace.Try{astray}, []standin.Span{box("a")}, "traces that are not complete"},
+		"sum of phases": {[]load.Try{call("a", load.Served)}, []*trace.Try{off}, []standin.Span{box("a")}, "traces that are not complete"},
+		"time":          {[]load.Try{call("a", load.Served)}, []*trace.Try{slow}, []standin.Span{box("a")}, "phases against the client, 99%"},
+		"wrong answer":  {[]load.Try{call("a", load.Wrong)}, []*trace.Try{good}, []standin.Span{box("a")}, "answers lost or invented"},
+	} {
+		if short := failed(t, c.tries, c.records, c.boxes...); !short[c.bar] {
+			t.Errorf("%s: only %v fall short", name, short)
+		}
+	}
+}
+
+func TestAccount(t *testing.T) {
+	n, err := account("time=x level=INFO msg=counters taken=5\ntime=x level=INFO msg=traces router=n1 taken=7 kept=3 otlp_put=3\n")
+	if err != nil || n["taken"] != 7 || n["otlp_put"] != 3 {
+		t.Errorf("%v, %v", n, err)
+	}
+	if _, err := account("nothing"); err == nil {
+		t.Error("a log without the line passes")
+	}
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,244 @@
+// Package report writes what an experiment came to: figures, the bars they are held to, a table and charts. It does not
+// know how anything was measured.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Bar is a figure that an experiment must hold.
+type Bar struct {
+	Name   string  `json:"name"`
+	Figure float64 `json:"figure"`
+	Unit   string  `json:"unit,omitempty"`
+	Least  float64 `json:"least"`
+	Most   float64 `json:"most"`
+	Holds  bool    `json:"holds"`
+	Note   string  `json:"note,omitempty"`
+}
+
+// NewBar holds a figure between two bounds, both included. One that is no number falls short.
+func NewBar(name string, figure float64, unit string, least, most float64, note string) Bar {
+	return Bar{Name: name, Figure: figure, Unit: unit, Least: least, Most: most, Holds: figure >= least && figure <= most, Note: note}
+}
+
+// Row is a line of the table.
+type Row struct {
+	Name   string  `json:"name"`
+	Figure float64 `json:"figure"`
+	Unit   string  `json:"unit,omitempty"`
+	Spread float64 `json:"spread,omitempty"` // half of the 95% interval, where the figure is a mean
+	Note   string  `json:"note,omitempty"`
+}
+
+// Series is a line of a chart.
+type Series struct {
+	Name   string
+	Points []Point
+}
+
+// Point is one of a series.
+type Point struct{ X, Y float64 }
+
+// Chart is a picture.
+type Chart struct {
+	File, Title, X, Y string
+	Steps             bool // the lines go in steps
+	Series            []Series
+}
+
+// Result is what an experiment came to.
+type Result struct {
+	Name   string  `json:"name"`
+	About  string  `json:"about"`
+	Seed   uint64  `json:"seed"`
+	Short  bool    `json:"short"`
+	Commit string  `json:"commit,omitempty"`
+	Cores  int     `json:"cores"` // of the machine
+	Rows   []Row   `json:"figures"`
+	Bars   []Bar   `json:"bars"`
+	Charts []Chart `json:"-"`
+}
+
+// Add adds a row.
+func (r *Result) Add(name string, figure float64, unit, note string) {
+	r.Rows = append(r.Rows, Row{Name: name, Figure: figure, Unit: unit, Note: note})
+}
+
+// Mean adds the mean of samples and its spread as a row, and returns it.
+func (r *Result) Mean(name string, samples []float64, unit, note string) float64 {
+	mean := stat.Mean(samples, nil)
+	spread := 0.0
+	if len(samples) > 1 {
+		spread = 1.96 * stat.StdDev(samples, nil) / math.Sqrt(float64(len(samples)))
+	}
+	r.Rows = append(r.Rows, Row{Name: name, Figure: mean, Unit: unit, Spread: spread, Note: note})
+	return mean
+}
+
+// Passed tells how many bars hold and how many do not.
+func (r *Result) Passed() (passed, failed int) {
+	for _, b := range r.Bars {
+		if b.Holds {
+			passed++
+		} else {
+			failed++
+		}
+	}
+	return passed, failed
+}
+
+// Print writes the bars, and last of all how many hold.
+func (r *Result) Print(w io.Writer) {
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "  %-44s %s\n", row.Name, row.text())
+	}
+	for _, b := range r.Bars {
+		fmt.Fprintf(w, "%-46s %s\n", b.Name, b.text())
+	}
+	passed, failed := r.Passed()
+	fmt.Fprintf(w, "%d passed, %d failed\n", passed, failed)
+}
+
+func figure(v float64) string {
+	switch a := math.Abs(v); {
+	case v == math.Trunc(v) && a < 1e9:
+		return fmt.Sprintf("%.0f", v)
+	case a >= 100:
+		return fmt.Sprintf("%.1f", v)
+	}
+	return fmt.Sprintf("%.4g", v)
+}
+
+func (r Row) text() string {
+	s := figure(r.Figure)
+	if r.Spread > 0 {
+		s += " ± " + figure(r.Spread)
+	}
+	return strings.TrimSpace(s + " " + r.Unit)
+}
+
+func (b Bar) text() string {
+	var wanted string
+	switch {
+	case b.Least == b.Most:
+		wanted = figure(b.Least)
+	case math.IsInf(b.Most, 1) || b.Most == math.MaxFloat64:
+		wanted = figure(b.Least) + " or more"
+	case b.Least == -math.MaxFloat64:
+		wanted = figure(b.Most) + " or less"
+	default:
+		wanted = figure(b.Least) + " to " + figure(b.Most)
+	}
+	verdict := "falls short"
+	if b.Holds {
+		verdict = "holds"
+	}
+	return strings.TrimSpace(fmt.Sprintf("%s %s", figure(b.Figure), b.Unit)) + " of " + wanted + ": " + verdict
+}
+
+// Write puts summary.json, table.md and the charts into a folder.
+func (r *Result) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	r.Cores = runtime.NumCPU()
+	if info, ok := debug.ReadBuildInfo(); ok && r.Commit == "" {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				r.Commit = s.Value
+			}
+		}
+	}
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "summary.json"), append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "# %s\n\n%s\n\nSeed %d, %d cores", r.Name, r.About, r.Seed, r.Cores)
+	if r.Short {
+		b.WriteString(", short run")
+	}
+	b.WriteString(".\n\n| bar | figure, wanted, verdict |\n| --- | --- |\n")
+	for _, x := range r.Bars {
+		fmt.Fprintf(&b, "| %s | %s |\n", note(x.Name, x.Note), x.text())
+	}
+	b.WriteString("\n| figure | |\n| --- | --- |\n")
+	for _, x := range r.Rows {
+		fmt.Fprintf(&b, "| %s | %s |\n", note(x.Name, x.Note), x.text())
+	}
+	if err := os.WriteFile(filepath.Join(dir, "table.md"), []byte(b.String()), 0o644); err != nil {
+		return err
+	}
+	for _, c := range r.Charts {
+		if err := c.draw(filepath.Join(dir, c.File)); err != nil {
+			return fmt.Errorf("chart %s: %w", c.File, err)
+		}
+	}
+	return nil
+}
+
+func note(name, note string) string {
+	if note == "" {
+		return name
+	}
+	return name + " (" + note + ")"
+}
+
+func (c Chart) draw(path string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.Title, c.X, c.Y
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, s := range c.Series {
+		var points plotter.XYs
+		for _, at := range s.Points {
+			if !math.IsNaN(at.Y) && !math.IsInf(at.Y, 0) {
+				points = append(points, plotter.XY{X: at.X, Y: at.Y})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
+		if c.Steps {
+			line.StepStyle = plotter.PostStep
+		}
+		p.Add(line)
+		p.Legend.Add(s.Name, line)
+	}
+	return p.Save(18*vg.Centimeter, 10*vg.Centimeter, path)
+}
+
+// CDF makes a series of the shares of samples that are at most so large; at most 200 points.
+func CDF(name string, samples []float64) Series {
+	sorted := slices.Sorted(slices.Values(samples))
+	s := Series{Name: name}
+	step := max(len(sorted)/200, 1)
+	for i := 0; i < len(sorted); i += step {
+		s.Points = append(s.Points, Point{X: sorted[i], Y: float64(i+1) / float64(len(sorted))})
+	}
+	return s
+}
