Trace: steps with a cell each, and journeys kept beside their authorisation

Cause: walking the ring and looking journeys up by id were half of what tracing cost in the reducer (profile).

Change: each step has a cell of bytes for its waiting try; phases are reckoned when a try is kept; the broker keeps the journey beside the authorisation, which is no larger for it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -37,9 +37,10 @@
 	key      deadline.Key
 	legs     []*leg
 	bound    *leg
-	over     bool // has its final answer, or the acquirer left
-	gone     bool // the acquirer left
-	running  int  // legs that have not been told to the module as ended
+	over     bool  // has its final answer, or the acquirer left
+	gone     bool  // the acquirer left
+	running  int32 // legs that have not been told to the module as ended
+	journey  *trace.Journey
 }
 
 type leg struct {
@@ -127,10 +128,13 @@
 	case LegBegan:
 		b.began(e.Leg)
 	case LegEnded:
-		if b.journal != nil {
-			b.journal.Ended(b.now, e.Leg.Auth, e.Leg.N, e.Result, e.Stale, e.Times)
+		a, l := b.leg(e.Leg)
+		if b.journal != nil && a != nil {
+			b.journal.Ended(b.now, a.id, a.journey, e.Leg.N, e.Result, e.Stale, e.Times)
+		} else if b.journal != nil {
+			b.journal.Late(b.now, e.Leg.Auth, e.Leg.N, e.Result, e.Stale, e.Times)
 		}
-		if a, l := b.leg(e.Leg); l != nil && !l.ended {
+		if l != nil && !l.ended {
 			l.stale = e.Stale
 			b.end(a, l, e.Result, e.Kept, e.Report)
 		}
@@ -197,7 +201,7 @@
 	}
 	e.Request.ID, e.Request.ExpiresIn = a.id, a.deadline-b.now
 	if b.journal != nil {
-		b.journal.Taken(b.now, a.id, a.from, e.Name, e.At, &e.Request, e.Origin)
+		a.journey = b.journal.Taken(b.now, a.id, a.from, e.Name, e.At, &e.Request, e.Origin)
 	}
 	b.module.Arrive(b.now, b, e.Request)
 }
@@ -208,9 +212,9 @@
 		return
 	}
 	b.lastID++
-	b.journal.Taken(b.now, b.lastID, e.From, e.Name, e.At, &e.Request, e.Origin)
-	b.journal.Because(b.lastID, policy.Why(why))
-	b.journal.Closed(b.now, b.lastID, trace.Refused, retryAfter)
+	j := b.journal.Taken(b.now, b.lastID, e.From, e.Name, e.At, &e.Request, e.Origin)
+	b.journal.Because(b.lastID, j, policy.Why(why))
+	b.journal.Closed(b.now, b.lastID, j, trace.Refused, retryAfter)
 }
 
 func (b *Broker) departed(from Acquirer) {
@@ -254,7 +258,7 @@
 // closed tells the journal how an authorisation ended towards its acquirer.
 func (b *Broker) closed(a *auth, o trace.Outcome, retryAfter time.Duration) {
 	if b.journal != nil {
-		b.journal.Closed(b.now, a.id, o, retryAfter)
+		b.journal.Closed(b.now, a.id, a.journey, o, retryAfter)
 	}
 }
 
@@ -284,7 +288,7 @@
 	b.due.Remove(l.key)
 	b.do(Bind{id})
 	if b.journal != nil {
-		b.journal.Bound(b.now, id.Auth, id.N)
+		b.journal.Bound(b.now, a.id, a.journey, id.N)
 	}
 	b.module.Started(b.now, b, policy.Started{ID: a.id, Attempt: id.N, Replica: l.host, Elapsed: b.now - l.at})
 	for _, other := range a.legs {
@@ -317,7 +321,7 @@
 	a.running--
 	b.counts.Outcomes[r]++
 	if b.journal != nil {
-		b.journal.Told(b.now, a.id, l.id.N, r, kept)
+		b.journal.Told(b.now, a.id, a.journey, l.id.N, r, kept)
 	}
 	if a.bound == l && !a.over {
 		b.close(a)
@@ -433,7 +437,7 @@
 		if h != nil {
 			host = *h
 		}
-		span = b.journal.Sent(b.now, id, l.id.N, host.Name, host.Dial)
+		span = b.journal.Sent(b.now, a.id, a.journey, l.id.N, host.Name, host.Dial)
 	}
 	until := a.deadline
 	if timeout != 0 {
@@ -441,7 +445,7 @@
 	}
 	if h == nil || a.over || a.bound != nil || len(a.legs) > b.lim.Attempts || until <= b.now {
 		if b.journal != nil { // it is never out, so that no word of its line will come
-			b.journal.Ended(b.now, id, l.id.N, policy.Moot, false, nil)
+			b.journal.Ended(b.now, a.id, a.journey, l.id.N, policy.Moot, false, nil)
 		}
 		b.endLater(a, l, policy.Moot)
 		return
@@ -460,8 +464,11 @@
 
 // Because implements policy.Actions.
 func (b *Broker) Because(id policy.RequestID, why policy.Why) {
-	if b.journal != nil {
-		b.journal.Because(id, why)
+	if b.journal == nil {
+		return
+	}
+	if a := b.auths[id]; a != nil {
+		b.journal.Because(id, a.journey, why)
 	}
 }
 
--- a/internal/broker/trace_test.go
+++ b/internal/broker/trace_test.go
@@ -10,7 +10,7 @@
 )
 
 func traced(r *rig, o trace.Options) {
-	o.Router, o.Window, o.Linger, o.Memory, o.Steps, o.Seed = "n1", 10*sec, 2*sec, 1<<20, 1000, 5
+	o.Router, o.Window, o.Linger, o.Steps, o.Seed = "n1", 10*sec, 2*sec, 1000, 5
 	o.Classes = []trace.Class{{Name: "chat", Aim: sec}}
 	r.Trace(o)
 }
--- a/internal/lab/experiment/cost.go
+++ b/internal/lab/experiment/cost.go
@@ -111,6 +111,14 @@
 	res.Bars = append(res.Bars,
 		report.NewBar("throughput with tracing against without", throughput, "", r.Bars["throughput"], math.MaxFloat64, ""),
 		report.NewBar("memory that tracing adds", with-without, "MB", -math.MaxFloat64, r.Bars["memory_mb"], ""))
+	if err := f.Stop(); err != nil {
+		return err
+	}
+	n, err := account(f.Routers[1].Tail())
+	if err != nil {
+		return err
+	}
+	res.Add("tries traced", float64(n["taken"]), "", fmt.Sprintf("%d kept, %d of them ordinary; %d decided early for want of memory", n["kept"], n["share"], n["early"]))
 	res.Charts = append(res.Charts, report.Chart{File: "throughput.svg", Title: "Requests a second with one full core", X: "pair",
 		Y: "requests a second", Series: rates[:]})
 	return nil
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -64,6 +64,7 @@
 	Boxes     []*standin.Box
 	Routers   []*Router
 	o         Options
+	stopped   bool
 }
 
 // Router is a router's process.
@@ -288,8 +289,12 @@
 	return all
 }
 
-// Stop ends everything, the routers first and in order.
+// Stop ends everything, the routers first and in order. A second call does nothing.
 func (f *Fleet) Stop() error {
+	if f.stopped {
+		return nil
+	}
+	f.stopped = true
 	var errs []error
 	ends := make(chan error, len(f.Routers))
 	for _, r := range f.Routers {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -68,7 +68,6 @@
 	FeedIdle    time.Duration // between two comments on a feed where nothing happens
 	BatchDrain  time.Duration // for answers of the batch API that are under way at the end
 
-	TraceSteps  int           // steps in the table by which retries are found; the oldest leaves first
 	TraceLinger time.Duration // the record of a try that is over waits so long for the last word of its legs
 
 	DrainIdle   time.Duration // after SIGTERM: idle acquirer connections are closed
@@ -125,7 +124,6 @@
 		FeedIdle:    15 * time.Second,
 		BatchDrain:  time.Second,
 
-		TraceSteps:  8192,            // 300 bytes each
 		TraceLinger: 2 * time.Second, // a leg that is called off ends at once; its goroutine may be late
 		DrainIdle:   450 * time.Millisecond,
 		DrainListen: 600 * time.Millisecond,
--- a/internal/router/trace.go
+++ b/internal/router/trace.go
@@ -30,8 +30,7 @@
 func TraceOptions(cfg *config.Config, s *settings.Trace) trace.Options {
 	o := trace.Options{
 		Router: cfg.Name, Seed: cfg.Seed, Share: *s.Share, PerSecond: *s.PerSecond, Margin: time.Duration(*s.Margin),
-		TellAll: s.TellHosts == "all", Memory: s.MemoryMB << 20, Steps: cfg.Limits.TraceSteps,
-		Linger: cfg.Limits.TraceLinger,
+		TellAll: s.TellHosts == "all", Steps: s.MemoryMB << 20 / trace.StepBytes, Linger: cfg.Limits.TraceLinger,
 	}
 	for i, c := range cfg.Settings.Classes {
 		k := trace.Class{Name: c.Name, Aim: c.Aim, AimPerKTokens: c.AimPerKTokens}
--- a/internal/trace/pack.go
+++ b/internal/trace/pack.go
@@ -7,42 +7,38 @@
 	"time"
 )
 
-// pack appends the record of an ordinary try to b: one with one leg at the most, in the order of its fields.
-func (t *Try) pack(b []byte) []byte {
+// pack appends the record of an ordinary try to b, in the order of its fields and at their full width, which is faster
+// than fewer bytes. The phases are not in it: unpack reckons them again, from when the try was taken.
+func (t *Try) pack(b []byte, taken time.Duration) []byte {
 	b = append(b, t.Trace[:]...)
 	b = append(b, t.Span[:]...)
 	b = append(b, t.Parent[:]...)
-	b = append(b, t.Flags, byte(t.Outcome), byte(t.Why))
+	b = append(b, t.Flags, byte(t.Outcome), byte(t.Why), byte(len(t.Legs)))
+	b = words(b, t.Session, math.Float64bits(t.Prompt), math.Float64bits(t.Kept), uint64(t.At), uint64(t.Reading), uint64(t.First),
+		uint64(t.Decided), uint64(t.End), uint64(t.Aim), uint64(t.RetryAfter), uint64(t.Tokens), uint64(taken))
 	for _, s := range [...]string{t.State, t.Front, t.Team, t.CallID, t.Class} {
-		b = binary.AppendUvarint(b, uint64(len(s)))
-		b = append(b, s...)
+		b = append(binary.LittleEndian.AppendUint16(b, uint16(len(s))), s...)
 	}
-	b = binary.LittleEndian.AppendUint64(b, t.Session)
-	b = binary.LittleEndian.AppendUint64(b, math.Float64bits(t.Prompt))
-	b = binary.LittleEndian.AppendUint64(b, math.Float64bits(t.Kept))
-	for _, d := range [...]time.Duration{t.At, t.Reading, t.First, t.Decided, t.End, t.Aim, t.RetryAfter, time.Duration(t.Tokens)} {
-		b = binary.AppendVarint(b, int64(d))
-	}
-	for _, d := range t.Phases {
-		b = binary.AppendVarint(b, int64(d))
-	}
-	b = append(b, byte(len(t.Legs)))
 	for i := range t.Legs {
 		l := &t.Legs[i]
 		b = append(b, l.Span[:]...)
 		b = append(b, byte(l.Why), byte(l.Result), byte(l.Said), bit(l.Fresh)|bit(l.Stale)<<1)
+		b = words(b, uint64(l.Sent), uint64(l.Begun), uint64(l.Lined), uint64(l.Written), uint64(l.First), uint64(l.Event),
+			uint64(l.Bound), uint64(l.Told), uint64(l.Ended), uint64(l.Relay), uint64(l.Bytes))
 		for _, s := range [...]string{l.Host, l.Dial} {
-			b = binary.AppendUvarint(b, uint64(len(s)))
-			b = append(b, s...)
-		}
-		for _, d := range [...]time.Duration{l.Sent, l.Begun, l.Lined, l.Written, l.First, l.Event, l.Bound, l.Told, l.Ended, l.Relay,
-			time.Duration(l.Bytes)} {
-			b = binary.AppendVarint(b, int64(d))
+			b = append(binary.LittleEndian.AppendUint16(b, uint16(len(s))), s...)
 		}
 	}
 	return b
 }
 
+func words(b []byte, all ...uint64) []byte {
+	for _, w := range all {
+		b = binary.LittleEndian.AppendUint64(b, w)
+	}
+	return b
+}
+
 func bit(v bool) byte {
 	if v {
 		return 1
@@ -69,23 +65,14 @@
 }
 
 func (u *unpacker) text() string {
-	n, size := binary.Uvarint(u.b)
-	if size <= 0 || n > uint64(len(u.b)) {
-		u.err = errPacked
-		return ""
-	}
-	u.b = u.b[size:]
-	return string(u.take(int(n)))
+	p := u.take(2)
+	return string(u.take(int(p[0]) | int(p[1])<<8))
 }
 
-func (u *unpacker) time() time.Duration {
-	d, size := binary.Varint(u.b)
-	if size <= 0 {
-		u.err = errPacked
-		return 0
+func (u *unpacker) times(to ...*time.Duration) {
+	for _, d := range to {
+		*d = time.Duration(u.word())
 	}
-	u.b = u.b[size:]
-	return time.Duration(d)
 }
 
 func (u *unpacker) word() uint64 { return binary.LittleEndian.Uint64(u.take(8)) }
@@ -96,33 +83,32 @@
 	copy(t.Trace[:], u.take(16))
 	copy(t.Span[:], u.take(8))
 	copy(t.Parent[:], u.take(8))
-	small := u.take(3)
+	small := u.take(4)
 	t.Flags, t.Outcome, t.Why = small[0], Outcome(small[1]), Why(small[2])
+	legs := int(small[3])
+	t.Session, t.Prompt, t.Kept = u.word(), math.Float64frombits(u.word()), math.Float64frombits(u.word())
+	var tokens, taken, bytes time.Duration
+	u.times(&t.At, &t.Reading, &t.First, &t.Decided, &t.End, &t.Aim, &t.RetryAfter, &tokens, &taken)
+	t.Tokens = int(tokens)
 	for _, s := range [...]*string{&t.State, &t.Front, &t.Team, &t.CallID, &t.Class} {
 		*s = u.text()
 	}
-	t.Session, t.Prompt, t.Kept = u.word(), math.Float64frombits(u.word()), math.Float64frombits(u.word())
-	for _, d := range [...]*time.Duration{&t.At, &t.Reading, &t.First, &t.Decided, &t.End, &t.Aim, &t.RetryAfter} {
-		*d = u.time()
-	}
-	t.Tokens = int(u.time())
-	for i := range t.Phases {
-		t.Phases[i] = u.time()
-	}
-	for range u.take(1)[0] {
+	for range legs {
 		var l Leg
 		copy(l.Span[:], u.take(8))
 		p := u.take(4)
 		l.Why, l.Result, l.Said, l.Fresh, l.Stale = Why(p[0]), Result(p[1]), Result(p[2]), p[3]&1 != 0, p[3]&2 != 0
+		u.times(&l.Sent, &l.Begun, &l.Lined, &l.Written, &l.First, &l.Event, &l.Bound, &l.Told, &l.Ended, &l.Relay, &bytes)
+		l.Bytes = int(bytes)
 		l.Host, l.Dial = u.text(), u.text()
-		for _, d := range [...]*time.Duration{&l.Sent, &l.Begun, &l.Lined, &l.Written, &l.First, &l.Event, &l.Bound, &l.Told, &l.Ended, &l.Relay} {
-			*d = u.time()
-		}
-		l.Bytes = int(u.time())
 		if u.err != nil {
-			break
+			return nil, u.err
 		}
 		t.Legs = append(t.Legs, l)
 	}
-	return t, u.err
+	if u.err != nil {
+		return nil, u.err
+	}
+	t.reckon(taken)
+	return t, nil
 }
--- a/internal/trace/pack_test.go
+++ b/internal/trace/pack_test.go
@@ -17,12 +17,13 @@
 			CallID: s("call"), Class: s("class"), Session: rapid.Uint64().Draw(t, "session"), Prompt: 5000, Kept: 64, Tokens: 7,
 			At: d("at"), Reading: d("reading"), First: d("first"), End: d("end"), Aim: d("aim"), Outcome: Served, Why: RouterFull,
 		}
-		want.Phases[Wait] = d("wait")
 		for range rapid.IntRange(0, 3).Draw(t, "legs") {
 			want.Legs = append(want.Legs, Leg{Span: SpanID{9}, Host: s("host"), Dial: s("dial"), Sent: d("sent"), Told: d("told"),
 				Relay: d("relay"), Bytes: 900, Result: None, Said: 2, Fresh: true})
 		}
-		b := want.pack(nil)
+		taken := d("taken")
+		b := want.pack(nil, taken)
+		want.reckon(taken)
 		got, err := unpack(b)
 		if diff := cmp.Diff(want, got); diff != "" || err != nil {
 			t.Fatalf("%v (-want +got):\n%s", err, diff)
@@ -34,7 +35,7 @@
 }
 
 func FuzzUnpack(f *testing.F) {
-	f.Add((&Try{CallID: "x", Legs: []Leg{{Host: "h"}}}).pack(nil))
+	f.Add((&Try{CallID: "x", Legs: []Leg{{Host: "h"}}}).pack(nil, 0))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if y, err := unpack(b); err == nil && y == nil {
 			t.Error("nothing, and no error")
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -27,8 +27,7 @@
 	Share     float64       // of ordinary steps, from 0 to 1
 	PerSecond float64       // ordinary steps a second at the most; 0 = no bound
 	TellAll   bool          // issuer hosts are told that every trace is sampled, not just those of the share
-	Memory    int           // bytes for the ordinary tries that wait for their window's end
-	Steps     int           // steps in the table; the oldest leaves first
+	Steps     int           // steps in the table, StepBytes each; the oldest leaves first
 	Seed      uint64
 }
 
@@ -59,20 +58,20 @@
 	host    Host
 	rnd     *rand.Rand
 	sampler Sampler
-	state   string // a new trace of the share goes on with this tracestate
-	open    map[policy.RequestID]*journey
-	telling map[any]*journey // a declining answer is being written to them
+	state   string                        // a new trace of the share goes on with this tracestate
+	late    map[policy.RequestID]*Journey // over, but lacking the last word of a leg
+	telling map[any]*Journey              // a declining answer is being written to them
 	table   *table
-	lingers list.List     // of *journey that are over and lack a last word, by the time they are closed
+	lingers list.List     // of *Journey that are over and lack a last word, by the time they are closed
 	woken   time.Duration // a Wake is out for then; 0 = none
-	spare   []*journey    // to be used again
-	packed  []byte        // likewise, of the try that is being put into the ring
-	scratch []byte        // and of one that is taken out
+	all     []*Journey    // every one made
+	spare   []*Journey    // of these, not in use
 	counts  Counters
 }
 
-// journey is a try that is under way.
-type journey struct {
+// Journey is a try that is under way. Its owner keeps it beside the authorisation's id; it is used again for others, so
+// that it does nothing for an id that it is no longer of.
+type Journey struct {
 	try   Try
 	legs  [4]Leg // room for try.Legs; the deployment's most attempts
 	step  uint32 // slot
@@ -91,8 +90,8 @@
 func New(o Options, host Host) *Recorder {
 	r := &Recorder{
 		o: o, host: host, rnd: rand.New(rand.NewPCG(o.Seed, 0x6a09e667f3bcc909)), sampler: NewSampler(o.Share, o.PerSecond),
-		open: map[policy.RequestID]*journey{}, telling: map[any]*journey{},
-		table: newTable(max(o.Steps, 1), max(o.Memory, 1)),
+		late: map[policy.RequestID]*Journey{}, telling: map[any]*Journey{},
+		table: newTable(max(o.Steps, 1)),
 	}
 	r.state = r.sampler.state("", true)
 	return r
@@ -108,7 +107,7 @@
 // Taken begins the journey of an authorisation. o may be nil: then it has no context and nothing is known of its
 // beginning.
 func (r *Recorder) Taken(now time.Duration, id policy.RequestID, from any, callID string, at time.Duration,
-	q *policy.Request, o *Origin) {
+	q *policy.Request, o *Origin) *Journey {
 	r.counts.Taken++
 	j := r.journey()
 	t := &j.try
@@ -183,29 +182,30 @@
 	s.last = Link{t.Trace, t.Span}
 	if retry {
 		t.Reasons |= ForRetry
-		r.keepAll(s)
+		r.keepAll(slot)
 	}
-	r.open[id] = j
+	return j
 }
 
 // journey returns an empty one.
-func (r *Recorder) journey() *journey {
+func (r *Recorder) journey() *Journey {
 	n := len(r.spare)
 	if n == 0 {
-		return &journey{}
+		j := &Journey{}
+		r.all = append(r.all, j)
+		return j
 	}
 	j := r.spare[n-1]
 	r.spare = r.spare[:n-1]
 	return j
 }
 
-// done puts a journey that is over back.
-func (r *Recorder) done(j *journey) {
-	const most = 64
-	if len(r.spare) < most {
-		*j = journey{}
-		r.spare = append(r.spare, j)
-	}
+// done puts a journey that has ended back. There are as many as there were ever authorisations open at once.
+func (r *Recorder) done(j *Journey) {
+	legs := j.try.Legs
+	clear(legs)
+	*j = Journey{legs: j.legs}
+	r.spare = append(r.spare, j)
 }
 
 // find looks for the step that a try goes on with: by the trace that it carries, else by its conversation. The
@@ -247,16 +247,15 @@
 }
 
 // Because notes why the module acts next.
-func (r *Recorder) Because(id policy.RequestID, why policy.Why) {
-	if j := r.open[id]; j != nil {
+func (r *Recorder) Because(id policy.RequestID, j *Journey, why policy.Why) {
+	if j.is(id) {
 		j.why = why
 	}
 }
 
 // Sent begins a leg and returns the context that it carries to its host.
-func (r *Recorder) Sent(now time.Duration, id policy.RequestID, n int, host, dial string) *Context {
-	j := r.open[id]
-	if j == nil {
+func (r *Recorder) Sent(now time.Duration, id policy.RequestID, j *Journey, n int, host, dial string) *Context {
+	if !j.is(id) {
 		return &Context{}
 	}
 	t := &j.try
@@ -269,25 +268,26 @@
 	return &Context{Trace: t.Trace, Span: l.Span, Flags: t.Flags, State: t.State}
 }
 
-func (r *Recorder) leg(id policy.RequestID, n int) (*journey, *Leg) {
-	j := r.open[id]
-	if j == nil || n < 0 || n >= len(j.try.Legs) {
-		return nil, nil
+func (j *Journey) is(id policy.RequestID) bool { return j != nil && j.id == id }
+
+func (j *Journey) leg(id policy.RequestID, n int) *Leg {
+	if !j.is(id) || n < 0 || n >= len(j.try.Legs) {
+		return nil
 	}
-	return j, &j.try.Legs[n]
+	return &j.try.Legs[n]
 }
 
 // Bound tells that a leg's answer is the client's.
-func (r *Recorder) Bound(now time.Duration, id policy.RequestID, n int) {
-	if j, l := r.leg(id, n); l != nil {
+func (r *Recorder) Bound(now time.Duration, id policy.RequestID, j *Journey, n int) {
+	if l := j.leg(id, n); l != nil {
 		l.Bound = now - j.try.At
 		j.try.First = l.Bound
 	}
 }
 
 // Told tells the result of a leg as the module hears it.
-func (r *Recorder) Told(now time.Duration, id policy.RequestID, n int, result policy.Result, kept float64) {
-	if j, l := r.leg(id, n); l != nil {
+func (r *Recorder) Told(now time.Duration, id policy.RequestID, j *Journey, n int, result policy.Result, kept float64) {
+	if l := j.leg(id, n); l != nil {
 		l.Told, l.Result = max(now-j.try.At, 1), Result(result)
 		if kept > 0 && l.Bound != 0 {
 			j.try.Kept = kept
@@ -296,8 +296,8 @@
 }
 
 // Ended tells what the line of a leg came to, be it long after the module has heard of its result. m may be nil.
-func (r *Recorder) Ended(now time.Duration, id policy.RequestID, n int, said policy.Result, stale bool, m *Times) {
-	j, l := r.leg(id, n)
+func (r *Recorder) Ended(now time.Duration, id policy.RequestID, j *Journey, n int, said policy.Result, stale bool, m *Times) {
+	l := j.leg(id, n)
 	if l == nil || l.Ended != 0 {
 		return
 	}
@@ -329,10 +329,16 @@
 	r.finish(now, j, false)
 }
 
+// Late is Ended for a leg whose authorisation its owner has forgotten.
+func (r *Recorder) Late(now time.Duration, id policy.RequestID, n int, said policy.Result, stale bool, m *Times) {
+	if j := r.late[id]; j != nil {
+		r.Ended(now, id, j, n, said, stale, m)
+	}
+}
+
 // Closed ends a try towards its client. For a bound leg, Ended follows or has come.
-func (r *Recorder) Closed(now time.Duration, id policy.RequestID, o Outcome, retryAfter time.Duration) {
-	j := r.open[id]
-	if j == nil || j.over {
+func (r *Recorder) Closed(now time.Duration, id policy.RequestID, j *Journey, o Outcome, retryAfter time.Duration) {
+	if !j.is(id) || j.over {
 		return
 	}
 	t := &j.try
@@ -371,27 +377,27 @@
 }
 
 // finish closes the record of a try once nothing is missing, or if it must.
-func (r *Recorder) finish(now time.Duration, j *journey, must bool) {
+func (r *Recorder) finish(now time.Duration, j *Journey, must bool) {
 	if !j.over {
 		return
 	}
 	if !must && (j.out > 0 || j.tells) {
 		if j.place == nil {
 			j.place = r.lingers.PushBack(j)
+			r.late[j.id] = j
 			r.wake(j.until)
 		}
 		return
 	}
 	if j.place != nil {
 		r.lingers.Remove(j.place)
+		delete(r.late, j.id)
 	}
 	if j.tells {
 		delete(r.telling, j.from)
 	}
-	delete(r.open, j.id)
 	t := &j.try
-	t.reckon(j.taken)
-	t.Late, t.Reasons = r.late(t), t.Reasons|reasons(t)
+	t.Late, t.Reasons = r.slow(t), t.Reasons|reasons(t)
 	if t.Late {
 		t.Reasons |= ForLate
 	}
@@ -399,10 +405,12 @@
 	s.open--
 	s.until = now + r.o.Window
 	if t.Reasons != 0 || s.kept {
-		r.keepAll(s)
+		r.keepAll(j.step)
+		t.reckon(j.taken)
 		r.keep(t)
-	} else {
-		r.hold(now, j.step, t)
+	} else if !r.table.hold(j.step, t, j.taken) {
+		t.reckon(j.taken)
+		r.decide(now, s.in, true, func() *Try { return t })
 	}
 	slot := j.step
 	r.done(j)
@@ -424,32 +432,6 @@
 	r.wake(s.until)
 }
 
-// hold puts an ordinary try where it waits for its window's end. The oldest make room.
-func (r *Recorder) hold(now time.Duration, slot uint32, t *Try) {
-	r.packed = append(r.packed[:0], byte(slot), byte(slot>>8), byte(slot>>16), byte(slot>>24))
-	r.packed = t.pack(r.packed)
-	for {
-		ever, fits := r.table.room(len(r.packed))
-		if fits {
-			r.table.hold(slot, r.packed)
-			return
-		}
-		first := r.table.oldest()
-		if !ever || first == 0 {
-			r.decide(now, r.table.slots[slot].in, true, func() *Try { return t })
-			return
-		}
-		r.early(now, first)
-	}
-}
-
-// early decides about a step's waiting try before its time. The step stays, so that a retry is still found.
-func (r *Recorder) early(now time.Duration, slot uint32) {
-	s := &r.table.slots[slot]
-	r.decide(now, s.in, true, func() *Try { return r.waiting(s) })
-	r.table.drop(s)
-}
-
 // reasons tells what has a try kept whatever the share.
 func reasons(t *Try) Reason {
 	var why Reason
@@ -471,8 +453,8 @@
 	return why
 }
 
-// late tells whether an answer came later than its class wants: its first event, or the pace of the rest.
-func (r *Recorder) late(t *Try) bool {
+// slow tells whether an answer came later than its class wants: its first event, or the pace of the rest.
+func (r *Recorder) slow(t *Try) bool {
 	if t.First == 0 || t.Aim == 0 {
 		return false
 	}
@@ -488,26 +470,20 @@
 }
 
 // keepAll has a step kept: the try that has ended leaves now, those under way at their end.
-func (r *Recorder) keepAll(s *step) {
-	s.kept = true
-	if t := r.waiting(s); t != nil {
+func (r *Recorder) keepAll(slot uint32) {
+	r.table.slots[slot].kept = true
+	if t := r.waiting(slot); t != nil {
 		t.Reasons = ForLinked
 		r.keep(t)
 	}
 }
 
-// waiting takes a step's try out of the ring; nil = there is none.
-func (r *Recorder) waiting(s *step) *Try {
-	if s.record == 0 {
-		return nil
+// waiting takes a step's try out of the table; nil = there is none.
+func (r *Recorder) waiting(slot uint32) *Try {
+	t := r.table.take(slot)
+	if t != nil {
+		t.Router = r.o.Router
 	}
-	r.scratch = r.table.record(s, r.scratch[:0])
-	t, err := unpack(r.scratch[4:])
-	r.table.drop(s)
-	if err != nil {
-		return nil // it cannot be: what pack writes unpack reads
-	}
-	t.Router = r.o.Router
 	return t
 }
 
@@ -528,8 +504,8 @@
 // settle decides about what is left of a step and forgets it.
 func (r *Recorder) settle(now time.Duration, slot uint32, early bool) {
 	s := &r.table.slots[slot]
-	if s.record != 0 {
-		r.decide(now, s.in, early, func() *Try { return r.waiting(s) })
+	if s.size != 0 {
+		r.decide(now, s.in, early, func() *Try { return r.waiting(slot) })
 	}
 	r.table.remove(slot)
 }
@@ -567,7 +543,7 @@
 	r.woken = 0
 	var next time.Duration
 	for first := r.lingers.Front(); first != nil; first = r.lingers.Front() {
-		j := first.Value.(*journey)
+		j := first.Value.(*Journey)
 		if now < j.until {
 			next = j.until
 			break
@@ -603,7 +579,10 @@
 
 // Flush closes everything, at the router's end: tries that are under way are kept as Open.
 func (r *Recorder) Flush(now time.Duration) {
-	for _, j := range r.open {
+	for _, j := range r.all {
+		if j.id == 0 {
+			continue
+		}
 		if !j.over {
 			j.over, j.try.Outcome, j.try.End = true, Open, now-j.try.At
 		}
--- a/internal/trace/recorder_test.go
+++ b/internal/trace/recorder_test.go
@@ -18,6 +18,7 @@
 	now   time.Duration
 	wakes []time.Duration
 	kept  []*Try
+	of    map[policy.RequestID]*Journey
 }
 
 func (r *rig) Wake(at time.Duration) { r.wakes = append(r.wakes, at) }
@@ -25,13 +26,13 @@
 
 func newRig(change func(*Options)) *rig {
 	o := Options{
-		Router: "n1", Seed: 3, Window: 10 * time.Second, Linger: time.Second, Memory: 1 << 20, Steps: 1000,
+		Router: "n1", Seed: 3, Window: 10 * time.Second, Linger: time.Second, Steps: 1000,
 		Classes: []Class{{Name: "chat", Aim: time.Second, AimPerKTokens: 100 * ms, TokenAim: 50 * ms}},
 	}
 	if change != nil {
 		change(&o)
 	}
-	r := &rig{now: 1000 * time.Second}
+	r := &rig{now: 1000 * time.Second, of: map[policy.RequestID]*Journey{}}
 	r.Recorder = New(o, r)
 	return r
 }
@@ -59,23 +60,23 @@
 
 func (r *rig) take(id policy.RequestID, session uint64, prompt float64, o *Origin) {
 	q := policy.Request{ID: id, Session: session, PromptTokens: prompt}
-	r.Taken(r.now, id, id, fmt.Sprint("call", id), r.now, &q, o)
+	r.of[id] = r.Taken(r.now, id, id, fmt.Sprint("call", id), r.now, &q, o)
 }
 
 // serve plays a leg to its end: first its first event, then the stream.
 func (r *rig) serve(id policy.RequestID, n int, first, stream time.Duration) {
-	r.Because(id, policy.Pinned)
-	r.Sent(r.now, id, n, "s-1", "127.0.0.2:5000")
+	r.Because(id, r.of[id], policy.Pinned)
+	r.Sent(r.now, id, r.of[id], n, "s-1", "127.0.0.2:5000")
 	sent := r.now
 	r.after(first)
-	r.Bound(r.now, id, n)
+	r.Bound(r.now, id, r.of[id], n)
 	bound := r.now
 	r.after(stream)
-	r.Ended(r.now, id, n, policy.OK, false, &Times{
+	r.Ended(r.now, id, r.of[id], n, policy.OK, false, &Times{
 		Begun: sent, Lined: sent + ms, Written: sent + 2*ms, First: bound - ms, Event: bound, Bound: bound, Ended: r.now, Tokens: 10,
 	})
-	r.Told(r.now, id, n, policy.OK, 64)
-	r.Closed(r.now, id, Served, 0)
+	r.Told(r.now, id, r.of[id], n, policy.OK, 64)
+	r.Closed(r.now, id, r.of[id], Served, 0)
 }
 
 func (r *rig) sum(t *Try) (sum time.Duration) {
@@ -109,25 +110,29 @@
 	for name, play := range map[string]func(*rig) Reason{
 		"late":      func(r *rig) Reason { r.serve(1, 0, 1200*ms, ms); return ForLate },
 		"slow pace": func(r *rig) Reason { r.serve(1, 0, 100*ms, 600*ms); return ForLate },
-		"refused":   func(r *rig) Reason { r.Because(1, policy.Shedding); r.Closed(r.now, 1, Refused, ms); return ForRefused },
-		"gone":      func(r *rig) Reason { r.Closed(r.now, 1, Gone, 0); return ForGone },
+		"refused": func(r *rig) Reason {
+			r.Because(1, r.of[1], policy.Shedding)
+			r.Closed(r.now, 1, r.of[1], Refused, ms)
+			return ForRefused
+		},
+		"gone": func(r *rig) Reason { r.Closed(r.now, 1, r.of[1], Gone, 0); return ForGone },
 		"failed after two legs": func(r *rig) Reason {
 			for n := range 2 {
-				r.Sent(r.now, 1, n, "s", "d")
+				r.Sent(r.now, 1, r.of[1], n, "s", "d")
 				r.after(ms)
-				r.Ended(r.now, 1, n, policy.Reset, false, nil)
-				r.Told(r.now, 1, n, policy.Reset, 0)
+				r.Ended(r.now, 1, r.of[1], n, policy.Reset, false, nil)
+				r.Told(r.now, 1, r.of[1], n, policy.Reset, 0)
 			}
-			r.Because(1, policy.NoRetries)
-			r.Closed(r.now, 1, Failed, 0)
+			r.Because(1, r.of[1], policy.NoRetries)
+			r.Closed(r.now, 1, r.of[1], Failed, 0)
 			return ForFailed | ForLegs
 		},
 		"broken": func(r *rig) Reason {
-			r.Sent(r.now, 1, 0, "s", "d")
-			r.Bound(r.now, 1, 0)
-			r.Ended(r.now, 1, 0, policy.Reset, false, nil)
-			r.Told(r.now, 1, 0, policy.Reset, 0)
-			r.Closed(r.now, 1, Broken, 0)
+			r.Sent(r.now, 1, r.of[1], 0, "s", "d")
+			r.Bound(r.now, 1, r.of[1], 0)
+			r.Ended(r.now, 1, r.of[1], 0, policy.Reset, false, nil)
+			r.Told(r.now, 1, r.of[1], 0, policy.Reset, 0)
+			r.Closed(r.now, 1, r.of[1], Broken, 0)
 			return ForBroken
 		},
 	} {
@@ -171,17 +176,17 @@
 	r := newRig(nil)
 	c, _ := ParseParent(goodParent)
 	r.take(1, 9, 100, nil)
-	r.Sent(r.now, 1, 0, "s-1", "d")
+	r.Sent(r.now, 1, r.of[1], 0, "s-1", "d")
 	r.after(time.Second)
 	r.take(2, 9, 100, &Origin{Context: c})
 	r.serve(2, 0, 100*ms, 100*ms)
 	if len(r.kept) != 1 || r.kept[0].Trace != c.Trace || r.kept[0].Parent != c.Span || r.kept[0].Before == (Link{}) {
 		t.Fatalf("kept %+v", r.kept)
 	}
-	r.Bound(r.now, 1, 0)
-	r.Ended(r.now, 1, 0, policy.OK, false, nil)
-	r.Told(r.now, 1, 0, policy.OK, 0)
-	r.Closed(r.now, 1, Served, 0)
+	r.Bound(r.now, 1, r.of[1], 0)
+	r.Ended(r.now, 1, r.of[1], 0, policy.OK, false, nil)
+	r.Told(r.now, 1, r.of[1], 0, policy.OK, 0)
+	r.Closed(r.now, 1, r.of[1], Served, 0)
 	if len(r.kept) != 2 || r.kept[1].CallID != "call1" || r.kept[1].Reasons&ForLinked == 0 && r.kept[1].Reasons&ForLate == 0 {
 		t.Errorf("kept %+v", r.kept[1])
 	}
@@ -192,21 +197,21 @@
 	// module heard.
 	r := newRig(nil)
 	r.take(1, 9, 100, nil)
-	r.Sent(r.now, 1, 0, "s-1", "d1")
+	r.Sent(r.now, 1, r.of[1], 0, "s-1", "d1")
 	r.after(50 * ms)
-	r.Sent(r.now, 1, 1, "s-2", "d2")
+	r.Sent(r.now, 1, r.of[1], 1, "s-2", "d2")
 	r.after(50 * ms)
-	r.Bound(r.now, 1, 1)
-	r.Told(r.now, 1, 0, policy.Cancelled, 0)
+	r.Bound(r.now, 1, r.of[1], 1)
+	r.Told(r.now, 1, r.of[1], 0, policy.Cancelled, 0)
 	r.after(50 * ms)
-	r.Ended(r.now, 1, 1, policy.OK, false, nil)
-	r.Told(r.now, 1, 1, policy.OK, 0)
-	r.Closed(r.now, 1, Served, 0)
+	r.Ended(r.now, 1, r.of[1], 1, policy.OK, false, nil)
+	r.Told(r.now, 1, r.of[1], 1, policy.OK, 0)
+	r.Closed(r.now, 1, r.of[1], Served, 0)
 	if len(r.kept) != 0 {
 		t.Fatal("closed before the first leg's last word")
 	}
 	r.after(100 * ms)
-	r.Ended(r.now, 1, 0, policy.Reset, false, nil)
+	r.Ended(r.now, 1, r.of[1], 0, policy.Reset, false, nil)
 	if len(r.kept) != 1 {
 		t.Fatal("not closed with the last word")
 	}
@@ -216,10 +221,10 @@
 	}
 	// One whose last word never comes is closed all the same.
 	r.take(2, 8, 100, nil)
-	r.Sent(r.now, 2, 0, "s-1", "d1")
-	r.Told(r.now, 2, 0, policy.TimedOut, 0)
-	r.Because(2, policy.OutOfTime)
-	r.Closed(r.now, 2, Failed, 0)
+	r.Sent(r.now, 2, r.of[2], 0, "s-1", "d1")
+	r.Told(r.now, 2, r.of[2], 0, policy.TimedOut, 0)
+	r.Because(2, r.of[2], policy.OutOfTime)
+	r.Closed(r.now, 2, r.of[2], Failed, 0)
 	r.after(2 * time.Second)
 	if len(r.kept) != 2 || r.kept[1].Legs[0].Said != None || r.kept[1].Why.String() != "out_of_time" {
 		t.Errorf("kept %+v", r.kept)
@@ -229,12 +234,12 @@
 func TestMemoryIsBounded(t *testing.T) {
 	// Ten thousand ordinary requests in a second, and a failed one in each hundred: these are all kept, and what is held
 	// of the others stays in its bound, with every one counted.
-	r := newRig(func(o *Options) { o.Memory, o.Steps, o.Share = 100<<10, 500, 0.01 })
+	r := newRig(func(o *Options) { o.Steps, o.Share = 500, 0.01 })
 	failed := 0
 	for id := policy.RequestID(1); id <= 10000; id++ {
 		r.take(id, uint64(id), 100, nil)
 		if id%100 == 0 {
-			r.Closed(r.now, id, Failed, 0)
+			r.Closed(r.now, id, r.of[id], Failed, 0)
 			failed++
 		} else {
 			r.serve(id, 0, 20*time.Microsecond, 20*time.Microsecond)
@@ -270,10 +275,10 @@
 func TestFlushClosesWhatIsOpen(t *testing.T) {
 	r := newRig(nil)
 	r.take(1, 9, 100, nil)
-	r.Sent(r.now, 1, 0, "s-1", "d")
+	r.Sent(r.now, 1, r.of[1], 0, "s-1", "d")
 	r.after(time.Second)
 	r.Flush(r.now)
-	if len(r.kept) != 1 || r.kept[0].Outcome != Open || r.sum(r.kept[0]) != time.Second || len(r.Recorder.open) != 0 {
+	if len(r.kept) != 1 || r.kept[0].Outcome != Open || r.sum(r.kept[0]) != time.Second || r.of[1].is(1) {
 		t.Errorf("kept %+v", r.kept)
 	}
 }
@@ -291,22 +296,22 @@
 			at := r.now - time.Duration(rapid.IntRange(-100, 4000).Draw(t, "ago"))*ms
 			switch rapid.IntRange(0, 7).Draw(t, "event") {
 			case 0:
-				if r.Recorder.open[id] == nil {
+				if !r.of[id].is(id) {
 					r.take(id, uint64(id%3), float64(id%2), &Origin{Tells: id%2 == 0})
 					taken++
 				}
 			case 1:
-				if j := r.Recorder.open[id]; j != nil && !j.over && n == len(j.try.Legs) {
-					r.Sent(r.now, id, n, "s", "d")
+				if j := r.of[id]; j.is(id) && !j.over && n == len(j.try.Legs) {
+					r.Sent(r.now, id, r.of[id], n, "s", "d")
 				}
 			case 2:
-				r.Bound(r.now, id, n)
+				r.Bound(r.now, id, r.of[id], n)
 			case 3:
-				r.Told(r.now, id, n, policy.Result(n), 1)
+				r.Told(r.now, id, r.of[id], n, policy.Result(n), 1)
 			case 4:
-				r.Ended(r.now, id, n, policy.Result(n), false, &Times{Begun: at, Lined: at + ms, Written: at + 2*ms, Relay: time.Second})
+				r.Ended(r.now, id, r.of[id], n, policy.Result(n), false, &Times{Begun: at, Lined: at + ms, Written: at + 2*ms, Relay: time.Second})
 			case 5:
-				r.Closed(r.now, id, Outcome(rapid.IntRange(1, 5).Draw(t, "outcome")), ms)
+				r.Closed(r.now, id, r.of[id], Outcome(rapid.IntRange(1, 5).Draw(t, "outcome")), ms)
 			case 6:
 				r.Answered(r.now, id, at)
 			case 7:
--- a/internal/trace/table.go
+++ b/internal/trace/table.go
@@ -6,7 +6,7 @@
 
 // table holds the steps, and the ordinary try of each that waits for its window's end. Nearly all that a busy router
 // records ends here and is dropped, so it is made to cost the garbage collector nothing: steps are slots of one slice
-// without pointers, tries are bytes in one ring.
+// without pointers, and each has a cell of bytes for its try.
 type table struct {
 	slots  []step
 	free   []uint32
@@ -15,10 +15,8 @@
 	order  []turn             // a ring: the steps with no try under way, by the end of their windows
 	first  int                // of order
 	count  int                // of order, those that were taken back included
-	ring   []byte             // records, each behind its length
-	head   uint64             // offset of the oldest record, counted from the start of all
-	tail   uint64             // and of the next
-	held   int                // tries in the ring that are still wanted
+	cells  [][]byte           // chunks of cells, one for each slot
+	held   int                // tries in cells
 }
 
 // turn is a step's place in the order; it counts if the step has not been taken up again since.
@@ -35,19 +33,26 @@
 	session uint64
 	prompt  float64
 	until   time.Duration // it is forgotten then, unless a try is under way
-	record  uint64        // offset+1 of its ordinary try in the ring; 0 = none
 	seq     uint32        // of its turn
 	number  int32         // of tries so far
 	open    int32         // tries under way
 	kept    bool          // one was kept, so that all are
 	indexed bool          // in traces
 	in      bool          // of the share
+	size    uint16        // bytes in its cell: the ordinary try that waits; 0 = none
 }
 
-func newTable(steps, memory int) *table {
+const (
+	cellBytes = 384 // a record has about 330
+	chunk     = 64  // cells
+
+	// StepBytes is what a step takes in all, its cell and its places in the indices included.
+	StepBytes = cellBytes + 128 + 64
+)
+
+func newTable(steps int) *table {
 	return &table{
-		slots: make([]step, 1, 64), traces: map[TraceID]uint32{}, talks: map[uint64]uint32{},
-		order: make([]turn, 2*steps+2), ring: make([]byte, memory),
+		slots: make([]step, 1, 64), traces: map[TraceID]uint32{}, talks: map[uint64]uint32{}, order: make([]turn, 2*steps+2),
 	}
 }
 
@@ -83,14 +88,48 @@
 	t.free = append(t.free, slot)
 }
 
-// drop gives up a step's record in the ring.
+// drop gives up a step's try.
 func (t *table) drop(s *step) {
-	if s.record != 0 {
-		s.record = 0
+	if s.size != 0 {
+		s.size = 0
 		t.held--
 	}
 }
 
+// cell is where a slot's try is kept.
+func (t *table) cell(slot uint32) []byte {
+	for int(slot)/chunk >= len(t.cells) {
+		t.cells = append(t.cells, make([]byte, chunk*cellBytes))
+	}
+	at := int(slot) % chunk * cellBytes
+	return t.cells[int(slot)/chunk][at : at+cellBytes : at+cellBytes]
+}
+
+// hold puts a try into its step's cell. ok is false where it is too large for one.
+func (t *table) hold(slot uint32, y *Try, taken time.Duration) (ok bool) {
+	packed := y.pack(t.cell(slot)[:0], taken)
+	if len(packed) > cellBytes {
+		return false
+	}
+	t.slots[slot].size = uint16(len(packed))
+	t.held++
+	return true
+}
+
+// take reads a step's try and drops it; nil = there is none.
+func (t *table) take(slot uint32) *Try {
+	s := &t.slots[slot]
+	if s.size == 0 {
+		return nil
+	}
+	y, err := unpack(t.cell(slot)[:s.size])
+	t.drop(s)
+	if err != nil {
+		return nil // it cannot be: what pack writes unpack reads
+	}
+	return y
+}
+
 // queue puts a step at the end of the order. ok is false where there is no room: the first must leave.
 func (t *table) queue(slot uint32) (ok bool) {
 	if t.count == len(t.order) {
@@ -126,55 +165,3 @@
 
 // waiting tells how many steps there are, those with a try under way included.
 func (t *table) waiting() int { return len(t.slots) - 1 - len(t.free) }
-
-// room tells whether a record of so many bytes fits into the ring at all, and whether it does now.
-func (t *table) room(n int) (ever, now bool) {
-	need := uint64(n + 4)
-	return need <= uint64(len(t.ring)), t.tail-t.head+need <= uint64(len(t.ring))
-}
-
-// oldest moves past records that nobody wants any more and returns the step of the oldest that is wanted; 0 = none.
-func (t *table) oldest() uint32 {
-	for t.head < t.tail {
-		var b [8]byte
-		t.read(t.head, b[:])
-		slot := uint32(b[4]) | uint32(b[5])<<8 | uint32(b[6])<<16 | uint32(b[7])<<24
-		if t.slots[slot].record == t.head+1 {
-			return slot
-		}
-		t.head += 4 + uint64(uint32(b[0])|uint32(b[1])<<8|uint32(b[2])<<16|uint32(b[3])<<24)
-	}
-	return 0
-}
-
-// hold puts a step's record into the ring, which has room for it. Its first four bytes are the slot's.
-func (t *table) hold(slot uint32, record []byte) {
-	n := len(record)
-	t.slots[slot].record = t.tail + 1
-	t.write(t.tail, []byte{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)})
-	t.write(t.tail+4, record)
-	t.tail += 4 + uint64(n)
-	t.held++
-}
-
-// record appends a step's record to b.
-func (t *table) record(s *step, b []byte) []byte {
-	var size [4]byte
-	at := s.record - 1
-	t.read(at, size[:])
-	n := int(uint32(size[0]) | uint32(size[1])<<8 | uint32(size[2])<<16 | uint32(size[3])<<24)
-	from := len(b)
-	b = append(b, make([]byte, n)...)
-	t.read(at+4, b[from:])
-	return b
-}
-
-func (t *table) write(at uint64, b []byte) {
-	n := copy(t.ring[at%uint64(len(t.ring)):], b)
-	copy(t.ring, b[n:])
-}
-
-func (t *table) read(at uint64, b []byte) {
-	n := copy(b, t.ring[at%uint64(len(t.ring)):])
-	copy(b[n:], t.ring)
-}
