Trace: one allocation for what a leg carries, and no copying of spent journeys

Cause: clearing a journey copied 1.5 KB under the collector's write barrier, and each leg allocated its span and its times apart (profile of a full core). The cost experiment now keeps the routers on a core of their own.

Change: fields are cleared in place; Carried holds context and times.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -431,7 +431,7 @@
 	a.legs = append(a.legs, l)
 	a.running++
 	h := b.hosts[to]
-	var span *trace.Context
+	var span *trace.Carried
 	if b.journal != nil {
 		host := Host{Name: "unknown"}
 		if h != nil {
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -135,7 +135,7 @@
 	// SendTraced is SendLeg where journeys are recorded: the leg carries a span of its own to its host.
 	SendTraced struct {
 		SendLeg
-		Span *trace.Context
+		Span *trace.Carried
 	}
 	// Keep hands over the record of a journey that is to leave.
 	Keep struct{ Try *trace.Try }
--- a/internal/broker/trace_test.go
+++ b/internal/broker/trace_test.go
@@ -22,7 +22,7 @@
 		case Keep:
 			kept = append(kept, f.Try)
 		case SendTraced:
-			spans = append(spans, *f.Span)
+			spans = append(spans, f.Span.Context)
 		}
 	}
 	return kept, spans
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -88,11 +88,11 @@
 // SendTraced does broker.SendTraced. It does not wait.
 func (c *Client) SendTraced(e broker.SendTraced) { c.send(e.SendLeg, e.Span) }
 
-func (c *Client) send(e broker.SendLeg, span *trace.Context) {
+func (c *Client) send(e broker.SendLeg, span *trace.Carried) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &leg{cancel: cancel, verdict: make(chan struct{}, 1), span: span}
+	l := &leg{cancel: cancel, verdict: make(chan struct{}, 1)}
 	if span != nil {
-		l.times = &trace.Times{}
+		l.span, l.times = &span.Context, &span.Times
 	}
 	c.mu.Lock()
 	c.legs[e.Leg] = l
--- a/internal/issuer/trace_test.go
+++ b/internal/issuer/trace_test.go
@@ -22,7 +22,7 @@
 			t.Fatal("a bad context")
 		}
 		c := &customer{body: []byte(`{"model":"chat"}`)}
-		d.SendTraced(broker.SendTraced{SendLeg: send(0, c), Span: &span})
+		d.SendTraced(broker.SendTraced{SendLeg: send(0, c), Span: &trace.Carried{Context: span}})
 		conn := <-far
 		play(t, conn, "traced")
 		synctest.Wait()
--- a/internal/lab/experiment/cost.go
+++ b/internal/lab/experiment/cost.go
@@ -28,7 +28,7 @@
 	o := r.options([]string{"off", "on"}, map[string]string{
 		"on": fmt.Sprintf("[trace]\nshare = %g\n[trace.file]\npath = %q\n", r.Trace.Share, filepath.Join(r.dir, "traces.zst")),
 	})
-	o.Boxes = 0
+	o.Boxes, o.Pin = 0, true
 	f, err := fleet.StartWith(ctx, o, func(f *fleet.Fleet) error {
 		for i := range r.Fleet.Boxes {
 			if _, err := standin.StartQuick(fmt.Sprintf("q%d", i), f.Discovery); err != nil {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -55,6 +55,7 @@
 	Cores    float64           // of each router
 	MemoryMB int
 	Sockets  int
+	Pin      bool // routers run on the machine's first core, all else on the others
 	Spans    func(standin.Span)
 }
 
@@ -90,6 +91,11 @@
 			f.Stop()
 		}
 	}()
+	if o.Pin {
+		if err := leaveFirstCore(); err != nil {
+			return nil, err
+		}
+	}
 	if f.Discovery, err = standin.StartDiscovery("127.0.0.1:0", 0); err != nil {
 		return nil, err
 	}
@@ -180,7 +186,11 @@
 	r.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+file)
 	r.cmd.Stdout, r.cmd.Stderr = log, log
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the lab
-	if err := r.cmd.Start(); err != nil {
+	start := r.cmd.Start
+	if f.o.Pin {
+		start = func() error { return startPinned(r.cmd) }
+	}
+	if err := start(); err != nil {
 		return nil, err
 	}
 	go func() { r.done <- r.cmd.Wait() }()
--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -175,6 +175,12 @@
 	Tokens  int           // of the answer, by its usage; 0 = not told
 }
 
+// Carried is what a traced leg has with it: the context for its host, and the times that are measured on its way.
+type Carried struct {
+	Context
+	Times Times
+}
+
 // Origin is what a front knows of where an authorisation came from.
 type Origin struct {
 	Context        // of the client; a zero Trace begins a new trace, a zero Span has no parent
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -202,9 +202,9 @@
 
 // done puts a journey that has ended back. There are as many as there were ever authorisations open at once.
 func (r *Recorder) done(j *Journey) {
-	legs := j.try.Legs
-	clear(legs)
-	*j = Journey{legs: j.legs}
+	clear(j.try.Legs) // a part of j.legs; the rest is clear
+	j.try = Try{}
+	j.id, j.from, j.why, j.out, j.over, j.tells, j.place = 0, nil, 0, 0, false, false, nil
 	r.spare = append(r.spare, j)
 }
 
@@ -253,10 +253,10 @@
 	}
 }
 
-// Sent begins a leg and returns the context that it carries to its host.
-func (r *Recorder) Sent(now time.Duration, id policy.RequestID, j *Journey, n int, host, dial string) *Context {
+// Sent begins a leg and returns what it carries.
+func (r *Recorder) Sent(now time.Duration, id policy.RequestID, j *Journey, n int, host, dial string) *Carried {
 	if !j.is(id) {
-		return &Context{}
+		return &Carried{}
 	}
 	t := &j.try
 	for len(t.Legs) <= n {
@@ -265,7 +265,7 @@
 	l := &t.Legs[n]
 	l.Host, l.Dial, l.Why, l.Sent = host, dial, Why(j.why), now-t.At
 	j.out++
-	return &Context{Trace: t.Trace, Span: l.Span, Flags: t.Flags, State: t.State}
+	return &Carried{Context: Context{Trace: t.Trace, Span: l.Span, Flags: t.Flags, State: t.State}}
 }
 
 func (j *Journey) is(id policy.RequestID) bool { return j != nil && j.id == id }
