--- a/internal/lab/experiment/cost.go
+++ b/internal/lab/experiment/cost.go
@@ -98,8 +98,8 @@
 		memory[n] = float64(most) / (1 << 20)
 	}
 	res := r.result
-	throughput := res.Mean("throughput, on against off", ratios, "", "pairs")
-	res.Mean("CPU a request, on against off", cpus, "", "by the process's own account")
+	throughput := res.Ratio("throughput, on against off", ratios, "pairs, geometric mean")
+	res.Ratio("CPU a request, on against off", cpus, "by the process's own account")
 	res.Mean("CPU a request, off", used[0], "µs", "")
 	res.Mean("CPU a request, on", used[1], "µs", "")
 	res.Mean("share of the core that the router used, off", busy, "", "")
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -91,6 +91,21 @@
 	return mean
 }
 
+// Ratio adds the geometric mean of ratios and its spread as a row, and returns it. The plain mean of ratios that scatter
+// is too high, whichever way they are turned.
+func (r *Result) Ratio(name string, samples []float64, note string) float64 {
+	logs := make([]float64, len(samples))
+	for i, s := range samples {
+		logs[i] = math.Log(s)
+	}
+	mean, spread := stat.Mean(logs, nil), 0.0
+	if len(logs) > 1 {
+		spread = 1.96 * stat.StdDev(logs, nil) / math.Sqrt(float64(len(logs)))
+	}
+	r.Rows = append(r.Rows, Row{Name: name, Figure: math.Exp(mean), Spread: math.Exp(mean) * spread, Note: note})
+	return math.Exp(mean)
+}
+
 // Passed tells how many bars hold and how many do not.
 func (r *Result) Passed() (passed, failed int) {
 	for _, b := range r.Bars {
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -138,6 +138,7 @@
 		}
 		slot = r.table.add(step{
 			trace: t.Trace, session: q.Session, prompt: q.PromptTokens, indexed: parent.Trace != (TraceID{}),
+			before: r.table.talks[q.Session],
 		})
 	} else {
 		retry = true
@@ -220,15 +221,25 @@
 		}
 	}
 	if q.Session != 0 {
-		if slot := r.table.talks[q.Session]; slot != 0 {
-			if s := &r.table.slots[slot]; s.fresh(now) && (s.prompt == q.PromptTokens || q.Resumed) {
+		// A client may ask its next question before it tries the last one again.
+		slot := r.table.talks[q.Session]
+		for n := 0; n < overlaps && slot != 0; n++ {
+			s := &r.table.slots[slot]
+			if s.session != q.Session || !s.fresh(now) {
+				break
+			}
+			if s.prompt == q.PromptTokens || q.Resumed {
 				return slot
 			}
+			slot = s.before
 		}
 	}
 	return 0
 }
 
+// overlaps is how many steps of a conversation are looked through for the one that a try goes on with.
+const overlaps = 4
+
 func (s *step) fresh(now time.Duration) bool { return s.open > 0 || now < s.until }
 
 func (r *Recorder) newTrace() (t TraceID) {
--- a/internal/trace/recorder_test.go
+++ b/internal/trace/recorder_test.go
@@ -170,6 +170,18 @@
 	}
 }
 
+func TestRetryAfterTheNextQuestion(t *testing.T) {
+	// The next question of the conversation comes between a try and its retry, which finds its step all the same.
+	r := newRig(nil)
+	r.take(1, 9, 100, nil)
+	r.serve(1, 0, 300*ms, 200*ms)
+	r.take(2, 9, 150, nil)
+	r.take(3, 9, 100, nil)
+	if len(r.kept) != 1 || r.kept[0].CallID != "call1" || r.Counters().Linked != 1 {
+		t.Errorf("kept %+v, %+v", r.kept, r.Counters())
+	}
+}
+
 func TestRetryBeforeTheFirstHasEnded(t *testing.T) {
 	// Two tries of one step are open at once, the second on the client's own trace: both are kept, the first at its end,
 	// though the sampling was decided while it ran.
--- a/internal/trace/table.go
+++ b/internal/trace/table.go
@@ -33,6 +33,7 @@
 	session uint64
 	prompt  float64
 	until   time.Duration // it is forgotten then, unless a try is under way
+	before  uint32        // slot of the session's step before it, which may be another's by now; 0 = none
 	seq     uint32        // of its turn
 	number  int32         // of tries so far
 	open    int32         // tries under way
