Trace: legs carry what stands in their journey; origins beside their authorisations

Cause: three allocations for each traced request were left.

Change: what a leg carries stands in the journey, which is not used again while a leg may still write into it; an origin is allocated with its authorisation.

--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -205,26 +205,34 @@
 		c.s.Post(broker.Declined{})
 		return nil, &decline{status: http.StatusBadRequest, reason: reason}
 	}
-	return &authorisation{
-		conn: c, request: q, done: make(chan struct{}), origin: c.s.origin(req.Header),
+	a, origin := c.s.authorisation(req.Header)
+	*a = authorisation{
+		conn: c, request: q, done: make(chan struct{}), origin: origin,
 		order: issuer.Order{
 			Method: req.Method, Target: req.RequestURI, Host: req.Host,
 			CallID: req.Header.Get(idHeader), ContentType: req.Header.Get("Content-Type"), Body: body,
 		},
-	}, nil
+	}
+	return a, nil
 }
 
-// origin reads the trace context of a message, where journeys are recorded. A bad one is dropped: a new trace begins.
-func (s *Server) origin(h http.Header) *trace.Origin {
+// authorisation makes one and, where journeys are recorded, what is known of its origin beside it. A bad trace context
+// is dropped: a new trace begins.
+func (s *Server) authorisation(h http.Header) (*authorisation, *trace.Origin) {
 	if !s.Trace {
-		return nil
-	}
-	o := &trace.Origin{Front: "calls", Tells: true}
+		return &authorisation{}, nil
+	}
+	both := &struct {
+		authorisation
+		origin trace.Origin
+	}{}
+	o := &both.origin
+	o.Front, o.Tells = "calls", true
 	if parents := h["Traceparent"]; len(parents) == 1 {
 		if c, ok := trace.ParseParent(parents[0]); ok {
 			o.Context = c
 			o.State, _ = trace.ParseState(h["Tracestate"]...)
 		}
 	}
-	return o
+	return &both.authorisation, o
 }
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"notchhinge/policy"
@@ -73,8 +74,9 @@
 // that it does nothing for an id that it is no longer of.
 type Journey struct {
 	try   Try
-	legs  [4]Leg // room for try.Legs; the deployment's most attempts
-	step  uint32 // slot
+	legs  [4]Leg     // room for try.Legs; the deployment's most attempts
+	carry [4]Carried // likewise, of what they carry
+	step  uint32     // slot
 	id    policy.RequestID
 	from  any
 	why   policy.Why
@@ -203,6 +205,13 @@
 
 // done puts a journey that has ended back. There are as many as there were ever authorisations open at once.
 func (r *Recorder) done(j *Journey) {
+	if j.out > 0 {
+		// A leg may yet write into what it carries: this one is not used again, and is nobody's from now on.
+		r.all = slices.DeleteFunc(r.all, func(other *Journey) bool { return other == j })
+		j.id = 0
+		return
+	}
+	clear(j.carry[:min(len(j.try.Legs), len(j.carry))])
 	clear(j.try.Legs) // a part of j.legs; the rest is clear
 	j.try = Try{}
 	j.id, j.from, j.why, j.out, j.over, j.tells, j.place = 0, nil, 0, 0, false, false, nil
@@ -276,7 +285,12 @@
 	l := &t.Legs[n]
 	l.Host, l.Dial, l.Why, l.Sent = host, dial, Why(j.why), now-t.At
 	j.out++
-	return &Carried{Context: Context{Trace: t.Trace, Span: l.Span, Flags: t.Flags, State: t.State}}
+	c := &Carried{}
+	if n < len(j.carry) {
+		c = &j.carry[n]
+	}
+	c.Context = Context{Trace: t.Trace, Span: l.Span, Flags: t.Flags, State: t.State}
+	return c
 }
 
 func (j *Journey) is(id policy.RequestID) bool { return j != nil && j.id == id }
@@ -590,7 +604,7 @@
 
 // Flush closes everything, at the router's end: tries that are under way are kept as Open.
 func (r *Recorder) Flush(now time.Duration) {
-	for _, j := range r.all {
+	for _, j := range slices.Clone(r.all) {
 		if j.id == 0 {
 			continue
 		}
