--- a/internal/lab/experiment/tracing.go
+++ b/internal/lab/experiment/tracing.go
@@ -129,7 +129,7 @@
 		}
 	}
 	counts := map[load.Outcome]int{}
-	var owed, missing, incomplete, wrong, ordinary, shared, linkable, linked, unseen int
+	var owed, missing, incomplete, wrong, ordinary, shared, linkable, linked, unseen, unsent int
 	var off, begun []float64
 	inLedger := map[string]bool{}
 	var examples []string
@@ -145,6 +145,10 @@
 			begun = append(begun, t.First.Sub(t.Sent).Seconds()*1000)
 		}
 		got := byCall[t.CallID]
+		if t.Unsent && got == nil {
+			unsent++
+			continue
+		}
 		must := t.Late || t.Outcome != load.Served
 		if t.Number > 1 {
 			// Routers share nothing: a retry that is not marked, at a router that has not seen its call, is a first try there.
@@ -210,6 +214,7 @@
 	res.Add("ordinary tries", float64(ordinary), "", "")
 	res.Add("retries that a router could tell", float64(linkable), "", "marked, or at the router of an earlier try")
 	res.Add("of these, with a link or in the trace of an earlier try", float64(linked), "", "a marked one at another router has neither")
+	res.Add("tries given up before they were written", float64(unsent), "", "no router took them")
 	res.Add("retries that no router could tell", float64(unseen), "", "plain ones at another router: first tries there, owed only if late or not served")
 	res.Add("router against client, median", quantile(0.5), "ms", "difference of the whole time of a try")
 	res.Add("router against client, 99.9%", quantile(0.999), "ms", "")
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -52,6 +52,7 @@
 	Tokens  int
 	Late    bool // later than the class wants, by the client's own clock from Sent
 	Marked  bool
+	Unsent  bool // the client gave it up before its last byte was written: no router can have taken it
 	Detail  string
 }
 
@@ -191,7 +192,7 @@
 		t.End = time.Now()
 		stamp.Lock()
 		if t.Sent = sent; sent.IsZero() {
-			t.Sent = t.End
+			t.Sent, t.Unsent = t.End, true
 		}
 		stamp.Unlock()
 		c.judge(call, t)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -988,3 +988,56 @@
 		t.Error("late answers of a class that is not streamed went unnoticed")
 	}
 }
+
+func TestFullHouseDoesNotTryMarkedReplicas(t *testing.T) {
+	// Every replica that may be used is over the bound of new sessions: that is no reason to ignore the mark of one that
+	// does not answer. Guards a deploy, where cold replicas keep the mean low.
+	s := settings()
+	s.Weights, s.WarmUp = NoWeights, 100*sec
+	replicas := fleetOf(8)
+	for i := 2; i < len(replicas); i++ {
+		replicas[i].ReadyAt = t0 // cold: they take next to nothing
+	}
+	b, a := start(t, s, replicas)
+	marked := replicas[0].ID
+	b.mark(t0, a, b.fleet.byID[marked], "no connection")
+	over := 0
+	for i := range 40 {
+		b.Arrive(t0, a, req(RequestID(i+1), 0, uint64(i+1)))
+		if a.why == OverBound {
+			over++
+		}
+		if a.last(t).to == marked || a.why == LastResort {
+			t.Fatalf("request %d went to replica %d: %v, the marked one is %d", i+1, a.last(t).to, a.why, marked)
+		}
+	}
+	if over == 0 {
+		t.Error("the bound was never reached")
+	}
+}
+
+func TestClientThatLeftAtItsDeadlineTellsOfItsReplicaOnly(t *testing.T) {
+	// Its time-out marks a replica that answers nobody, but is no sign of overload: that refused a third of the requests
+	// on a recorded incident.
+	s := settings()
+	s.Classes[0].Effect = Safe
+	b, a := start(t, s, fleetOf(4))
+	for i := range 200 {
+		id, at := RequestID(i+1), t0+time.Duration(i)*sec/10
+		b.Arrive(at, a, req(id, 0, uint64(i+1)))
+		to := a.last(t).to
+		b.Started(at+sec, a, Started{ID: 9999, Replica: to}) // it answers others
+		b.Departed(at+5*sec, a, id)
+		b.Finished(at+5*sec, a, Outcome{ID: id, Replica: to, Result: TimedOut, Elapsed: 5 * sec, Ended: true})
+	}
+	if b.shed != 0 {
+		t.Errorf("a share of %v is refused", b.shed)
+	}
+	b.Arrive(t0+100*sec, a, req(1000, 0, 1000))
+	hung := a.last(t).to
+	b.Departed(t0+105*sec, a, 1000)
+	b.Finished(t0+105*sec, a, Outcome{ID: 1000, Replica: hung, Result: TimedOut, Elapsed: 5 * sec, Ended: true})
+	if b.fleet.byID[hung].spell == 0 {
+		t.Error("a replica that answers nobody is not marked")
+	}
+}
