--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -990,8 +990,8 @@
 }
 
 func TestFullHouseDoesNotTryMarkedReplicas(t *testing.T) {
-	// Every replica that may be used is over the bound of new sessions: that is no reason to ignore the mark of one that
-	// does not answer. Guards a deploy, where cold replicas keep the mean low.
+	// Every replica that may be used is over the bound of new sessions: that is no reason to ignore the mark of
+	// one that does not answer. Guards a deploy, where cold replicas keep the mean low.
 	s := settings()
 	s.Weights, s.WarmUp = NoWeights, 100*sec
 	replicas := fleetOf(8)
@@ -1017,8 +1017,8 @@
 }
 
 func TestClientThatLeftAtItsDeadlineTellsOfItsReplicaOnly(t *testing.T) {
-	// Its time-out marks a replica that answers nobody, but is no sign of overload: that refused a third of the requests
-	// on a recorded incident.
+	// Its time-out marks a replica that answers nobody, but is no sign of overload: that refused a third of the
+	// requests on a recorded incident.
 	s := settings()
 	s.Classes[0].Effect = Safe
 	b, a := start(t, s, fleetOf(4))
