--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -134,7 +134,8 @@
 	}
 	slot := r.find(now, parent, q, retry)
 	t.Trace, t.Parent, t.State = parent.Trace, parent.Span, parent.State
-	if slot == 0 {
+	linked := slot != 0
+	if !linked {
 		if t.Trace == (TraceID{}) {
 			t.Trace = r.newTrace()
 		}
@@ -154,7 +155,7 @@
 			r.table.unqueue(slot)
 		}
 	}
-	if q.Session != 0 && q.Session == r.table.slots[slot].session {
+	if q.Session != 0 && !linked { // a retry must not hide the newer questions, which may be tried again too
 		r.table.talks[q.Session] = slot
 	}
 	t.Span = r.newSpan()
--- a/internal/trace/recorder_test.go
+++ b/internal/trace/recorder_test.go
@@ -180,6 +180,10 @@
 	if len(r.kept) != 1 || r.kept[0].CallID != "call1" || r.Counters().Linked != 1 {
 		t.Errorf("kept %+v, %+v", r.kept, r.Counters())
 	}
+	r.take(4, 9, 150, nil) // and so does the next question's own retry, after that
+	if r.Counters().Linked != 2 {
+		t.Errorf("the second retry is not found: %+v", r.Counters())
+	}
 }
 
 func TestRetryBeforeTheFirstHasEnded(t *testing.T) {
