Trace: a marked retry is of a trace's step only if it asks the same

Cause: an agent's whole run may be one trace. A marked retry whose first try went to another router was linked to whatever step of that trace this router had seen last, and had that one kept (found on reading the change once more).

Change: the conversation and the prompt must agree, with the mark or without. The test fails without it.

--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -224,8 +224,11 @@
 func (r *Recorder) find(now time.Duration, parent Context, q *policy.Request, retry bool) uint32 {
 	if parent.Trace != (TraceID{}) {
 		if slot := r.table.traces[parent.Trace]; slot != 0 {
-			if s := &r.table.slots[slot]; s.fresh(now) &&
-				(retry || s.session == q.Session && s.prompt == q.PromptTokens && q.Session != 0) {
+			// One trace may hold many steps, as that of an agent's whole run does: being marked as a retry makes a try
+			// no retry of just any of them. Only where there is no conversation does the mark have to do.
+			s := &r.table.slots[slot]
+			same := s.session == q.Session && s.prompt == q.PromptTokens
+			if s.fresh(now) && same && (retry || q.Session != 0) {
 				return slot
 			}
 		}
--- a/internal/trace/recorder_test.go
+++ b/internal/trace/recorder_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+func TestMarkedRetryOfAStepOfAnotherRouter(t *testing.T) {
+	// An agent's run is one trace with many steps. The first try of its second step went to another router; the marked
+	// retry that comes here is none of the first step's.
+	r := newRig(nil)
+	c, _ := ParseParent(goodParent)
+	r.take(1, 9, 100, &Origin{Context: c})
+	r.serve(1, 0, 300*ms, 200*ms)
+	r.take(2, 9, 150, &Origin{Context: c, Retry: true})
+	r.serve(2, 0, 300*ms, 200*ms)
+	if len(r.kept) != 1 || r.kept[0].CallID != "call2" || r.kept[0].Before != (Link{}) || r.kept[0].Trace != c.Trace {
+		t.Errorf("kept %+v", r.kept)
+	}
+	r.take(3, 0, 150, &Origin{Context: c, Retry: true}) // without a conversation: of another step of the trace, too
+	if r.Counters().Linked != 0 {
+		t.Errorf("%+v", r.Counters())
+	}
+}
+
 func TestRetryBeforeTheFirstHasEnded(t *testing.T) {
 	// Two tries of one step are open at once, the second on the client's own trace: both are kept, the first at its end,
 	// though the sampling was decided while it ran.
--- a/internal/trace/table.go
+++ b/internal/trace/table.go
@@ -44,7 +44,7 @@
 }
 
 const (
-	cellBytes = 384 // a record has about 330
+	cellBytes = 384 // room for a record with ids and names of the usual length; a longer one does not wait
 	chunk     = 64  // cells
 
 	// StepBytes is what a step takes in all, its cell and its places in the indices included.
