Router: name the outcomes of legs in one place

Cause: the counters had a list of their own beside that of internal/trace. Change: they use trace.Result. Measured: the tests of the printed counters are unchanged and pass.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"notchhinge/internal/config"
 	"notchhinge/internal/issuer"
 	"notchhinge/internal/registry"
+	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
@@ -153,19 +154,11 @@
 // reminder is what a front has itself reminded of.
 type reminder interface{ Due() }
 
-// outcomes names the outcomes of legs, by policy.Result.
-func outcomes() [8]string {
-	return [...]string{
-		policy.OK: "ok", policy.Error: "error", policy.Full: "full", policy.TimedOut: "timed_out",
-		policy.ConnectFailed: "connect_failed", policy.Reset: "reset", policy.Cancelled: "cancelled", policy.Moot: "moot",
-	}
-}
-
 func (r *Router) print(c broker.Counters) {
 	var legs []any
-	for i, name := range outcomes() {
-		if n := c.Outcomes[policy.Result(i)]; n > 0 {
-			legs = append(legs, slog.Int(name, n))
+	for result := policy.OK; result <= policy.Moot; result++ {
+		if n := c.Outcomes[result]; n > 0 {
+			legs = append(legs, slog.Int(trace.Result(result).String(), n))
 		}
 	}
 	r.log.Info("counters", "taken", c.Taken, "declined", c.Declined, "open", c.Open, "legs", c.Legs,
