--- /dev/null
+++ b/internal/route/split.go
@@ -0,0 +1,87 @@
+package route
+
+import (
+	"fmt"
+	"math"
+)
+
+// share is a compiled Share.
+type share struct {
+	pool   int
+	weight float64
+	hash   uint64 // of its key
+}
+
+// split compiles a service's shares.
+func split(at int, s Service, pool func(string) (int, bool)) (shares []share, faults []Fault) {
+	fault := func(format string, args ...any) {
+		faults = append(faults, Fault{at, -1, "split", fmt.Sprintf(format, args...)})
+	}
+	sum := 0.0
+	seen := map[string]bool{}
+	for _, p := range s.Shares {
+		n, ok := pool(p.Pool)
+		switch {
+		case !ok:
+			fault("there is no pool %q", p.Pool)
+		case seen[p.Pool]:
+			fault("pool %q is named twice", p.Pool)
+		case !(p.Weight >= 0) || math.IsInf(p.Weight, 0):
+			fault("pool %q: a weight of 0 or more is wanted", p.Pool)
+		}
+		seen[p.Pool] = true
+		key := p.Key
+		if key == "" {
+			key = p.Pool
+		}
+		if p.Weight > 0 {
+			sum += p.Weight
+			shares = append(shares, share{n, p.Weight, hash(key)})
+		}
+	}
+	if sum == 0 && len(faults) == 0 {
+		fault("one pool at least must have a weight above 0")
+	}
+	return shares, faults
+}
+
+// Splits tells whether there is more than one pool that Pool may return.
+func (t *Target) Splits() bool { return len(t.shares) > 1 }
+
+// Pool returns the number of the pool for a conversation: over conversations in proportion to the weights, and always
+// the same for one. When weights change, conversations move only from pools whose part shrinks to pools whose part
+// grows, and no more of them than must (weighted rendezvous hashing).
+func (t *Target) Pool(conversation uint64) int {
+	if len(t.shares) == 1 {
+		return t.shares[0].pool
+	}
+	best, lowest := -1, math.Inf(1)
+	for i := range t.shares {
+		s := &t.shares[i]
+		if score := -math.Log(unit(mix(conversation, s.hash))) / s.weight; score < lowest {
+			best, lowest = s.pool, score
+		}
+	}
+	return best
+}
+
+// Conversation is a number for what has no session, such as a single call by its id.
+func Conversation(id string) uint64 { return hash(id) }
+
+// hash is FNV-1a.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+func mix(x, y uint64) uint64 {
+	x = (x ^ y*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>32) * 0x94d049bb133111eb
+	return x ^ x>>29
+}
+
+// unit maps a hash into (0, 1).
+func unit(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
