--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -17,6 +17,7 @@
 	"notchhinge/internal/batch"
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
+	"notchhinge/internal/plan"
 	"notchhinge/internal/router"
 	"notchhinge/internal/settings"
 )
@@ -25,6 +26,8 @@
 	Serve       serve       `cmd:"" help:"Run a router, as the environment tells it (BALANCER_CONFIG and the others)."`
 	CheckConfig checkConfig `cmd:"" help:"Check the configuration and say what is wrong with it."`
 	Schema      schema      `cmd:"" help:"Print the JSON Schema of the operator's settings."`
+	Pools       pools       `cmd:"" help:"Print what each pool of a running router holds."`
+	Routes      routesCmd   `cmd:"" help:"Say how requests are led to services."`
 	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
 	Version     version     `cmd:"" help:"Print the version."`
 
@@ -90,13 +93,11 @@
 	if s.Batch != "" {
 		log.Warn("--batch is deprecated: its tables have a place in the file of --config", "file", s.Batch)
 	}
-	if b != nil {
-		cfg.Limits = cfg.Limits.WithBatch(b.Files())
-	}
-	r, err := router.New(cfg, log, (&net.Dialer{}).DialContext, broker.UnixClock())
+	p, err := begin(cfg, f, b)
 	if err != nil {
 		return badConfig{err}
 	}
+	r := router.New(cfg, p, log, (&net.Dialer{}).DialContext, broker.UnixClock())
 	if f.Trace != nil {
 		if err := r.Trace(f.Trace, programVersion()); err != nil {
 			return err
@@ -111,12 +112,46 @@
 			return err
 		}
 	}
+	if f.Control != nil {
+		ln, err := router.ListenControl(f.Control.Path)
+		if err != nil {
+			return err
+		}
+		defer ln.Close()
+		r.Control(ln)
+	}
+	limits := cfg.Limits // with what the process has, whatever is read later
 	return r.Serve(router.Signals{
 		Stop: stop, Audit: audit, Reload: reload,
-		Reread: func() (*config.Config, error) { return config.Reload(os.Getenv) },
+		Reread: func(running *plan.Plan) (*config.Config, *plan.Plan, error) {
+			cfg, err := config.Reload(os.Getenv)
+			if err != nil {
+				return nil, nil, err
+			}
+			cfg.Limits = limits
+			f, _, err := subsystems(cfg, s.Config, s.Batch)
+			if err != nil {
+				return nil, nil, err
+			}
+			p, err := plan.Make(cfg, f, running)
+			return cfg, p, err
+		},
 	})
 }
 
+// begin makes the plan to begin with, and room in the limits for what it and the batch front need.
+func begin(cfg *config.Config, f *settings.File, b *batch.Config) (*plan.Plan, error) {
+	if b != nil {
+		cfg.Limits = cfg.Limits.WithBatch(b.Files())
+	}
+	p, err := plan.Make(cfg, f, nil)
+	if err != nil || len(f.Services) == 0 {
+		return p, err
+	}
+	cfg.Limits = cfg.Limits.WithFeeds(len(p.Discoveries()))
+	return plan.Make(cfg, f, nil) // its parts are of what is left
+}
+
 type checkConfig struct {
 	Config string `help:"Check the operator's settings, too." type:"existingfile" placeholder:"FILE"`
 	Batch  string `help:"Check the batch front's old file, too." type:"existingfile" placeholder:"FILE"`
@@ -128,11 +163,23 @@
 	if err != nil {
 		return badConfig{err}
 	}
-	if _, _, err := subsystems(cfg, c.Config, c.Batch); err != nil {
+	f, b, err := subsystems(cfg, c.Config, c.Batch)
+	if err != nil {
 		return err
 	}
+	p, err := begin(cfg, f, b)
+	if err != nil {
+		return badConfig{err}
+	}
 	fmt.Printf("router %s on %s: %d classes, %d known issuer hosts\n",
 		cfg.Name, cfg.Listen, len(cfg.Settings.Classes), len(cfg.Known.Hosts))
+	for _, q := range p.Pools {
+		if q.Name != "" {
+			fmt.Printf("pool %s: list of %s, %d classes, open %d to %d, lines %d to %d, bodies %d to %d bytes\n", q.Name, q.Discovery,
+				len(q.Module.Settings.Classes), q.Places.Guarantee, q.Places.Most, q.Lines.Guarantee, q.Lines.Most,
+				q.Bodies.Guarantee, q.Bodies.Most)
+		}
+	}
 	return nil
 }
 
--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -15,22 +15,72 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/route"
+	"notchhinge/internal/service"
+	"notchhinge/internal/share"
 )
 
+// Options is what a Server is made of.
+type Options struct {
+	Lim    limits.Limits
+	Routes func() *service.Directory // at present; it may be asked at any time
+	Post   func(broker.Event)
+	Now    broker.Clock
+	Ready  func() bool // whether the router knows of issuer hosts
+	Trace  bool        // journeys are recorded: contexts are read, and the writing of answers is told
+}
+
 // Server is the front.
 type Server struct {
-	Lim     limits.Limits
-	Classes map[string]int
-	Post    func(broker.Event)
-	Now     broker.Clock
-	Ready   func() bool // whether the router knows of issuer hosts
-	Trace   bool        // journeys are recorded: contexts are read, and the writing of answers is told
-
+	Options
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining atomic.Bool
-	bodies   atomic.Int64 // bytes of bodies held
 	wg       sync.WaitGroup
+
+	roomMu sync.Mutex
+	bodies *share.Stock // bytes of bodies held, by pool
+	calls  *share.Stock // messages that are coming in or open, by pool
+}
+
+// nowhere holds what is led to no pool.
+const nowhere = -1
+
+// New returns a front. Its pools have no claims yet.
+func New(o Options) *Server {
+	return &Server{
+		Options: o, bodies: share.New(o.Lim.BodiesBytes), calls: share.New(int64(o.Lim.AcquirerConns + o.Lim.SpareConns)),
+	}
+}
+
+// Set gives a pool its parts of the room for bodies, in bytes, and of the calls that may be coming in or open at once.
+func (s *Server) Set(id pool.ID, bodies, calls share.Claim) {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	s.bodies.Set(int(id), bodies)
+	s.calls.Set(int(id), calls)
+}
+
+// End takes a pool's parts away.
+func (s *Server) End(id pool.ID) {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	s.bodies.End(int(id))
+	s.calls.End(int(id))
+}
+
+// Bodies tells how many bytes of bodies a pool holds.
+func (s *Server) Bodies(id pool.ID) int64 {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	return s.bodies.Held(int(id))
+}
+
+// room is what a message has taken of the stocks.
+type room struct {
+	pool int
+	body int64
 }
 
 // Serve takes connections until the listener is closed.
@@ -121,7 +171,6 @@
 }
 
 const (
-	callsPath = "/v1/chat/completions"
 	readyPath = "/health/ready"
 	livePath  = "/health/live"
 )
@@ -136,42 +185,120 @@
 	unread bool // so it is here, since the rest of the message is still coming
 }
 
-// route checks method and path; ok tells whether the message is an authorisation.
-func (s *Server) route(req *http.Request) (d decline, ok bool) {
-	path, _, _ := strings.Cut(req.RequestURI, "?") // as it came, for so it is passed on
+// way is where a message leads to.
+type way struct {
+	pool         *service.Pool
+	target, host string // as they are sent on
+}
+
+// route finds a message's pool by its host, path, method, class and headers; d is what it is declined with otherwise.
+func (s *Server) route(req *http.Request) (w way, d *decline) {
+	path, query, asks := strings.Cut(req.RequestURI, "?") // as it came, for so it is passed on
 	switch path {
-	case callsPath:
-		if req.Method != http.MethodPost {
-			return decline{status: http.StatusMethodNotAllowed, reason: "only POST is served here", allow: "POST"}, false
-		}
-		return d, true
 	case readyPath, livePath:
 		switch {
 		case req.Method != http.MethodGet:
-			return decline{status: http.StatusMethodNotAllowed, reason: "only GET is served here", allow: "GET"}, false
+			return w, &decline{status: http.StatusMethodNotAllowed, reason: "only GET is served here", allow: "GET"}
 		case path == readyPath && (s.draining.Load() || !s.Ready()):
-			return decline{status: http.StatusServiceUnavailable, reason: "not ready"}, false
+			return w, &decline{status: http.StatusServiceUnavailable, reason: "not ready"}
+		}
+		return w, &decline{status: http.StatusOK, reason: "ok"}
+	}
+	at := s.Routes()
+	w.target, w.host = req.RequestURI, req.Host
+	q := route.Query{Path: path, Method: req.Method, Header: req.Header}
+	if classes := req.Header[classHeader]; len(classes) == 1 {
+		q.Class = classes[0]
+	}
+	if at.Strict {
+		if d := w.spell(req, path, query, asks, &q); d != nil {
+			return w, d
 		}
-		return decline{status: http.StatusOK, reason: "ok"}, false
 	}
-	return decline{status: http.StatusNotFound, reason: "no such path"}, false
+	to := at.Table.Lookup(&q)
+	if to == nil {
+		if allow := at.Table.Methods(&q); len(allow) > 0 {
+			list := strings.Join(allow, ", ")
+			return w, &decline{status: http.StatusMethodNotAllowed, reason: "only " + list + " is served here", allow: list}
+		}
+		d := &decline{status: http.StatusNotFound, reason: "no such path"}
+		if at.Strict {
+			d.reason = "no_route: no route takes " + q.Method + " " + q.Path + " at " + q.Host
+		}
+		return w, d
+	}
+	var conversation uint64
+	if to.Splits() {
+		if session := req.Header.Get(sessionHeader); session != "" {
+			conversation = word(session)
+		} else {
+			conversation = route.Conversation(req.Header.Get(idHeader))
+		}
+	}
+	w.pool = at.Find(to, conversation)
+	return w, nil
+}
+
+// spell brings host and path into their one spelling, in which they are both routed and sent on.
+func (w *way) spell(req *http.Request, path, query string, asks bool, q *route.Query) *decline {
+	// In the absolute form the target's authority is the host, whatever the header says; so net/http has read it.
+	if !strings.HasPrefix(path, "/") {
+		if req.URL.Scheme != "http" && req.URL.Scheme != "https" || req.URL.User != nil {
+			return &decline{status: http.StatusBadRequest, reason: "bad_target: the target has no form that is served here"}
+		}
+		path = req.URL.EscapedPath()
+		if path == "" {
+			path = "/"
+		}
+	}
+	host, port, err := route.SplitHost(req.Host)
+	if err != nil {
+		return &decline{status: http.StatusBadRequest, reason: "bad_host: " + err.Error()}
+	}
+	if path, err = route.Path(path); err != nil {
+		return &decline{status: http.StatusBadRequest, reason: "bad_path: " + err.Error()}
+	}
+	q.Host, q.Path = host, path
+	w.host, w.target = route.JoinHost(host, port), path
+	if asks {
+		w.target += "?" + query
+	}
+	return nil
+}
+
+// take takes room for a message of a pool, or says what it is declined with.
+func (s *Server) take(w *way, body int64) (room, *decline) {
+	r := room{nowhere, body}
+	retry := s.Lim.SpareAnswer
+	if w.pool != nil {
+		r.pool = int(w.pool.ID)
+		if w.pool.RetryAfter > 0 {
+			retry = w.pool.RetryAfter
+		}
+	}
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	if w.pool == nil || s.calls.Take(r.pool, 1) { // what leads nowhere is bounded by the connections
+		if s.bodies.Take(r.pool, body) {
+			return r, nil
+		}
+		s.calls.Give(r.pool, 1)
+	}
+	return room{}, &decline{status: http.StatusServiceUnavailable, reason: "no room", retry: retry, unread: true}
 }
 
 // body reads the body of a message within the limits. What it holds is counted until release.
-func (s *Server) body(req *http.Request) (body []byte, held int64, d *decline) {
+func (s *Server) body(req *http.Request, w *way) (body []byte, held room, d *decline) {
 	most := int64(s.Lim.BodyBytes)
 	if req.ContentLength > most {
-		return nil, 0, &decline{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", unread: true}
+		return nil, held, &decline{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", unread: true}
 	}
-	held = req.ContentLength
-	if held < 0 {
-		held = most // its length shows only at its end
+	size := req.ContentLength
+	if size < 0 {
+		size = most // its length shows only at its end
 	}
-	if s.bodies.Add(held) > s.Lim.BodiesBytes {
-		s.release(held)
-		return nil, 0, &decline{
-			status: http.StatusServiceUnavailable, reason: "no room", retry: s.Lim.SpareAnswer, unread: true,
-		}
+	if held, d = s.take(w, size); d != nil {
+		return nil, held, d
 	}
 	var err error
 	if req.ContentLength >= 0 {
@@ -183,12 +310,17 @@
 	switch {
 	case err != nil:
 		s.release(held)
-		return nil, 0, &decline{status: http.StatusBadRequest, reason: "the body is malformed or cut off", unread: true}
+		return nil, held, &decline{status: http.StatusBadRequest, reason: "the body is malformed or cut off", unread: true}
 	case int64(len(body)) > most:
 		s.release(held)
-		return nil, 0, &decline{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", unread: true}
+		return nil, held, &decline{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", unread: true}
 	}
 	return body, held, nil
 }
 
-func (s *Server) release(held int64) { s.bodies.Add(-held) }
+func (s *Server) release(r room) {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	s.bodies.Give(r.pool, r.body)
+	s.calls.Give(r.pool, 1)
+}
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -13,6 +13,8 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/exchange"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/service"
+	"notchhinge/policy"
 )
 
 // TestExchanges plays recorded exchanges against the front. The words that stand for the broker's part:
@@ -34,27 +36,36 @@
 	}
 }
 
+func plain(classes ...string) func() *service.Directory {
+	var all []policy.Class
+	for _, c := range classes {
+		all = append(all, policy.Class{Name: c})
+	}
+	d := service.Plain(&service.Pool{Classes: all, MaxBudget: time.Minute})
+	return func() *service.Directory { return d }
+}
+
 func play(t *testing.T, file string) {
 	var events []broker.Event
 	var open *authorisation
 	lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, limits.Site{LongestDeadline: 12 * time.Second})
 	lim.BodyBytes, lim.BodiesBytes, lim.AcquirerConns = 64, 100, 1
-	s := &Server{
-		Lim: lim, Classes: map[string]int{"chat": 0, "batch": 1}, Ready: func() bool { return true },
+	s := New(Options{
+		Lim: lim, Routes: plain("chat", "batch"), Ready: func() bool { return true },
 		Now: func() time.Duration { return 0 },
 		Post: func(e broker.Event) {
 			if _, counted := e.(broker.Declined); !counted {
 				events = append(events, e)
 			}
 		},
-	}
+	})
 	if filepath.Base(file) == "spare.txt" {
 		s.conns = map[*conn]struct{}{{s: s, busy: true, asked: true}: {}}
 	}
 	preset := int64(0)
 	if filepath.Base(file) == "no_room.txt" {
 		preset = 60
-		s.bodies.Store(preset)
+		s.bodies.Take(nowhere, preset)
 	}
 	next := func() broker.Event {
 		synctest.Wait()
@@ -112,7 +123,7 @@
 	if open != nil {
 		open.release() // as its end does, should the recording have stopped before
 	}
-	if n := s.bodies.Load() - preset; n != 0 {
+	if n := s.bodies.Used() - preset; n != 0 {
 		t.Errorf("%d bytes of bodies are still counted", n)
 	}
 }
@@ -121,10 +132,10 @@
 	// With all connections taken, a new one replaces one on which nothing has been asked for a while, and then
 	// the one that has been idle for the longest; one that is new is about to be used, and stays.
 	synctest.Test(t, func(t *testing.T) {
-		s := &Server{
+		s := New(Options{
 			Lim: limits.New(limits.Machine{MemoryMB: 192, Sockets: 1024}, limits.Site{}), Ready: func() bool { return true },
-			Post: func(broker.Event) {}, Now: func() time.Duration { return 0 },
-		}
+			Post: func(broker.Event) {}, Now: func() time.Duration { return 0 }, Routes: plain("chat"),
+		})
 		s.Lim.AcquirerConns, s.Lim.SpareConns = 3, 0
 		open := func() net.Conn {
 			near, far := net.Pipe()
@@ -176,15 +187,15 @@
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		synctest.Test(t, func(t *testing.T) {
-			s := &Server{
-				Lim:     limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, limits.Site{}),
-				Classes: map[string]int{"chat": 0}, Ready: func() bool { return true }, Now: func() time.Duration { return 0 },
+			s := New(Options{
+				Lim:    limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, limits.Site{}),
+				Routes: plain("chat"), Ready: func() bool { return true }, Now: func() time.Duration { return 0 },
 				Post: func(e broker.Event) {
 					if e, ok := e.(broker.Taken); ok {
 						go e.From.(*authorisation).Decline(broker.Refused, 0)
 					}
 				},
-			}
+			})
 			near, far := net.Pipe()
 			go func() {
 				buf := make([]byte, 4096)
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -11,6 +11,7 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
+	"notchhinge/internal/pool"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
@@ -22,7 +23,8 @@
 	at      time.Duration // of its last byte
 	order   issuer.Order
 	origin  *trace.Origin // nil where nothing is traced
-	held    int64         // bytes of the body, counted until the end
+	pool    pool.ID
+	held    room // counted until the end
 	freed   sync.Once
 	last    bool // the acquirer wants the connection closed after it
 	begun   bool // the head of a stream is written
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -105,7 +105,7 @@
 				open.origin.Begun = begun
 			}
 			c.s.Post(broker.Taken{
-				From: open, Name: open.order.CallID, At: open.at, Request: open.request, Origin: open.origin,
+				From: open, Pool: open.pool, Name: open.order.CallID, At: open.at, Request: open.request, Origin: open.origin,
 			})
 			continue
 		}
@@ -149,13 +149,14 @@
 			return nil, nil
 		}
 	}
-	body, held, d := c.s.body(req)
+	w, misled := c.s.route(req)
+	body, held, d := c.s.body(req, &w)
 	if d != nil {
 		c.s.Post(broker.Declined{})
 		return nil, d
 	}
 	at := c.s.Now()
-	a, d := c.accept(req, body)
+	a, d := c.accept(req, &w, misled, body)
 	if a == nil {
 		c.s.release(held)
 		d.close = d.close || req.Close
@@ -177,13 +178,12 @@
 }
 
 // accept checks a whole message.
-func (c *conn) accept(req *http.Request, body []byte) (*authorisation, *decline) {
-	d, ok := c.s.route(req)
-	if !ok {
+func (c *conn) accept(req *http.Request, w *way, d *decline, body []byte) (*authorisation, *decline) {
+	if d != nil {
 		if d.status != http.StatusOK && req.URL.Path != readyPath {
 			c.s.Post(broker.Declined{})
 		}
-		return nil, &d
+		return nil, d
 	}
 	if !req.ProtoAtLeast(1, 1) {
 		c.s.Post(broker.Declined{}) // it could not take an answer in chunks
@@ -195,10 +195,10 @@
 			status: http.StatusServiceUnavailable, reason: "too many connections", retry: c.s.Lim.SpareAnswer, close: true,
 		}
 	}
-	q, reason := parseRequest(req.Header, c.s.Classes, c.s.Lim.MaxBudget)
+	q, reason := parseRequest(req.Header, w.pool.Class, w.pool.MaxBudget)
 	switch {
 	case reason != "":
-	case !httpguts.ValidHostHeader(req.Host), !httpguts.ValidHeaderFieldValue(req.Header.Get("Content-Type")):
+	case !httpguts.ValidHostHeader(w.host), !httpguts.ValidHeaderFieldValue(req.Header.Get("Content-Type")):
 		reason = "Host or Content-Type is bad" // they are passed on
 	}
 	if reason != "" {
@@ -207,9 +207,9 @@
 	}
 	a, origin := c.s.authorisation(req.Header)
 	*a = authorisation{
-		conn: c, request: q, done: make(chan struct{}), origin: origin,
+		conn: c, pool: w.pool.ID, request: q, done: make(chan struct{}), origin: origin,
 		order: issuer.Order{
-			Method: req.Method, Target: req.RequestURI, Host: req.Host,
+			Method: req.Method, Target: w.target, Host: w.host,
 			CallID: req.Header.Get(idHeader), ContentType: req.Header.Get("Content-Type"), Body: body,
 		},
 	}
--- a/internal/acquirer/head.go
+++ b/internal/acquirer/head.go
@@ -21,7 +21,7 @@
 )
 
 // parseRequest reads what the module wants to know of an authorisation, or says what is wrong with it.
-func parseRequest(h http.Header, classes map[string]int, most time.Duration) (q policy.Request, reason string) {
+func parseRequest(h http.Header, classes func(string) (int, bool), most time.Duration) (q policy.Request, reason string) {
 	for _, name := range []string{idHeader, classHeader, budgetHeader, infoHeader} {
 		switch len(h.Values(name)) {
 		case 0:
@@ -34,7 +34,7 @@
 	if !validID(h.Get(idHeader)) {
 		return q, idHeader + " is bad"
 	}
-	class, ok := classes[h.Get(classHeader)]
+	class, ok := classes(h.Get(classHeader))
 	if !ok {
 		return q, classHeader + " names no class"
 	}
--- /dev/null
+++ b/internal/acquirer/services_test.go
@@ -0,0 +1,75 @@
+package acquirer
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/exchange"
+	"notchhinge/internal/limits"
+	"notchhinge/internal/route"
+	"notchhinge/internal/service"
+	"notchhinge/internal/share"
+	"notchhinge/policy"
+)
+
+// TestServices plays requests in all spellings against a front with two services: what is routed is what is sent on, and
+// nothing reaches a pool by two spellings of one path.
+func TestServices(t *testing.T) {
+	numbers := map[string]int{"runs": 1, "calib": 2}
+	table, faults := route.New(
+		[]route.Service{{Name: "runs", Shares: []route.Share{{Pool: "runs", Weight: 1}}}, {Name: "calib", Shares: []route.Share{{Pool: "calib", Weight: 1}}}},
+		[]route.Route{
+			{Service: "runs", Host: "runs.example.org", Prefix: "/v1", Method: "POST"},
+			{Service: "calib", Host: "calib.example.org", Method: "POST"},
+			{Service: "calib", Host: "runs.example.org", Prefix: "/v1/fits", Method: "POST"},
+			{Service: "runs", Host: "2001:db8::1", Method: "POST"},
+		}, func(name string) (int, bool) { n, ok := numbers[name]; return n, ok })
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	at := service.New(table, true,
+		&service.Pool{ID: 1, Name: "runs", Classes: []policy.Class{{Name: "chat"}}, MaxBudget: time.Minute},
+		&service.Pool{ID: 2, Name: "calib", Classes: []policy.Class{{Name: "fit"}, {Name: "chat"}}, MaxBudget: time.Minute, RetryAfter: 250 * time.Millisecond})
+	synctest.Test(t, func(t *testing.T) {
+		events := make(chan broker.Event, 64)
+		lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, limits.Site{LongestDeadline: time.Second})
+		s := New(Options{
+			Lim: lim, Routes: func() *service.Directory { return at }, Ready: func() bool { return true },
+			Now: func() time.Duration { return 0 },
+			Post: func(e broker.Event) {
+				if _, counted := e.(broker.Declined); !counted {
+					events <- e
+				}
+			},
+		})
+		s.Set(2, share.Claim{Most: 30}, share.Claim{})
+		near, far := net.Pipe()
+		ended := make(chan struct{})
+		go func() { s.ServeConn(near); close(ended) }()
+		exchange.Play(t, far, "testdata/parts/services.txt", exchange.Does{
+			"led": func(want string) {
+				e := (<-events).(broker.Taken)
+				a := e.From.(*authorisation)
+				if got := fmt.Sprintf("pool %d class %d as %s %s", e.Pool, e.Request.Class, a.order.Host, a.order.Target); got != want {
+					t.Errorf("%s, want %s", got, want)
+				}
+				go a.Decline(broker.Refused, 0)
+			},
+			"nothing": func(string) {
+				synctest.Wait()
+				if len(events) > 0 {
+					t.Errorf("%+v was handed over", <-events)
+				}
+			},
+		})
+		far.Close()
+		<-ended
+		if s.bodies.Used()+s.calls.Used() != 0 {
+			t.Errorf("%d bytes and %d calls are still counted", s.bodies.Used(), s.calls.Used())
+		}
+	})
+}
--- a/internal/acquirer/trace_test.go
+++ b/internal/acquirer/trace_test.go
@@ -16,12 +16,12 @@
 func TestTraceContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		events := make(chan broker.Event, 16)
-		s := &Server{
-			Lim:     limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, limits.Site{LongestDeadline: time.Second}),
-			Classes: map[string]int{"chat": 0}, Ready: func() bool { return true }, Trace: true,
+		s := New(Options{
+			Lim:    limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024}, limits.Site{LongestDeadline: time.Second}),
+			Routes: plain("chat"), Ready: func() bool { return true }, Trace: true,
 			Now:  func() time.Duration { return time.Hour },
 			Post: func(e broker.Event) { events <- e },
-		}
+		})
 		near, far := net.Pipe()
 		go s.ServeConn(near)
 		var open *authorisation
--- a/internal/batch/contract.go
+++ b/internal/batch/contract.go
@@ -18,6 +18,7 @@
 type Contract struct {
 	Team         string   `toml:"team"`
 	KeyEnv       string   `toml:"key_env"`       // the environment variable that holds the team's key
+	Service      string   `toml:"-"`             // that its lines go to; "" = by their route
 	Classes      []string `toml:"classes"`       // the first is taken where a batch names none
 	Lines        int      `toml:"lines"`         // in one file
 	AtOnce       int      `toml:"at_once"`       // authorisations
--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -15,30 +15,32 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/route"
+	"notchhinge/internal/service"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
 // Options is what a Desk is made of.
 type Options struct {
-	Config  *Config
-	Lim     limits.Limits
-	Classes []policy.Class
-	Post    func(broker.Event)
-	Now     broker.Clock
-	Log     *slog.Logger
-	Trace   bool // journeys are recorded
+	Config *Config
+	Lim    limits.Limits
+	Routes func() *service.Directory // at present
+	Post   func(broker.Event)
+	Now    broker.Clock
+	Log    *slog.Logger
+	Trace  bool // journeys are recorded
 }
 
 // Desk owns the jobs of all teams. What a line is to do next is decided in turn, under one lock.
 type Desk struct {
-	cfg     *Config
-	lim     limits.Limits
-	classes map[string]class
-	post    func(broker.Event)
-	now     broker.Clock
-	log     *slog.Logger
-	trace   bool
+	cfg    *Config
+	lim    limits.Limits
+	routes func() *service.Directory
+	post   func(broker.Event)
+	now    broker.Clock
+	log    *slog.Logger
+	trace  bool
 
 	mu       sync.Mutex
 	teams    map[string]*team // by key
@@ -46,11 +48,6 @@
 	wake     chan struct{} // something may be started
 }
 
-type class struct {
-	policy.Class
-	number int
-}
-
 // team is a contract at work.
 type team struct {
 	Contract
@@ -68,6 +65,7 @@
 	id      string
 	body    []byte
 	request policy.Request
+	class   *policy.Class // of its latest pool
 	until   time.Duration // the line's deadline
 	tries   int
 	waiting bool     // for the reminder to try again
@@ -77,12 +75,9 @@
 // NewDesk takes the jobs of the spool up where they were left.
 func NewDesk(o Options) (*Desk, error) {
 	d := &Desk{
-		cfg: o.Config, lim: o.Lim, classes: map[string]class{}, post: o.Post, now: o.Now, log: o.Log, trace: o.Trace,
+		cfg: o.Config, lim: o.Lim, routes: o.Routes, post: o.Post, now: o.Now, log: o.Log, trace: o.Trace,
 		teams: map[string]*team{}, wake: make(chan struct{}, 1),
 	}
-	for i, c := range o.Classes {
-		d.classes[c.Name] = class{c, i}
-	}
 	for _, k := range o.Config.Contracts {
 		t := &team{Contract: k, jobs: map[string]*job{}, window: float64(k.AtOnce)}
 		d.teams[k.key] = t
@@ -243,7 +238,6 @@
 		d.record(j, n, &Outcome{CustomID: l.CustomID, Outcome: failed, Error: &OutcomeError{"invalid_line", err.Error()}})
 		return nil
 	}
-	q.Class = d.classes[j.rec.Class].number
 	q.Session = hash([]byte(j.rec.ID), []byte(l.CustomID))
 	w := &try{
 		desk: d, job: j, line: n, id: l.CustomID, body: body, request: q, until: d.now() + time.Duration(j.team.LineDeadline),
@@ -255,7 +249,13 @@
 // start hands a line to the broker as an authorisation.
 func (d *Desk) start(w *try) {
 	now := d.now()
-	w.request.ExpiresIn = min(d.classes[w.job.rec.Class].Deadline, w.until-now)
+	p, err := d.lead(w)
+	if err != nil { // the routes or the pool's classes were changed since the batch was made
+		d.record(w.job, w.line, &Outcome{CustomID: w.id, Outcome: failed, Tries: w.tries,
+			Error: &OutcomeError{"no_route", err.Error()}})
+		return
+	}
+	w.request.ExpiresIn = min(w.class.Deadline, w.until-now)
 	if w.request.ExpiresIn <= 0 {
 		d.giveUp(w)
 		return
@@ -263,7 +263,26 @@
 	w.tries++
 	w.out = newAttempt(d, w)
 	w.job.team.out++
-	d.post(broker.Taken{From: w.out, At: now, Request: w.request, Origin: d.origin(w)})
+	d.post(broker.Taken{From: w.out, Pool: p.ID, At: now, Request: w.request, Origin: d.origin(w)})
+}
+
+// lead finds the pool that a line goes to: its service's, or that of its route.
+func (d *Desk) lead(w *try) (*service.Pool, error) {
+	at, name := d.routes(), w.job.rec.Class
+	to := at.Table.Service(w.job.team.Service)
+	if w.job.team.Service == "" {
+		to = at.Table.Lookup(&route.Query{Host: host, Path: endpoint, Method: "POST", Class: name})
+	}
+	if to == nil {
+		return nil, errors.New("no route takes the line, or its service is gone")
+	}
+	p := at.Find(to, w.request.Session)
+	n, ok := p.Class(name)
+	if !ok {
+		return nil, fmt.Errorf("pool %q has no class %q", p.Name, name)
+	}
+	w.class, w.request.Class = &p.Classes[n], n
+	return p, nil
 }
 
 // origin gives a line a trace of its own, where journeys are recorded: all its tries are of that, after a restart too.
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -15,6 +15,7 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/service"
 	"notchhinge/policy"
 )
 
@@ -41,10 +42,12 @@
 	r := &rig{t: t, at: 1000 * time.Second}
 	lim := limits.New(limits.Machine{MemoryMB: 192, Sockets: 1024}, limits.Site{})
 	lim.LineBytes = 1000
+	at := service.Plain(&service.Pool{Classes: []policy.Class{
+		{Name: "doc-lookup", Deadline: 6 * time.Second}, {Name: "batch-summary", Deadline: 12 * time.Second},
+	}})
 	d, err := NewDesk(Options{
 		Config: &Config{Spool: spool, Contracts: []Contract{k}}, Lim: lim,
-		Classes: []policy.Class{{Name: "doc-lookup", Deadline: 6 * time.Second}, {Name: "batch-summary", Deadline: 12 * time.Second}},
-		Now:     func() time.Duration { return r.at }, Log: slog.New(slog.DiscardHandler),
+		Routes: func() *service.Directory { return at }, Now: func() time.Duration { return r.at }, Log: slog.New(slog.DiscardHandler),
 		Post: func(e broker.Event) {
 			switch e := e.(type) {
 			case broker.Taken:
--- a/internal/batch/proof_test.go
+++ b/internal/batch/proof_test.go
@@ -22,6 +22,7 @@
 	"notchhinge/internal/batch"
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
+	"notchhinge/internal/plan"
 	"notchhinge/internal/registry"
 	"notchhinge/internal/router"
 )
@@ -118,10 +119,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := router.New(cfg, slog.New(log), (&net.Dialer{}).DialContext, broker.UnixClock())
+	p, err := plan.Make(cfg, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
+	r := router.New(cfg, p, slog.New(log), (&net.Dialer{}).DialContext, broker.UnixClock())
 	var doors [2]net.Listener
 	for i := range doors {
 		if doors[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -1,36 +1,44 @@
 package broker
 
 import (
-	"hash/fnv"
-	"maps"
 	"time"
 
 	"notchhinge/internal/deadline"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/share"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
 // Broker is the reducer: Reduce is the only thing that changes it. It is not safe for concurrent use.
 type Broker struct {
-	lim       limits.Limits
-	module    *policy.Balancer
-	now       time.Duration
-	effects   []Effect
-	later     []func() // outcomes that the module is told once it has returned from the present call
-	due       *deadline.Queue[due]
-	lastID    policy.RequestID
-	auths     map[policy.RequestID]*auth
-	byParty   map[Acquirer]*auth
-	names     map[string]bool // of open authorisations
-	hosts     map[policy.ReplicaID]*Host
-	hostNames map[string]policy.ReplicaID
-	counts    Counters
-	journal   *trace.Recorder // nil where nothing is traced
+	lim     limits.Limits
+	pools   map[pool.ID]*instance
+	leaving bool         // one of the pools at least
+	places  *share.Stock // of open authorisations, by pool
+	boxes   *pool.Boxes  // nil as long as there is one pool
+	now     time.Duration
+	effects []Effect
+	later   []func() // outcomes that a module is told once it has returned from the present call
+	due     *deadline.Queue[due]
+	lastID  policy.RequestID
+	auths   map[policy.RequestID]*auth
+	byParty map[Acquirer]*auth
+	names   map[name]bool   // of open authorisations
+	counts  Counters        // of what no pool there is took
+	journal *trace.Recorder // nil where nothing is traced
+}
+
+// name is the id of an open authorisation. Two services may well use one id at once.
+type name struct {
+	pool pool.ID
+	id   string
 }
 
 type auth struct {
 	id       policy.RequestID
+	pool     *instance
 	from     Acquirer
 	name     string
 	deadline time.Duration
@@ -58,21 +66,17 @@
 	leg   *leg
 	line  uint64 // never 0
 	of    any    // what a front is to be reminded of
+	pool  *instance
 	token uint64
 }
 
-// New returns a broker that knows no issuer hosts yet.
-func New(s policy.Settings, seed uint64, lim limits.Limits) (*Broker, error) {
-	module, err := policy.New(s, seed)
-	if err != nil {
-		return nil, err
-	}
+// New returns a broker that has no pool yet.
+func New(lim limits.Limits) *Broker {
 	return &Broker{
-		lim: lim, module: module, due: deadline.New[due](),
-		auths: map[policy.RequestID]*auth{}, byParty: map[Acquirer]*auth{}, names: map[string]bool{},
-		hosts: map[policy.ReplicaID]*Host{}, hostNames: map[string]policy.ReplicaID{},
+		lim: lim, due: deadline.New[due](), pools: map[pool.ID]*instance{}, places: share.New(int64(lim.Open)),
+		auths: map[policy.RequestID]*auth{}, byParty: map[Acquirer]*auth{}, names: map[name]bool{},
 		counts: Counters{Outcomes: map[policy.Result]int{}},
-	}, nil
+	}
 }
 
 // Trace has the journeys of all further authorisations recorded. It is called before the first event.
@@ -102,6 +106,9 @@
 	}
 	b.take(e)
 	b.settle()
+	if b.leaving {
+		b.endPools()
+	}
 	return b.effects
 }
 
@@ -139,11 +146,21 @@
 			b.end(a, l, e.Result, e.Kept, e.Report)
 		}
 	case Probed:
-		b.module.Probed(b.now, b, policy.ProbeResult{
-			Replica: e.Host, Result: e.Result, Elapsed: b.now - e.Sent, Report: e.Report,
-		})
+		if p := b.pools[e.Pool]; p != nil {
+			p.module.Probed(b.now, p, policy.ProbeResult{
+				Replica: e.Host, Result: e.Result, Elapsed: b.now - e.Sent, Report: e.Report,
+			})
+		}
 	case Listed:
-		b.listed(e)
+		if p := b.pools[e.Pool]; p != nil {
+			p.listed(e)
+		}
+	case PoolSet:
+		b.poolSet(e)
+	case PoolEnd:
+		if p := b.pools[e.Pool]; p != nil {
+			p.leaving, b.leaving = true, true
+		}
 	case Parked:
 		b.due.Add(b.now+b.lim.IssuerIdle, due{line: e.Line})
 	case Remind:
@@ -161,16 +178,9 @@
 			b.journal.Flush(b.now)
 		}
 	case Note:
-		b.do(Log{string(e)})
+		b.do(Log{Line: string(e)})
 	case Audit:
-		c := b.counts
-		c.Open = b.Open()
-		c.Outcomes = maps.Clone(c.Outcomes) // the reader is another goroutine
-		if b.journal != nil {
-			t := b.journal.Counters()
-			c.Traces = &t
-		}
-		b.do(Counted{c})
+		b.do(b.counted(e.Of))
 	}
 }
 
@@ -178,43 +188,41 @@
 	if b.byParty[e.From] != nil {
 		return
 	}
-	if b.names[e.Name] {
+	p := b.pools[e.Pool]
+	if p == nil {
+		// It was routed to a pool that has gone since, its last authorisation with it: it never ran.
 		b.counts.Declined++
-		b.turnedDown(&e, trace.IDTaken, 0)
+		b.do(Decline{To: e.From, RetryAfter: b.lim.SpareAnswer})
+		return
+	}
+	if b.names[name{p.id, e.Name}] {
+		p.counts.Declined++
+		p.turnedDown(&e, trace.IDTaken, 0)
 		b.do(Decline{To: e.From, Why: Taking})
 		return
 	}
-	if len(b.byParty) >= b.lim.Open {
-		// More would need more descriptors than there are; the module need not know of what cannot be sent.
-		b.counts.Declined++
-		b.turnedDown(&e, trace.RouterFull, b.lim.SpareAnswer)
-		b.do(Decline{To: e.From, RetryAfter: b.lim.SpareAnswer})
+	if !b.places.Take(int(p.id), 1) {
+		// More would need more descriptors than there are, or than there are for this pool; the module need not know
+		// of what cannot be sent.
+		p.counts.Declined++
+		p.turnedDown(&e, trace.RouterFull, p.retryAfter)
+		b.do(Decline{To: e.From, RetryAfter: p.retryAfter})
 		return
 	}
-	b.counts.Taken++
+	p.counts.Taken++
+	p.held++
 	b.lastID++
-	a := &auth{id: b.lastID, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn}
+	a := &auth{id: b.lastID, pool: p, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn}
 	a.key = b.due.Add(a.deadline, due{auth: a})
 	b.auths[a.id], b.byParty[a.from] = a, a
 	if a.name = e.Name; a.name != "" {
-		b.names[a.name] = true
+		b.names[name{p.id, a.name}] = true
 	}
 	e.Request.ID, e.Request.ExpiresIn = a.id, a.deadline-b.now
 	if b.journal != nil {
-		a.journey = b.journal.Taken(b.now, a.id, a.from, e.Name, e.At, &e.Request, e.Origin)
+		a.journey = b.journal.Taken(b.now, a.id, a.from, e.Name, e.At, &e.Request, e.Origin, p.set)
 	}
-	b.module.Arrive(b.now, b, e.Request)
-}
-
-// turnedDown records an authorisation that the module never sees.
-func (b *Broker) turnedDown(e *Taken, why trace.Why, retryAfter time.Duration) {
-	if b.journal == nil {
-		return
-	}
-	b.lastID++
-	j := b.journal.Taken(b.now, b.lastID, e.From, e.Name, e.At, &e.Request, e.Origin)
-	b.journal.Because(b.lastID, j, policy.Why(why))
-	b.journal.Closed(b.now, b.lastID, j, trace.Refused, retryAfter)
+	p.module.Arrive(b.now, p, e.Request)
 }
 
 func (b *Broker) departed(from Acquirer) {
@@ -222,11 +230,11 @@
 	if a == nil {
 		return
 	}
-	b.counts.Gone++
+	a.pool.counts.Gone++
 	a.gone = true
 	b.close(a)
 	b.closed(a, trace.Gone, 0)
-	b.module.Departed(b.now, b, a.id)
+	a.pool.module.Departed(b.now, a.pool, a.id)
 	// What the module does not call off itself runs for nobody: a begun stream, or legs that may not be called
 	// off by the settings. Their outcome says nothing of the issuer host.
 	for _, l := range a.legs {
@@ -251,7 +259,8 @@
 	a.over = true
 	b.due.Remove(a.key)
 	delete(b.byParty, a.from)
-	delete(b.names, a.name)
+	delete(b.names, name{a.pool.id, a.name})
+	b.places.Give(int(a.pool.id), 1)
 	b.forget(a)
 }
 
@@ -263,8 +272,9 @@
 }
 
 func (b *Broker) forget(a *auth) {
-	if a.over && a.running == 0 {
+	if a.over && a.running == 0 && b.auths[a.id] != nil {
 		delete(b.auths, a.id)
+		a.pool.held--
 	}
 }
 
@@ -290,7 +300,7 @@
 	if b.journal != nil {
 		b.journal.Bound(b.now, a.id, a.journey, id.N)
 	}
-	b.module.Started(b.now, b, policy.Started{ID: a.id, Attempt: id.N, Replica: l.host, Elapsed: b.now - l.at})
+	a.pool.module.Started(b.now, a.pool, policy.Started{ID: a.id, Attempt: id.N, Replica: l.host, Elapsed: b.now - l.at})
 	for _, other := range a.legs {
 		if other != l && !other.ended {
 			b.drop(a, other, policy.Cancelled)
@@ -317,26 +327,30 @@
 }
 
 // tell gives the module the one outcome of a leg. The end of a bound leg, whole or not, ends the authorisation.
-func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, p policy.Report) {
+func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, report policy.Report) {
+	p := a.pool
 	a.running--
-	b.counts.Outcomes[r]++
+	p.counts.Outcomes[r]++
 	if b.journal != nil {
 		b.journal.Told(b.now, a.id, a.journey, l.id.N, r, kept)
 	}
 	if a.bound == l && !a.over {
 		b.close(a)
 		if r == policy.OK {
-			b.counts.Served++
+			p.counts.Served++
 			b.closed(a, trace.Served, 0)
 		} else {
-			b.counts.Broken++
+			p.counts.Broken++
 			b.closed(a, trace.Broken, 0)
 		}
 	}
-	b.module.Finished(b.now, b, policy.Outcome{
+	p.module.Finished(b.now, p, policy.Outcome{
 		ID: a.id, Attempt: l.id.N, Replica: l.host, Result: r, Elapsed: b.now - l.at,
-		Ended: a.over || a.bound != nil, KeptTokens: kept, Report: p, Stale: l.stale,
+		Ended: a.over || a.bound != nil, KeptTokens: kept, Report: report, Stale: l.stale,
 	})
+	if b.boxes != nil && (r == policy.Reset || r == policy.ConnectFailed) && !l.stale {
+		p.unreachable(l.host)
+	}
 	b.forget(a)
 }
 
@@ -358,8 +372,8 @@
 			}
 		}
 		if !d.auth.over {
-			b.Because(d.auth.id, policy.Why(trace.Unanswered))
-			b.Fail(d.auth.id)
+			d.auth.pool.Because(d.auth.id, policy.Why(trace.Unanswered))
+			d.auth.pool.Fail(d.auth.id)
 		}
 	case d.of != nil:
 		if d.of == any(b.journal) {
@@ -369,169 +383,7 @@
 		b.do(Reminded{d.of})
 	case d.line != 0:
 		b.do(HangUp{d.line})
-	default:
-		b.module.Timer(b.now, b, d.token)
-	}
-}
-
-func (b *Broker) listed(e Listed) {
-	l := policy.List{Kind: e.Kind}
-	if e.Kind != policy.ListFailed && e.Kind != policy.ListCached {
-		b.counts.Lists++
-		b.counts.Lines += len(e.Hosts)
-	}
-	listed := map[policy.ReplicaID]bool{}
-	for _, h := range e.Hosts {
-		id := b.hostID(h.Name)
-		listed[id] = h.State != policy.Gone
-		b.hosts[id] = &h
-		l.Replicas = append(l.Replicas, policy.Replica{
-			ID: id, Zone: h.Zone, Cell: h.Cell, State: h.State, Weight: h.Weight, ReadyAt: h.BornAt,
-		})
-	}
-	b.module.Listed(b.now, b, l)
-	if e.Kind == policy.ListFailed {
-		return
-	}
-	for id, h := range b.hosts { // on a long day hosts are replaced by others without end
-		if there, told := listed[id]; told && !there || !told && e.Kind != policy.ListDelta {
-			delete(b.hosts, id)
-			delete(b.hostNames, h.Name)
-		}
-	}
-}
-
-// hostID gives a host its number. It is a hash of the name, since the module draws by it and all routers
-// should draw alike; two names that meet are told apart.
-func (b *Broker) hostID(name string) policy.ReplicaID {
-	if id, ok := b.hostNames[name]; ok {
-		return id
-	}
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	id := policy.ReplicaID(h.Sum32())
-	for b.hosts[id] != nil {
-		id++
-	}
-	b.hostNames[name] = id
-	return id
-}
-
-// The broker is the module's policy.Actions.
-var _ policy.Actions = (*Broker)(nil)
-
-// Send implements policy.Actions. It enforces what the module may have overlooked: a leg for an authorisation
-// that is over or bound, or beyond the most legs, or to an unknown host, is moot.
-func (b *Broker) Send(id policy.RequestID, to policy.ReplicaID, timeout time.Duration) {
-	a := b.auths[id]
-	if a == nil {
-		return
-	}
-	l := &leg{id: LegID{id, len(a.legs)}, host: to, at: b.now}
-	a.legs = append(a.legs, l)
-	a.running++
-	h := b.hosts[to]
-	var span *trace.Carried
-	if b.journal != nil {
-		host := Host{Name: "unknown"}
-		if h != nil {
-			host = *h
-		}
-		span = b.journal.Sent(b.now, a.id, a.journey, l.id.N, host.Name, host.Dial)
-	}
-	until := a.deadline
-	if timeout != 0 {
-		until = min(until, b.now+timeout)
-	}
-	if h == nil || a.over || a.bound != nil || len(a.legs) > b.lim.Attempts || until <= b.now {
-		if b.journal != nil { // it is never out, so that no word of its line will come
-			b.journal.Ended(b.now, a.id, a.journey, l.id.N, policy.Moot, false, nil)
-		}
-		b.endLater(a, l, policy.Moot)
-		return
-	}
-	b.counts.Legs++
-	if until < a.deadline {
-		l.key = b.due.Add(until, due{auth: a, leg: l})
-	}
-	send := SendLeg{Leg: l.id, From: a.from, Host: to, Dial: h.Dial, Wait: until - b.now}
-	if b.journal != nil {
-		b.do(SendTraced{send, span})
-		return
-	}
-	b.do(send)
-}
-
-// Because implements policy.Actions.
-func (b *Broker) Because(id policy.RequestID, why policy.Why) {
-	if b.journal == nil {
-		return
-	}
-	if a := b.auths[id]; a != nil {
-		b.journal.Because(id, a.journey, why)
-	}
-}
-
-// Refuse implements policy.Actions.
-func (b *Broker) Refuse(id policy.RequestID, retryAfter time.Duration) {
-	b.answer(id, Refused, retryAfter)
-}
-
-// Fail implements policy.Actions.
-func (b *Broker) Fail(id policy.RequestID) { b.answer(id, Failed, 0) }
-
-func (b *Broker) answer(id policy.RequestID, why Verdict, retryAfter time.Duration) {
-	a := b.auths[id]
-	if a == nil || a.over || a.bound != nil {
-		return // an answer for what is over is no fault and does nothing
-	}
-	if why == Failed {
-		b.counts.Failed++
-	} else {
-		b.counts.Refused++
-	}
-	b.do(Decline{To: a.from, Why: why, RetryAfter: retryAfter})
-	b.close(a)
-	if why == Failed {
-		b.closed(a, trace.Failed, 0)
-	} else {
-		b.closed(a, trace.Refused, retryAfter)
-	}
-	for _, l := range a.legs {
-		if !l.ended {
-			b.drop(a, l, policy.Cancelled)
-		}
-	}
-}
-
-// Cancel implements policy.Actions.
-func (b *Broker) Cancel(id policy.RequestID, attempt int) {
-	a, l := b.leg(LegID{id, attempt})
-	if l == nil || l.ended || a.bound == l && !a.gone {
-		return // a begun stream is the acquirer's
-	}
-	if a.gone {
-		b.drop(a, l, b.left(a))
-		return
-	}
-	b.drop(a, l, policy.Cancelled)
-}
-
-// Probe implements policy.Actions.
-func (b *Broker) Probe(to policy.ReplicaID) {
-	if h := b.hosts[to]; h != nil {
-		b.counts.Probes++
-		b.do(Probe{Host: to, Dial: h.Dial, Sent: b.now})
+	case !d.pool.gone:
+		d.pool.module.Timer(b.now, d.pool, d.token)
 	}
 }
-
-// Watch implements policy.Actions.
-func (b *Broker) Watch() { b.do(Watch{}) }
-
-// Wake implements policy.Actions.
-func (b *Broker) Wake(after time.Duration, token uint64) {
-	b.due.Add(b.now+max(after, 1), due{token: token}) // never within the turn that asks
-}
-
-// Log implements policy.Actions.
-func (b *Broker) Log(line string) { b.do(Log{line}) }
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -30,6 +30,15 @@
 	now time.Duration
 }
 
+func module(t testing.TB) *policy.Balancer {
+	t.Helper()
+	m, err := policy.New(settings(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
 func newRig(t *testing.T, hosts int, change func(*limits.Limits)) *rig {
 	t.Helper()
 	lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024},
@@ -37,11 +46,8 @@
 	if change != nil {
 		change(&lim)
 	}
-	b, err := New(settings(), 7, lim)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &rig{Broker: b, t: t, now: 1000 * sec}
+	r := &rig{Broker: New(lim), t: t, now: 1000 * sec}
+	r.Reduce(r.now, PoolSet{Module: module(t), WarmUp: sec, ColdFrom: 0.5})
 	var l Listed
 	for i := range hosts {
 		l.Hosts = append(l.Hosts, Host{Name: fmt.Sprint("h", i), Dial: fmt.Sprint("d", i), Weight: 1})
@@ -92,7 +98,7 @@
 	r.expect(9*sec, Tick{}) // once begun, the deadline runs no longer
 	r.expect(9*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.OK})
 	r.expect(9*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Reset}) // a second outcome is none
-	if c := r.counts; c.Served != 1 || c.Outcomes[policy.OK] != 1 || c.Outcomes[policy.Reset] != 0 || len(r.auths) != 0 {
+	if c := r.pools[0].counts; c.Served != 1 || c.Outcomes[policy.OK] != 1 || c.Outcomes[policy.Reset] != 0 || len(r.auths) != 0 {
 		t.Errorf("counters %+v, %d open", c, len(r.auths))
 	}
 }
@@ -105,7 +111,7 @@
 	r.expect(4*sec, Tick{}, "drop 1.0", "decline a failed after 0s")
 	r.expect(5*sec, LegBegan{LegID{1, 0}}, "drop 1.0") // too late to be the acquirer's
 	r.expect(5*sec, LegEnded{Leg: LegID{1, 0}, Result: policy.Cancelled})
-	if n := r.counts.Outcomes[policy.TimedOut]; n != 1 || r.Open() != 0 {
+	if n := r.pools[0].counts.Outcomes[policy.TimedOut]; n != 1 || r.Open() != 0 {
 		t.Errorf("%d time-outs, %d open", n, r.Open())
 	}
 }
@@ -131,9 +137,9 @@
 	r.expect(sec, LegEnded{Leg: LegID{1, 0}, Result: policy.ConnectFailed}, "send 1.1 for 3s")
 	r.expect(sec, LegEnded{Leg: LegID{1, 1}, Result: policy.Full}, "send 1.2 for 3s")
 	r.expect(sec, LegEnded{Leg: LegID{1, 2}, Result: policy.Full}, "decline a refused after 500ms")
-	r.Send(1, 0, 0) // over: no effect, and no leg
-	if r.counts.Legs != 3 {
-		t.Errorf("%d legs", r.counts.Legs)
+	r.pools[0].Send(1, 0, 0) // over: no effect, and no leg
+	if r.pools[0].counts.Legs != 3 {
+		t.Errorf("%d legs", r.pools[0].counts.Legs)
 	}
 }
 
@@ -141,15 +147,15 @@
 	r := newRig(t, 2, nil)
 	r.turn(0, taken("a", r.now, 4*sec))
 	r.turn(0, LegBegan{LegID{1, 0}})
-	for name, host := range map[string]policy.ReplicaID{"bound": r.hostID("h1"), "unknown host": 1} {
+	for name, host := range map[string]policy.ReplicaID{"bound": r.pools[0].hostID("h1"), "unknown host": 1} {
 		r.effects = nil
-		r.Send(1, host, 0)
+		r.pools[0].Send(1, host, 0)
 		r.settle()
 		if len(r.effects) != 0 {
 			t.Errorf("%s: %v", name, r.effects)
 		}
 	}
-	if n := r.counts.Outcomes[policy.Moot]; n != 2 {
+	if n := r.pools[0].counts.Outcomes[policy.Moot]; n != 2 {
 		t.Errorf("%d moot", n)
 	}
 }
@@ -159,14 +165,14 @@
 	r := newRig(t, 2, nil)
 	r.turn(0, taken("a", r.now, 4*sec))
 	for _, name := range []string{"h0", "h1"} {
-		if id := r.hostID(name); id != r.auths[1].legs[0].host {
-			r.Send(1, id, 0)
+		if id := r.pools[0].hostID(name); id != r.auths[1].legs[0].host {
+			r.pools[0].Send(1, id, 0)
 		}
 	}
 	r.expect(sec, LegBegan{LegID{1, 1}}, "bind 1.1", "drop 1.0")
 	r.expect(sec, LegBegan{LegID{1, 0}}, "drop 1.0")
 	r.expect(sec, LegEnded{Leg: LegID{1, 1}, Result: policy.Reset}) // a broken stream ends the authorisation
-	if c := r.counts; c.Broken != 1 || c.Outcomes[policy.Cancelled] != 1 || len(r.auths) != 0 {
+	if c := r.pools[0].counts; c.Broken != 1 || c.Outcomes[policy.Cancelled] != 1 || len(r.auths) != 0 {
 		t.Errorf("counters %+v, %d open", c, len(r.auths))
 	}
 }
@@ -175,13 +181,13 @@
 	r := newRig(t, 3, nil)
 	r.turn(0, taken("a", r.now, 4*sec))
 	for _, name := range []string{"h0", "h1", "h2"} {
-		if id := r.hostID(name); id != r.auths[1].legs[0].host {
-			r.Send(1, id, sec)
+		if id := r.pools[0].hostID(name); id != r.auths[1].legs[0].host {
+			r.pools[0].Send(1, id, sec)
 			break
 		}
 	}
 	r.expect(sec, Tick{}, "drop 1.1") // the first leg stays out
-	if n := r.counts.Outcomes[policy.TimedOut]; n != 1 || r.auths[1].running != 1 {
+	if n := r.pools[0].counts.Outcomes[policy.TimedOut]; n != 1 || r.auths[1].running != 1 {
 		t.Errorf("%d time-outs, %d running", n, r.auths[1].running)
 	}
 }
@@ -195,7 +201,7 @@
 		}
 		r.expect(sec, Departed{"a"}, "drop 1.0")
 		r.expect(sec, Departed{"a"})
-		if c := r.counts; c.Gone != 1 || c.Outcomes[policy.Cancelled] != 1 || len(r.auths) != 0 {
+		if c := r.pools[0].counts; c.Gone != 1 || c.Outcomes[policy.Cancelled] != 1 || len(r.auths) != 0 {
 			t.Errorf("%s: counters %+v, %d open", name, c, len(r.auths))
 		}
 	}
@@ -206,7 +212,7 @@
 	r := newRig(t, 2, func(l *limits.Limits) { l.Open = 1 })
 	r.turn(0, taken("a", r.now, 4*sec))
 	r.expect(0, taken("b", r.now, 4*sec), "decline b refused after 500ms")
-	if c := r.counts; c.Taken != 1 || c.Declined != 1 {
+	if c := r.pools[0].counts; c.Taken != 1 || c.Declined != 1 {
 		t.Errorf("counters %+v", c)
 	}
 }
@@ -242,7 +248,7 @@
 func TestHostIDs(t *testing.T) {
 	// Every router must give a host the same number, since the module draws by it.
 	x, y := newRig(t, 3, nil), newRig(t, 9, nil)
-	if x.hostID("h2") != y.hostID("h2") || x.hostID("h1") == x.hostID("h2") {
+	if x.pools[0].hostID("h2") != y.pools[0].hostID("h2") || x.pools[0].hostID("h1") == x.pools[0].hostID("h2") {
 		t.Error("host ids differ between routers, or are shared")
 	}
 }
@@ -273,13 +279,13 @@
 	for i := range 500 {
 		r.turn(0, Listed{Kind: policy.ListDelta, Hosts: []Host{host(i, policy.Gone), host(i+3, policy.Ready)}})
 	}
-	if len(r.hosts) != 3 || len(r.hostNames) != 3 {
-		t.Errorf("%d hosts, %d names after deltas", len(r.hosts), len(r.hostNames))
+	if len(r.pools[0].hosts) != 3 || len(r.pools[0].hostNames) != 3 {
+		t.Errorf("%d hosts, %d names after deltas", len(r.pools[0].hosts), len(r.pools[0].hostNames))
 	}
 	r.turn(0, Listed{Kind: policy.ListFull, Hosts: []Host{host(9000, policy.Ready)}})
 	r.turn(0, Listed{Kind: policy.ListFailed})
-	if len(r.hosts) != 1 || len(r.hostNames) != 1 {
-		t.Errorf("%d hosts, %d names after a whole list", len(r.hosts), len(r.hostNames))
+	if len(r.pools[0].hosts) != 1 || len(r.pools[0].hostNames) != 1 {
+		t.Errorf("%d hosts, %d names after a whole list", len(r.pools[0].hosts), len(r.pools[0].hostNames))
 	}
 }
 
@@ -293,7 +299,7 @@
 		r := newRig(t, 2, nil)
 		r.turn(0, taken("a", r.now, 4*sec))
 		r.expect(c.at, Departed{"a"}, "drop 1.0")
-		if r.counts.Outcomes[c.want] != 1 || r.counts.Gone != 1 {
+		if r.pools[0].counts.Outcomes[c.want] != 1 || r.pools[0].counts.Gone != 1 {
 			t.Errorf("left after %v: %+v", c.at, r.counts)
 		}
 	}
@@ -301,7 +307,7 @@
 	r.turn(0, taken("a", r.now, 4*sec))
 	r.turn(sec, LegBegan{LegID{1, 0}})
 	r.turn(4*sec-1, Departed{"a"}) // in its stream, whose time is not the deadline's
-	if r.counts.Outcomes[policy.Cancelled] != 1 {
+	if r.pools[0].counts.Outcomes[policy.Cancelled] != 1 {
 		t.Errorf("left in its stream: %+v", r.counts)
 	}
 }
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"notchhinge/internal/pool"
+	"notchhinge/internal/share"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
@@ -28,6 +30,7 @@
 	State  policy.State
 	Weight float64
 	BornAt time.Duration // its latest start on the clock of the events; 0 = long ago
+	Left   bool          // with Gone: it left the pool's selection, and may well live on in another pool
 }
 
 // Verdict says why an authorisation is not served.
@@ -47,6 +50,7 @@
 	// Taken: an authorisation has come in whole. Its ID is the broker's to give.
 	Taken struct {
 		From    Acquirer
+		Pool    pool.ID
 		Name    string        // under which it is passed on, one open authorisation each; "" = none
 		At      time.Duration // of its last byte; its time runs from there
 		Request policy.Request
@@ -79,6 +83,7 @@
 	}
 	// Probed answers a Probe.
 	Probed struct {
+		Pool   pool.ID
 		Host   policy.ReplicaID
 		Sent   time.Duration
 		Result policy.Result
@@ -86,6 +91,7 @@
 	}
 	// Listed is news from discovery.
 	Listed struct {
+		Pool  pool.ID
 		Kind  policy.ListKind
 		Hosts []Host
 	}
@@ -98,8 +104,23 @@
 	}
 	// Tick: something may be due.
 	Tick struct{}
+	// PoolSet adds a pool, or changes one that there is: all but its module and what that was made with.
+	PoolSet struct {
+		Pool       pool.ID
+		Name       string           // "" = the only one there is
+		Module     *policy.Balancer // the pool's from now on
+		WarmUp     time.Duration    // of the module's settings, as the next
+		ColdFrom   float64
+		Classes    []trace.Class // where journeys are recorded
+		Places     share.Claim   // to open authorisations
+		Turns      float64       // weight of its turns against other pools'; 0 = 1
+		Attempts   int           // legs of one authorisation; 0 = as the limits say
+		RetryAfter time.Duration // with what is declined for want of a place; 0 = as the limits say
+	}
+	// PoolEnd: nothing more is routed to a pool. PoolGone follows once nothing of its is open.
+	PoolEnd struct{ Pool pool.ID }
 	// Audit asks for the counters.
-	Audit struct{}
+	Audit struct{ Of any }
 	// Note is a line for the staff.
 	Note string
 )
@@ -117,6 +138,8 @@
 func (Drain) event()    {}
 func (Flush) event()    {}
 func (Tick) event()     {}
+func (PoolSet) event()  {}
+func (PoolEnd) event()  {}
 func (Audit) event()    {}
 func (Note) event()     {}
 
@@ -126,6 +149,7 @@
 type (
 	// SendLeg starts a leg at an issuer host, which may take Wait for its first event.
 	SendLeg struct {
+		Pool pool.ID
 		Leg  LegID
 		From Acquirer
 		Host policy.ReplicaID
@@ -151,6 +175,7 @@
 	}
 	// Probe asks an issuer host for a sign of life.
 	Probe struct {
+		Pool pool.ID
 		Host policy.ReplicaID
 		Dial string
 		Sent time.Duration
@@ -159,12 +184,18 @@
 	HangUp struct{ Line uint64 }
 	// Reminded answers Remind, at its time or a little later.
 	Reminded struct{ Of any }
-	// Watch asks discovery for changes from now on.
-	Watch struct{}
-	// Log is a line for the staff.
-	Log struct{ Line string }
+	// Watch asks a pool's discovery for changes from now on.
+	Watch struct{ Pool pool.ID }
+	// PoolGone: a pool that was ended owes nothing more; its lines and its watch may go.
+	PoolGone struct{ Pool pool.ID }
+	// Log is a line for the staff, of a pool or of none.
+	Log struct{ Pool, Line string }
 	// Counted answers Audit.
-	Counted struct{ Counters Counters }
+	Counted struct {
+		Of       any
+		Counters Counters // of all pools, those that have gone included
+		Pools    []PoolCounters
+	}
 )
 
 func (SendLeg) effect()  {}
@@ -176,6 +207,7 @@
 func (HangUp) effect()   {}
 func (Reminded) effect() {}
 func (Watch) effect()    {}
+func (PoolGone) effect() {}
 func (Log) effect()      {}
 func (Counted) effect()  {}
 
@@ -196,3 +228,15 @@
 	Open     int // authorisations now
 	Traces   *trace.Counters
 }
+
+// PoolCounters tell of one pool.
+type PoolCounters struct {
+	Counters
+	Pool    pool.ID
+	Name    string
+	Hosts   int
+	Ready   int // of the hosts
+	Held    int // authorisations with anything out, those included that have their answer
+	Leaving bool
+	Places  share.Claim
+}
--- a/internal/broker/loop.go
+++ b/internal/broker/loop.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"notchhinge/internal/share"
 )
 
 // Clock reads the time; it never goes back.
@@ -24,18 +28,35 @@
 	events  chan Event
 	stopped chan struct{}
 	idle    chan chan struct{}
+
+	fair  atomic.Bool // there are several pools, and authorisations go through lanes
+	mu    sync.Mutex
+	lanes *share.Lanes[Taken]
 }
 
+// turn stands in the queue of events for an authorisation that waits in a lane: as many as wait, but whichever is next
+// takes it. So what one pool has waiting does not stand before another's.
+type turn struct{}
+
+func (turn) event() {}
+
 // NewLoop returns a loop over b. perform must not wait, nor post.
 func NewLoop(b *Broker, clock Clock, perform func(Effect)) *Loop {
 	return &Loop{
 		broker: b, clock: clock, perform: perform,
 		events: make(chan Event, 1024), stopped: make(chan struct{}), idle: make(chan chan struct{}),
+		lanes: share.NewLanes[Taken](),
 	}
 }
 
 // Post hands an event in. After the loop's end it is dropped.
 func (l *Loop) Post(e Event) {
+	if t, ok := e.(Taken); ok && l.fair.Load() {
+		l.mu.Lock()
+		l.lanes.Push(int(t.Pool), t)
+		l.mu.Unlock()
+		e = turn{}
+	}
 	select {
 	case l.events <- e:
 	case <-l.stopped:
@@ -62,6 +83,52 @@
 	}
 }
 
+// take reduces an event.
+func (l *Loop) take(e Event) {
+	switch e := e.(type) {
+	case turn:
+		if t, ok := l.pop(nil); ok {
+			l.reduce(t)
+		}
+		return
+	case Departed:
+		// It may still wait for its turn, and must not be taken after its acquirer was thought gone.
+		if l.fair.Load() {
+			if t, ok := l.pop(e.From); ok {
+				l.reduce(t)
+			}
+		}
+	case PoolSet:
+		l.mu.Lock()
+		l.lanes.Weigh(int(e.Pool), e.Turns)
+		l.mu.Unlock()
+		l.reduce(e)
+		l.fair.Store(len(l.broker.pools) > 1 || l.fair.Load())
+		return
+	case PoolEnd:
+		l.mu.Lock()
+		l.lanes.End(int(e.Pool))
+		l.mu.Unlock()
+	}
+	l.reduce(e)
+}
+
+func (l *Loop) reduce(e Event) {
+	for _, f := range l.broker.Reduce(l.clock(), e) {
+		l.perform(f)
+	}
+}
+
+// pop takes the next authorisation out of the lanes, or that of an acquirer.
+func (l *Loop) pop(from Acquirer) (Taken, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from == nil {
+		return l.lanes.Pop()
+	}
+	return l.lanes.PopIf(func(t Taken) bool { return t.From == from })
+}
+
 // Run turns the loop until the context is over.
 func (l *Loop) Run(ctx context.Context) {
 	defer close(l.stopped)
@@ -81,9 +148,7 @@
 		case done := <-l.idle:
 			waiting = append(waiting, done)
 		}
-		for _, f := range l.broker.Reduce(l.clock(), e) {
-			l.perform(f)
-		}
+		l.take(e)
 		if l.broker.Open() == 0 && len(l.events) == 0 {
 			for _, done := range waiting {
 				close(done)
--- /dev/null
+++ b/internal/broker/pool.go
@@ -0,0 +1,414 @@
+package broker
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"notchhinge/internal/pool"
+	"notchhinge/internal/trace"
+	"notchhinge/policy"
+)
+
+// instance is a pool at work: a module of its own and the hosts that it knows. It is the module's policy.Actions, so
+// that what a module does can only concern its own.
+type instance struct {
+	b          *Broker
+	id         pool.ID
+	name       string
+	module     *policy.Balancer
+	warmUp     time.Duration
+	coldFrom   float64
+	attempts   int
+	retryAfter time.Duration
+	hosts      map[policy.ReplicaID]*Host
+	hostNames  map[string]policy.ReplicaID
+	ready      int // of the hosts
+	counts     Counters
+	held       int        // authorisations that are not forgotten
+	set        *trace.Set // for the journal; nil = the journal's own classes
+	leaving    bool       // nothing more is routed to it; it goes with its last authorisation
+	gone       bool
+}
+
+var _ policy.Actions = (*instance)(nil)
+
+// poolSet adds a pool, or changes what a pool may have.
+func (b *Broker) poolSet(e PoolSet) {
+	p := b.pools[e.Pool]
+	if p == nil {
+		if e.Module == nil {
+			return
+		}
+		p = &instance{
+			b: b, id: e.Pool, module: e.Module, warmUp: e.WarmUp, coldFrom: e.ColdFrom, hosts: map[policy.ReplicaID]*Host{},
+			hostNames: map[string]policy.ReplicaID{}, counts: Counters{Outcomes: map[policy.Result]int{}},
+		}
+		if b.pools[p.id] = p; b.boxes == nil && len(b.pools) > 1 {
+			b.shareBoxes()
+		}
+	}
+	p.name, p.attempts, p.retryAfter, p.leaving = e.Name, e.Attempts, e.RetryAfter, false
+	if p.attempts == 0 {
+		p.attempts = b.lim.Attempts
+	}
+	if p.retryAfter == 0 {
+		p.retryAfter = b.lim.SpareAnswer
+	}
+	if e.Name != "" || e.Classes != nil {
+		p.set = &trace.Set{Pool: e.Name, Classes: e.Classes}
+	}
+	b.places.Set(int(p.id), e.Places)
+}
+
+// shareBoxes begins to keep account of boxes that pools share; with one pool there is nothing to account for.
+func (b *Broker) shareBoxes() {
+	b.boxes = pool.NewBoxes(b.lim.BoxOverlap)
+	for _, p := range b.pools {
+		for id, h := range p.hosts {
+			b.boxes.Told(b.now, p.id, h.box(), pool.Told{Replica: id, State: h.State, BornAt: h.BornAt})
+		}
+	}
+}
+
+// endPools has pools that leave go, once nothing of theirs is open.
+func (b *Broker) endPools() {
+	b.leaving = false
+	for _, id := range slices.Sorted(maps.Keys(b.pools)) {
+		p := b.pools[id]
+		switch {
+		case !p.leaving:
+			continue
+		case p.held > 0:
+			b.leaving = true
+			continue
+		}
+		p.gone = true
+		delete(b.pools, id)
+		b.places.End(int(id))
+		if b.boxes != nil {
+			b.boxes.Leave(id)
+		}
+		b.counts.add(&p.counts)
+		b.do(PoolGone{id})
+	}
+}
+
+func (h *Host) box() pool.Box { return pool.Box{Name: h.Name, Dial: h.Dial} }
+
+func (h *Host) replica(id policy.ReplicaID) policy.Replica {
+	return policy.Replica{ID: id, Zone: h.Zone, Cell: h.Cell, State: h.State, Weight: h.Weight, ReadyAt: h.BornAt}
+}
+
+func (p *instance) listed(e Listed) {
+	b := p.b
+	l := policy.List{Kind: e.Kind}
+	if e.Kind != policy.ListFailed && e.Kind != policy.ListCached {
+		p.counts.Lists++
+		p.counts.Lines += len(e.Hosts)
+	}
+	var words []pool.Word
+	listed := map[policy.ReplicaID]bool{}
+	for _, h := range e.Hosts {
+		id := p.hostID(h.Name)
+		listed[id] = h.State != policy.Gone
+		if b.boxes != nil {
+			words = append(words, p.shared(id, &h)...)
+		}
+		p.hosts[id] = &h
+		l.Replicas = append(l.Replicas, h.replica(id))
+	}
+	p.module.Listed(b.now, p, l)
+	if e.Kind != policy.ListFailed {
+		for id, h := range p.hosts { // on a long day hosts are replaced by others without end
+			if there, told := listed[id]; told && !there || !told && e.Kind != policy.ListDelta {
+				if b.boxes != nil && !told {
+					b.boxes.Told(b.now, p.id, h.box(), pool.Told{State: policy.Gone, Left: true})
+				}
+				delete(p.hosts, id)
+				delete(p.hostNames, h.Name)
+			}
+		}
+	}
+	p.ready = 0
+	for _, h := range p.hosts {
+		if h.State == policy.Ready {
+			p.ready++
+		}
+	}
+	b.pass(words)
+}
+
+// shared has what a list says of a host compared with what other pools were told of the box, and changes its state to
+// what this pool must see. It returns what the others must hear.
+func (p *instance) shared(id policy.ReplicaID, h *Host) []pool.Word {
+	b := p.b
+	before := p.hosts[id]
+	switch {
+	case before == nil:
+	case h.State == policy.Gone:
+		h.Dial = before.Dial // that it had, whatever the last word of it says
+	case h.Dial != before.Dial: // it is elsewhere now, which is another box
+		b.boxes.Told(b.now, p.id, before.box(), pool.Told{State: policy.Gone, Left: true})
+	}
+	told := pool.Told{Replica: id, State: h.State, BornAt: h.BornAt, Left: h.Left}
+	state, words := b.boxes.Told(b.now, p.id, h.box(), told)
+	h.State = state
+	return words
+}
+
+// pass tells modules of ends of boxes, and of such that were taken back, that other pools were told.
+func (b *Broker) pass(words []pool.Word) {
+	for _, w := range words {
+		q := b.pools[w.Pool]
+		if q == nil || q.hosts[w.Replica] == nil {
+			continue
+		}
+		h := *q.hosts[w.Replica]
+		if h.State == policy.Ready {
+			q.ready--
+		}
+		if h.State = w.State; h.State == policy.Ready {
+			q.ready++
+		}
+		q.hosts[w.Replica] = &h
+		q.module.Listed(b.now, q, policy.List{Kind: policy.ListDelta, Replicas: []policy.Replica{h.replica(w.Replica)}})
+	}
+}
+
+// unreachable tells the other pools that share a box that it could not be reached, or that it reset a connection.
+func (p *instance) unreachable(host policy.ReplicaID) {
+	h := p.hosts[host]
+	if h == nil {
+		return
+	}
+	for _, s := range p.b.boxes.Others(nil, p.id, h.box()) {
+		if q := p.b.pools[s.Pool]; q != nil {
+			q.module.Probed(p.b.now, q, policy.ProbeResult{Replica: s.Replica, Result: policy.ConnectFailed})
+		}
+	}
+}
+
+// tooCold tells whether a box that several pools share has had all that it may have while it is cold.
+func (p *instance) tooCold(h *Host) bool {
+	b := p.b
+	if b.boxes == nil || h.BornAt == 0 || b.now >= h.BornAt+p.warmUp || !b.boxes.Shared(h.box()) {
+		return false
+	}
+	traffic := []pool.Traffic{p.traffic(h.BornAt)}
+	for _, s := range b.boxes.Others(nil, p.id, h.box()) {
+		if q := b.pools[s.Pool]; q != nil {
+			traffic = append(traffic, q.traffic(h.BornAt))
+		}
+	}
+	return !b.boxes.MaySend(h.box(), h.BornAt, traffic)
+}
+
+func (p *instance) traffic(born time.Duration) pool.Traffic {
+	return pool.Traffic{
+		Pool: p.id, Arrived: float64(p.counts.Taken), Usual: float64(p.ready),
+		Share: pool.Warmth(p.b.now-born, p.warmUp, p.coldFrom),
+	}
+}
+
+// hostID gives a host its number. It is a hash of the name, since the module draws by it and all routers
+// should draw alike; two names that meet are told apart.
+func (p *instance) hostID(name string) policy.ReplicaID {
+	if id, ok := p.hostNames[name]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := policy.ReplicaID(h.Sum32())
+	for p.hosts[id] != nil {
+		id++
+	}
+	p.hostNames[name] = id
+	return id
+}
+
+// turnedDown records an authorisation that the module never sees.
+func (p *instance) turnedDown(e *Taken, why trace.Why, retryAfter time.Duration) {
+	b := p.b
+	if b.journal == nil {
+		return
+	}
+	b.lastID++
+	j := b.journal.Taken(b.now, b.lastID, e.From, e.Name, e.At, &e.Request, e.Origin, p.set)
+	b.journal.Because(b.lastID, j, policy.Why(why))
+	b.journal.Closed(b.now, b.lastID, j, trace.Refused, retryAfter)
+}
+
+// auth finds an authorisation of this pool.
+func (p *instance) auth(id policy.RequestID) *auth {
+	if a := p.b.auths[id]; a != nil && a.pool == p {
+		return a
+	}
+	return nil
+}
+
+// Send implements policy.Actions. It enforces what the module may have overlooked: a leg for an authorisation
+// that is over or bound, or beyond the most legs, or to an unknown host, is moot.
+func (p *instance) Send(id policy.RequestID, to policy.ReplicaID, timeout time.Duration) {
+	b, a := p.b, p.auth(id)
+	if a == nil {
+		return
+	}
+	l := &leg{id: LegID{id, len(a.legs)}, host: to, at: b.now}
+	a.legs = append(a.legs, l)
+	a.running++
+	h := p.hosts[to]
+	var span *trace.Carried
+	if b.journal != nil {
+		host := Host{Name: "unknown"}
+		if h != nil {
+			host = *h
+		}
+		span = b.journal.Sent(b.now, a.id, a.journey, l.id.N, host.Name, host.Dial)
+	}
+	until := a.deadline
+	if timeout != 0 {
+		until = min(until, b.now+timeout)
+	}
+	if h == nil || a.over || a.bound != nil || len(a.legs) > p.attempts || until <= b.now {
+		if b.journal != nil { // it is never out, so that no word of its line will come
+			b.journal.Ended(b.now, a.id, a.journey, l.id.N, policy.Moot, false, nil)
+		}
+		b.endLater(a, l, policy.Moot)
+		return
+	}
+	if p.tooCold(h) {
+		if b.journal != nil {
+			b.journal.Ended(b.now, a.id, a.journey, l.id.N, policy.Full, false, nil)
+		}
+		b.endLater(a, l, policy.Full) // as if the box itself had turned it away
+		return
+	}
+	p.counts.Legs++
+	if until < a.deadline {
+		l.key = b.due.Add(until, due{auth: a, leg: l})
+	}
+	send := SendLeg{Pool: p.id, Leg: l.id, From: a.from, Host: to, Dial: h.Dial, Wait: until - b.now}
+	if b.journal != nil {
+		b.do(SendTraced{send, span})
+		return
+	}
+	b.do(send)
+}
+
+// Because implements policy.Actions.
+func (p *instance) Because(id policy.RequestID, why policy.Why) {
+	if p.b.journal == nil {
+		return
+	}
+	if a := p.auth(id); a != nil {
+		p.b.journal.Because(id, a.journey, why)
+	}
+}
+
+// Refuse implements policy.Actions.
+func (p *instance) Refuse(id policy.RequestID, retryAfter time.Duration) {
+	p.answer(id, Refused, retryAfter)
+}
+
+// Fail implements policy.Actions.
+func (p *instance) Fail(id policy.RequestID) { p.answer(id, Failed, 0) }
+
+func (p *instance) answer(id policy.RequestID, why Verdict, retryAfter time.Duration) {
+	b, a := p.b, p.auth(id)
+	if a == nil || a.over || a.bound != nil {
+		return // an answer for what is over is no fault and does nothing
+	}
+	if why == Failed {
+		p.counts.Failed++
+	} else {
+		p.counts.Refused++
+	}
+	b.do(Decline{To: a.from, Why: why, RetryAfter: retryAfter})
+	b.close(a)
+	if why == Failed {
+		b.closed(a, trace.Failed, 0)
+	} else {
+		b.closed(a, trace.Refused, retryAfter)
+	}
+	for _, l := range a.legs {
+		if !l.ended {
+			b.drop(a, l, policy.Cancelled)
+		}
+	}
+}
+
+// Cancel implements policy.Actions.
+func (p *instance) Cancel(id policy.RequestID, attempt int) {
+	b := p.b
+	a, l := b.leg(LegID{id, attempt})
+	if l == nil || a.pool != p || l.ended || a.bound == l && !a.gone {
+		return // a begun stream is the acquirer's
+	}
+	if a.gone {
+		b.drop(a, l, b.left(a))
+		return
+	}
+	b.drop(a, l, policy.Cancelled)
+}
+
+// Probe implements policy.Actions.
+func (p *instance) Probe(to policy.ReplicaID) {
+	if h := p.hosts[to]; h != nil {
+		p.counts.Probes++
+		p.b.do(Probe{Pool: p.id, Host: to, Dial: h.Dial, Sent: p.b.now})
+	}
+}
+
+// Watch implements policy.Actions.
+func (p *instance) Watch() { p.b.do(Watch{p.id}) }
+
+// Wake implements policy.Actions.
+func (p *instance) Wake(after time.Duration, token uint64) {
+	p.b.due.Add(p.b.now+max(after, 1), due{pool: p, token: token}) // never within the turn that asks
+}
+
+// Log implements policy.Actions.
+func (p *instance) Log(line string) { p.b.do(Log{p.name, line}) }
+
+// add adds another pool's counters.
+func (c *Counters) add(o *Counters) {
+	c.Taken += o.Taken
+	c.Declined += o.Declined
+	c.Legs += o.Legs
+	for r, n := range o.Outcomes {
+		c.Outcomes[r] += n
+	}
+	c.Served += o.Served
+	c.Broken += o.Broken
+	c.Refused += o.Refused
+	c.Failed += o.Failed
+	c.Gone += o.Gone
+	c.Probes += o.Probes
+	c.Lists += o.Lists
+	c.Lines += o.Lines
+}
+
+// counted answers Audit. What it returns is another goroutine's to read.
+func (b *Broker) counted(of any) Counted {
+	all := b.counts
+	all.Outcomes = maps.Clone(all.Outcomes)
+	var pools []PoolCounters
+	for _, id := range slices.Sorted(maps.Keys(b.pools)) {
+		p := b.pools[id]
+		all.add(&p.counts)
+		c := p.counts
+		c.Outcomes, c.Open = maps.Clone(c.Outcomes), int(b.places.Held(int(id)))
+		pools = append(pools, PoolCounters{
+			Counters: c, Pool: id, Name: p.name, Hosts: len(p.hosts), Ready: p.ready, Held: p.held, Leaving: p.leaving,
+			Places: b.places.Claim(int(id)),
+		})
+	}
+	all.Open = b.Open()
+	if b.journal != nil {
+		t := b.journal.Counters()
+		all.Traces = &t
+	}
+	return Counted{Of: of, Counters: all, Pools: pools}
+}
--- /dev/null
+++ b/internal/broker/scale_test.go
@@ -0,0 +1,59 @@
+package broker
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/share"
+	"notchhinge/policy"
+)
+
+// BenchmarkPools is what a served authorisation costs the core, from Taken to its end, with many pools of 20 boxes each
+// against one; B/pool is what a pool with its boxes takes of the heap.
+func BenchmarkPools(b *testing.B) {
+	for _, n := range []int{1, 200} {
+		b.Run(fmt.Sprintf("%d pools of 20 boxes", n), func(b *testing.B) {
+			const boxes = 20
+			lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 512, Sockets: 65536},
+				limits.Site{ConnectTimeout: sec / 10, IdleClose: 5 * sec, MaxAttempts: 3, LongestDeadline: 10 * sec})
+			before := heap()
+			c, now := New(lim), 1000*sec
+			for p := range n {
+				c.Reduce(now, PoolSet{Pool: pool.ID(p), Name: fmt.Sprint("p", p), Module: module(b), WarmUp: sec, ColdFrom: 0.5,
+					Places: share.Claim{Guarantee: int64(lim.Open / n / 2)}})
+				l := Listed{Pool: pool.ID(p), Kind: policy.ListFull}
+				for i := range boxes {
+					l.Hosts = append(l.Hosts, Host{Name: fmt.Sprintf("b%d-%d", p, i), Dial: fmt.Sprintf("127.0.%d.%d:80", p, i), Weight: 1})
+				}
+				c.Reduce(now, l)
+			}
+			grown := heap() - before
+			b.ReportMetric(float64(grown)/float64(n), "B/pool")
+			i := 0
+			for b.Loop() {
+				i++
+				now += 100 * time.Microsecond
+				var leg LegID
+				for _, e := range c.Reduce(now, Taken{From: i, Pool: pool.ID(i % n), At: now, Request: policy.Request{Session: uint64(i%5000 + 1), ExpiresIn: sec}}) {
+					if s, ok := e.(SendLeg); ok {
+						leg = s.Leg
+					}
+				}
+				c.Reduce(now, LegBegan{leg})
+				c.Reduce(now, LegEnded{Leg: leg, Result: policy.OK})
+			}
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/broker/trace_test.go
+++ b/internal/broker/trace_test.go
@@ -85,10 +85,8 @@
 		b.Run(name, func(b *testing.B) {
 			lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024},
 				limits.Site{ConnectTimeout: sec / 10, IdleClose: 5 * sec, MaxAttempts: 3, LongestDeadline: 10 * sec})
-			x, err := New(settings(), 7, lim)
-			if err != nil {
-				b.Fatal(err)
-			}
+			x := New(lim)
+			x.Reduce(1000*sec, PoolSet{Module: module(b), WarmUp: sec, ColdFrom: 0.5})
 			r := &rig{Broker: x, now: 1000 * sec}
 			if on {
 				traced(r, trace.Options{Share: 0.01})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,12 +26,47 @@
 	Discovery string
 	Seed      uint64
 	Known     registry.List
+	Module
+	Limits limits.Limits
+}
+
+// Module is what the platform's settings say for one decision module.
+type Module struct {
 	Settings  policy.Settings
 	Columns   []string        // names of the values of a load report on the wire, as the settings give them
 	Zones     []string        // names of the zones, by their numbers
 	Piggyback bool            // any answer may carry a load report
 	TokenAims []time.Duration // by class: time wanted between tokens, on average; may be short of classes
-	Limits    limits.Limits
+}
+
+// LoadModule reads a file with the settings of one more module, in the form that they have in the platform's JSON.
+func LoadModule(path string, seed uint64) (Module, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Module{}, err
+	}
+	m, _, err := parseModule(text, seed)
+	if err != nil {
+		return Module{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return m, nil
+}
+
+func parseModule(text []byte, seed uint64) (m Module, r rest, err error) {
+	if m.Settings, err = wire.ParseSettings(text); err != nil {
+		return m, r, err
+	}
+	if _, err := policy.New(m.Settings, seed); err != nil { // the module checks its settings itself
+		return m, r, err
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		return m, r, fmt.Errorf("settings: %w", err)
+	}
+	for _, us := range r.FamilyInfo.TokenAim {
+		m.TokenAims = append(m.TokenAims, micros(us))
+	}
+	m.Columns, m.Zones, m.Piggyback = r.Report.Columns, r.AZs, r.Report.How == "piggyback"
+	return m, r, nil
 }
 
 // file mirrors the platform's JSON.
@@ -119,40 +154,27 @@
 		return nil, fmt.Errorf("limits: cores %v, memory_mb %d, sockets %d: above 0, 16 or more and 64 or more wanted",
 			f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets)
 	}
-	told, err := wire.ParseSettings(f.Settings)
+	m, r, err := parseModule(f.Settings, seed)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := policy.New(told, seed); err != nil { // the module checks its settings itself
-		return nil, err
-	}
-	var r rest
-	if err := json.Unmarshal(f.Settings, &r); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
 	if _, err := f.Known.Entries(r.AZs); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	var longest time.Duration
-	for _, g := range told.Classes {
+	for _, g := range m.Settings.Classes {
 		longest = max(longest, g.Deadline)
 	}
-	var tokenAims []time.Duration
-	for _, us := range r.FamilyInfo.TokenAim {
-		tokenAims = append(tokenAims, micros(us))
-	}
 	if r.Limits.IdleClose <= 0 {
 		return nil, errors.New("settings: limits.idleClose must be above 0")
 	}
 	return &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Known: f.Known,
-		TokenAims: tokenAims,
-		Settings:  told, Columns: r.Report.Columns, Zones: r.AZs, Piggyback: r.Report.How == "piggyback",
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Known: f.Known, Module: m,
 		Limits: limits.New(
 			limits.Machine{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets},
 			limits.Site{
 				ConnectTimeout: micros(r.Limits.ConnectTimeout), IdleClose: micros(r.Limits.IdleClose),
-				MaxOpen: r.Limits.MaxOpen, MaxAttempts: told.Limits.MaxAttempts, LongestDeadline: longest,
+				MaxOpen: r.Limits.MaxOpen, MaxAttempts: m.Settings.Limits.MaxAttempts, LongestDeadline: longest,
 			}),
 	}, nil
 }
@@ -169,10 +191,29 @@
 	if err != nil || f.Batch == nil {
 		return f, nil, err
 	}
+	for _, p := range f.Pools {
+		for _, k := range p.Classes {
+			if _, known := classes[k.Name]; !known {
+				classes[k.Name] = len(classes)
+			}
+		}
+		if p.Settings == "" {
+			continue
+		}
+		m, err := LoadModule(p.Settings, c.Seed)
+		if err != nil {
+			return nil, nil, err
+		}
+		for _, k := range m.Settings.Classes {
+			if _, known := classes[k.Name]; !known {
+				classes[k.Name] = len(classes)
+			}
+		}
+	}
 	b := &batch.Config{Listen: f.Batch.Listen, Spool: f.Batch.Spool}
 	for _, k := range f.Contracts {
 		b.Contracts = append(b.Contracts, batch.Contract{
-			Team: k.Team, KeyEnv: k.KeyEnv, Classes: k.Classes, Lines: k.Lines, AtOnce: k.AtOnce,
+			Team: k.Team, KeyEnv: k.KeyEnv, Service: k.Service, Classes: k.Classes, Lines: k.Lines, AtOnce: k.AtOnce,
 			BudgetTokens: k.BudgetTokens, BudgetPeriod: batch.Period(k.BudgetPeriod),
 			LineDeadline: batch.Period(k.LineDeadline), OpenAPI: k.OpenAPI,
 		})
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -18,6 +18,8 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/framing"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/share"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
@@ -41,37 +43,82 @@
 
 // Config is what a Client is made of.
 type Config struct {
-	Lim       limits.Limits
-	Columns   []string // of load reports
-	Stats     bool     // a probe asks for the load report
-	Piggyback bool     // any answer may carry one
-	Post      func(broker.Event)
-	Now       broker.Clock // for the times of traced legs
-	Dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	Lim limits.Limits
+	Reports
+	Post func(broker.Event)
+	Now  broker.Clock // for the times of traced legs
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Client does what the broker asks of issuer hosts.
 type Client struct {
 	Config
-	pool pool
-	mu   sync.Mutex
-	legs map[broker.LegID]*leg
+	lines lines
+	mu    sync.Mutex
+	legs  map[broker.LegID]*leg
+	pools map[pool.ID]*Reports // where they are not the Config's
+}
+
+// Reports say how a pool's hosts tell of their load.
+type Reports struct {
+	Columns   []string // of load reports
+	Stats     bool     // a probe asks for the load report
+	Piggyback bool     // any answer may carry one
 }
 
 // New returns a client.
 func New(c Config) *Client {
 	return &Client{
-		Config: c, legs: map[broker.LegID]*leg{},
-		pool: pool{lim: c.Lim, dial: c.Dial, post: c.Post, idle: map[dest][]*line{}},
+		Config: c, legs: map[broker.LegID]*leg{}, pools: map[pool.ID]*Reports{},
+		lines: lines{
+			lim: c.Lim, dial: c.Dial, post: c.Post, idle: map[dest][]*line{}, stock: share.New(int64(c.Lim.IssuerConns)),
+		},
 	}
 }
 
+// Set says how a pool's hosts report, and what part of the lines is the pool's. It holds for legs sent from now on.
+func (c *Client) Set(id pool.ID, r Reports, lines share.Claim) {
+	c.mu.Lock()
+	c.pools[id] = &r
+	c.mu.Unlock()
+	c.lines.mu.Lock()
+	c.lines.stock.Set(int(id), lines)
+	c.lines.mu.Unlock()
+}
+
+// End closes a pool's idle lines and forgets the pool. Its legs are over.
+func (c *Client) End(id pool.ID) {
+	c.lines.closeIf(func(to dest) bool { return to.pool == id })
+	c.mu.Lock()
+	delete(c.pools, id)
+	c.mu.Unlock()
+	c.lines.mu.Lock()
+	c.lines.stock.End(int(id))
+	c.lines.mu.Unlock()
+}
+
+// Lines tells how many lines a pool has, idle ones included.
+func (c *Client) Lines(id pool.ID) int {
+	c.lines.mu.Lock()
+	defer c.lines.mu.Unlock()
+	return int(c.lines.stock.Held(int(id)))
+}
+
+// reports is how a pool's hosts report. The lock is held.
+func (c *Client) reports(id pool.ID) *Reports {
+	if r := c.pools[id]; r != nil {
+		return r
+	}
+	return &c.Config.Reports
+}
+
 // leg is a leg that is out.
 type leg struct {
 	cancel  context.CancelFunc
 	verdict chan struct{} // the leg is bound
 	line    *line
 	dropped bool
+	reports *Reports
 	span    *trace.Context // what it carries to its host; nil where nothing is traced
 	times   *trace.Times   // likewise
 	began   time.Time
@@ -95,7 +142,7 @@
 		l.span, l.times = &span.Context, &span.Times
 	}
 	c.mu.Lock()
-	c.legs[e.Leg] = l
+	c.legs[e.Leg], l.reports = l, c.reports(e.Pool)
 	c.mu.Unlock()
 	go c.run(ctx, l, e)
 }
@@ -129,10 +176,10 @@
 }
 
 // HangUp does broker.HangUp.
-func (c *Client) HangUp(number uint64) { c.pool.hangUp(number) }
+func (c *Client) HangUp(number uint64) { c.lines.hangUp(number) }
 
 // Close closes the idle lines.
-func (c *Client) Close() { c.pool.closeAll() }
+func (c *Client) Close() { c.lines.closeIf(func(dest) bool { return true }) }
 
 func (c *Client) run(ctx context.Context, l *leg, e broker.SendLeg) {
 	end := broker.LegEnded{Leg: e.Leg}
@@ -149,7 +196,7 @@
 		}
 		c.Post(end)
 		if keep != nil && !dropped {
-			c.pool.put(keep)
+			c.lines.put(keep)
 		} else if l.line != nil {
 			l.line.Close()
 		}
@@ -159,7 +206,7 @@
 		l.at = c.Now()
 		l.times.Begun = l.at
 	}
-	ln, err := c.pool.get(ctx, dest{e.Host, e.Dial}, min(c.Lim.ConnectWait, e.Wait))
+	ln, err := c.lines.get(ctx, dest{e.Host, e.Dial, e.Pool}, min(c.Lim.ConnectWait, e.Wait))
 	if err != nil {
 		end.Result = policy.ConnectFailed
 		return
@@ -196,8 +243,8 @@
 		end.Stale = end.Result == policy.Reset && ln.br.Buffered() == 0 && c.stale(ln)
 		return
 	}
-	if c.Piggyback {
-		end.Report = ParseReport(resp.Header.Get(loadHeader), c.Columns)
+	if l.reports.Piggyback {
+		end.Report = ParseReport(resp.Header.Get(loadHeader), l.reports.Columns)
 	}
 	if resp.StatusCode != http.StatusOK {
 		end.Result = refusal(resp)
@@ -217,7 +264,7 @@
 	if ln.number == 0 {
 		return false
 	}
-	c.pool.clear(ln.to)
+	c.lines.clear(ln.to)
 	return true
 }
 
@@ -272,7 +319,7 @@
 		l.stamp(&l.times.Bound, relay)
 	}
 	for {
-		c.note(part, end)
+		l.note(part, end)
 		l.passed(part)
 		if werr := to.Relay(part); werr != nil {
 			c.Post(broker.Departed{From: e.From})
@@ -333,14 +380,14 @@
 }
 
 // note takes from passing events what the module wants to know.
-func (c *Client) note(part []byte, end *broker.LegEnded) {
+func (l *leg) note(part []byte, end *broker.LegEnded) {
 	if n, ok := number(part, `"cached_tokens":`); ok {
 		end.Kept = float64(n)
 	}
 	const comment = "\n: " + loadHeader + ":"
-	if at := bytes.LastIndex(part, []byte(comment)); c.Piggyback && at >= 0 {
+	if at := bytes.LastIndex(part, []byte(comment)); l.reports.Piggyback && at >= 0 {
 		text, _, _ := bytes.Cut(part[at+len(comment):], []byte("\n"))
-		end.Report = ParseReport(string(text), c.Columns)
+		end.Report = ParseReport(string(text), l.reports.Columns)
 	}
 }
 
@@ -361,21 +408,24 @@
 // Probe does broker.Probe. It does not wait.
 func (c *Client) Probe(e broker.Probe) {
 	go func() {
-		p := broker.Probed{Host: e.Host, Sent: e.Sent}
-		p.Result, p.Report = c.probe(dest{e.Host, e.Dial})
+		p := broker.Probed{Pool: e.Pool, Host: e.Host, Sent: e.Sent}
+		c.mu.Lock()
+		r := c.reports(e.Pool)
+		c.mu.Unlock()
+		p.Result, p.Report = c.probe(dest{e.Host, e.Dial, e.Pool}, r)
 		c.Post(p)
 	}()
 }
 
-func (c *Client) probe(to dest) (policy.Result, policy.Report) {
+func (c *Client) probe(to dest, r *Reports) (policy.Result, policy.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Lim.ProbeWait)
 	defer cancel()
-	ln, err := c.pool.get(ctx, to, c.Lim.ConnectWait)
+	ln, err := c.lines.get(ctx, to, c.Lim.ConnectWait)
 	if err != nil {
 		return policy.ConnectFailed, policy.Report{}
 	}
 	path := "/health/live"
-	if c.Stats {
+	if r.Stats {
 		path = "/stats"
 	}
 	until := time.Now().Add(c.Lim.ProbeWait)
@@ -392,7 +442,7 @@
 	if err != nil || resp.Close || len(body) >= c.Lim.ReadBuffer {
 		ln.Close()
 	} else {
-		c.pool.put(ln)
+		c.lines.put(ln)
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -406,7 +456,7 @@
 	if h := resp.Header.Get(loadHeader); h != "" {
 		text = h
 	}
-	return policy.OK, ParseReport(text, c.Columns)
+	return policy.OK, ParseReport(text, r.Columns)
 }
 
 // errSpoilt is an answer that cannot be read, on a connection that works: its host lives, and may have run what
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -15,6 +15,7 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/exchange"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/share"
 	"notchhinge/policy"
 )
 
@@ -46,7 +47,8 @@
 	d := &desk{}
 	lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 1024},
 		limits.Site{ConnectTimeout: 100 * time.Millisecond, IdleClose: 5 * time.Second})
-	d.Client = New(Config{Lim: lim, Columns: []string{"x1", "concurrent"}, Stats: true, Piggyback: true, Dial: dial,
+	d.Client = New(Config{Lim: lim, Dial: dial,
+		Reports: Reports{Columns: []string{"x1", "concurrent"}, Stats: true, Piggyback: true},
 		Post: func(e broker.Event) {
 			switch e := e.(type) {
 			case broker.LegBegan:
@@ -165,8 +167,8 @@
 				d.Send(send(0, &customer{}))
 				time.Sleep(time.Second)
 				synctest.Wait()
-				if len(d.ends) != 1 || d.ends[0].Result != policy.ConnectFailed || d.pool.open != 0 {
-					t.Errorf("ends %v after %v, %d lines open", d.ends, time.Since(began), d.pool.open)
+				if len(d.ends) != 1 || d.ends[0].Result != policy.ConnectFailed || d.lines.open != 0 {
+					t.Errorf("ends %v after %v, %d lines open", d.ends, time.Since(began), d.lines.open)
 				}
 			})
 		})
@@ -191,11 +193,11 @@
 			t.Errorf("parked, %d more connections (-want +got):\n%s", len(far), diff)
 		}
 		d.HangUp(1) // parked anew since: nothing
-		if d.pool.open != 1 {
+		if d.lines.open != 1 {
 			t.Error("a line was hung up under its old number")
 		}
 		d.HangUp(2)
-		if d.pool.open != 0 || len(d.pool.idle) != 0 {
+		if d.lines.open != 0 || len(d.lines.idle) != 0 {
 			t.Error("the line was not hung up")
 		}
 	})
@@ -239,8 +241,8 @@
 		d.Send(send(3, c))
 		play(t, <-far, "reset")
 		synctest.Wait()
-		if len(d.ends) != 4 || !d.ends[2].Stale || d.ends[3].Stale || d.pool.open != 0 {
-			t.Errorf("ends %v, %d lines open", d.ends, d.pool.open)
+		if len(d.ends) != 4 || !d.ends[2].Stale || d.ends[3].Stale || d.lines.open != 0 {
+			t.Errorf("ends %v, %d lines open", d.ends, d.lines.open)
 		}
 	})
 }
@@ -255,8 +257,8 @@
 		d.Drop(broker.LegID{Auth: 1})
 		play(t, conn, "is_closed")
 		synctest.Wait()
-		if len(d.ends) != 1 || d.pool.open != 0 || len(d.legs) != 0 {
-			t.Errorf("ends %v, %d lines, %d legs", d.ends, d.pool.open, len(d.legs))
+		if len(d.ends) != 1 || d.lines.open != 0 || len(d.legs) != 0 {
+			t.Errorf("ends %v, %d lines, %d legs", d.ends, d.lines.open, len(d.legs))
 		}
 	})
 }
@@ -285,18 +287,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		dial, far := pipes()
 		d := newDesk(dial)
-		d.pool.lim.IssuerConns = 1
-		first, err := d.pool.get(t.Context(), dest{1, "a"}, time.Second)
+		d.lines.stock.Resize(1)
+		d.Set(0, d.Reports, share.Claim{Guarantee: 1})
+		first, err := d.lines.get(t.Context(), dest{1, "a", 0}, time.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := d.pool.get(t.Context(), dest{2, "a"}, time.Second); !errors.Is(err, errNoRoom) {
+		if _, err := d.lines.get(t.Context(), dest{2, "a", 0}, time.Second); !errors.Is(err, errNoRoom) {
 			t.Errorf("a second line: %v", err)
 		}
-		d.pool.put(first)
-		second, err := d.pool.get(t.Context(), dest{2, "a"}, time.Second)
-		if err != nil || d.pool.open != 1 {
-			t.Fatalf("%v, %d open", err, d.pool.open)
+		d.lines.put(first)
+		second, err := d.lines.get(t.Context(), dest{2, "a", 0}, time.Second)
+		if err != nil || d.lines.open != 1 {
+			t.Fatalf("%v, %d open", err, d.lines.open)
 		}
 		second.Close()
 		for range 2 {
--- a/internal/issuer/pool.go
+++ b/internal/issuer/lines.go
@@ -11,6 +11,8 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/share"
 	"notchhinge/policy"
 )
 
@@ -33,19 +35,23 @@
 }
 
 // dest is where a line goes. Two hosts may follow each other at one address; a line is the one's it was opened to.
+// Pools that share a host have lines of their own to it, so that each line counts against one pool's part of the
+// descriptors and a busy pool cannot use another's up.
 type dest struct {
 	host policy.ReplicaID
 	addr string
+	pool pool.ID
 }
 
-// pool holds the lines that are idle and counts all of them.
-type pool struct {
+// lines holds the lines that are idle and counts all of them.
+type lines struct {
 	lim  limits.Limits
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	post func(broker.Event)
 
 	mu     sync.Mutex
 	idle   map[dest][]*line // the latest last
+	stock  *share.Stock     // of all lines, by pool
 	open   int
 	number uint64
 }
@@ -53,7 +59,7 @@
 var errNoRoom = errors.New("too many lines to issuer hosts")
 
 // get returns the line that was used last, or opens one.
-func (p *pool) get(ctx context.Context, to dest, wait time.Duration) (*line, error) {
+func (p *lines) get(ctx context.Context, to dest, wait time.Duration) (*line, error) {
 	for {
 		l, err := p.take(to)
 		if err != nil {
@@ -71,43 +77,58 @@
 	defer cancel()
 	conn, err := p.dial(ctx, "tcp", to.addr)
 	if err != nil {
-		p.release()
+		p.release(to.pool)
 		return nil, err
 	}
-	return &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.HeadBytes), to: to, closed: p.release}, nil
+	l := &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.HeadBytes), to: to}
+	l.closed = func() { p.release(to.pool) }
+	return l, nil
 }
 
 // take takes the latest idle line to a host. Where there is none, it makes room for a new one and counts
 // it; for that an idle line to another may have to go.
-func (p *pool) take(to dest) (*line, error) {
-	p.mu.Lock()
-	var victim *line
+func (p *lines) take(to dest) (*line, error) {
+	var victims []*line
 	defer func() {
-		p.mu.Unlock()
-		if victim != nil {
-			victim.Close()
+		for _, l := range victims {
+			l.Conn.Close()
 		}
 	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if s := p.idle[to]; len(s) > 0 {
 		l := s[len(s)-1]
 		p.keep(to, s[:len(s)-1])
 		return l, nil
 	}
-	if p.open >= p.lim.IssuerConns {
-		for other, s := range p.idle {
-			victim = s[0]
-			p.keep(other, s[1:])
-			break
-		}
-		if victim == nil {
+	for !p.stock.Take(int(to.pool), 1) {
+		l := p.victim(to.pool)
+		if l == nil {
 			return nil, errNoRoom
 		}
+		l.once.Do(func() { // it counts no more from now on, and closed must not count it again
+			p.open--
+			p.stock.Give(int(l.to.pool), 1)
+		})
+		victims = append(victims, l)
 	}
 	p.open++
 	return nil, nil
 }
 
-func (p *pool) keep(to dest, s []*line) {
+// victim takes out an idle line that may go for a new one of a pool: one of its own, or one that another pool has
+// beyond its guarantee.
+func (p *lines) victim(of pool.ID) *line {
+	for to, s := range p.idle {
+		if to.pool == of || p.stock.Over(int(to.pool)) {
+			p.keep(to, s[1:])
+			return s[0]
+		}
+	}
+	return nil
+}
+
+func (p *lines) keep(to dest, s []*line) {
 	if len(s) == 0 {
 		delete(p.idle, to)
 		return
@@ -115,14 +136,15 @@
 	p.idle[to] = s
 }
 
-func (p *pool) release() {
+func (p *lines) release(of pool.ID) {
 	p.mu.Lock()
 	p.open--
+	p.stock.Give(int(of), 1)
 	p.mu.Unlock()
 }
 
 // put parks a line that can serve again; the broker has it hung up before the host would.
-func (p *pool) put(l *line) {
+func (p *lines) put(l *line) {
 	p.mu.Lock()
 	if l.br.Buffered() > 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
 		p.mu.Unlock()
@@ -138,7 +160,7 @@
 }
 
 // hangUp closes the line that is parked under a number, if it still is.
-func (p *pool) hangUp(number uint64) {
+func (p *lines) hangUp(number uint64) {
 	p.mu.Lock()
 	var l *line
 	for to, s := range p.idle {
@@ -156,27 +178,25 @@
 	}
 }
 
-// clear closes the idle lines to a host.
-func (p *pool) clear(to dest) {
+// closeIf closes the idle lines to the places that are picked.
+func (p *lines) closeIf(pick func(dest) bool) {
+	var all []*line
 	p.mu.Lock()
-	lines := p.idle[to]
-	delete(p.idle, to)
+	for to, s := range p.idle {
+		if pick(to) {
+			all = append(all, s...)
+			delete(p.idle, to)
+		}
+	}
 	p.mu.Unlock()
-	for _, l := range lines {
+	for _, l := range all {
 		l.Close()
 	}
 }
 
-func (p *pool) closeAll() {
-	p.mu.Lock()
-	all := p.idle
-	p.idle = map[dest][]*line{}
-	p.mu.Unlock()
-	for _, s := range all {
-		for _, l := range s {
-			l.Close()
-		}
-	}
+// clear closes the idle lines to a host, those of other pools included: what ended one ended them all.
+func (p *lines) clear(to dest) {
+	p.closeIf(func(other dest) bool { return other.addr == to.addr && other.host == to.host })
 }
 
 // alive looks, without waiting, whether the host has closed an idle line or sent what nobody asked for. A
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -55,6 +55,8 @@
 	WatchPause  time.Duration // before the next call, after an answer that came at once and told nothing
 	WatchSlack  time.Duration // and what it is given beyond that
 	ListBytes   int64         // one answer of discovery
+	Feeds       int           // discoveries at once
+	BoxOverlap  time.Duration // a drain told by one pool's discovery stands so long against another's list
 	SpareAnswer time.Duration // Retry-After of what is declined for want of room
 
 	BatchConns  int           // connections to the batch API
@@ -111,6 +113,8 @@
 		WatchPause:  100 * time.Millisecond,
 		WatchSlack:  2 * time.Second,
 		ListBytes:   8 << 20,
+		Feeds:       1,
+		BoxOverlap:  30 * time.Second, // a discovery that has not heard by then, in spite of a watch, is the one to believe
 		SpareAnswer: 500 * time.Millisecond,
 
 		BatchConns:  32,
@@ -141,6 +145,21 @@
 	return l
 }
 
+// WithFeeds makes room for further discoveries and for the control socket. A few more are left for changes while the
+// program runs; Feeds is how many there may be in all.
+func (l Limits) WithFeeds(n int) Limits {
+	const changes = 8
+	taken := n - 1 + changes + ControlConns
+	l.Feeds = n + changes
+	l.AcquirerConns = max(l.AcquirerConns-(taken+1)/2, 1)
+	l.IssuerConns = max(l.IssuerConns-taken/2, 1)
+	l.Open = min(l.Open, l.IssuerConns)
+	return l
+}
+
+// ControlConns is how many may use the control socket at once.
+const ControlConns = 4
+
 // WithBatch makes room for the batch front: its connections, and the files that its lines keep open.
 func (l Limits) WithBatch(files int) Limits {
 	taken := l.BatchConns + files
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,354 @@
+// Package plan says what a file of settings comes to: which pools there are with which modules, lists and parts of the
+// process, and which requests go to which of them. It owns what stays and what goes from one plan to the next, and opens
+// nothing; the router has a plan carried out.
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"notchhinge/internal/config"
+	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/registry"
+	"notchhinge/internal/service"
+	"notchhinge/internal/settings"
+	"notchhinge/internal/share"
+	"notchhinge/policy"
+)
+
+// Plan is what a process serves. It does not change.
+type Plan struct {
+	Directory *service.Directory
+	Pools     []Pool // in the order of the file
+	next      pool.ID
+}
+
+// Pool is one pool of a plan.
+type Pool struct {
+	ID        pool.ID
+	Name      string // "" = the platform's, without a file
+	Discovery string
+	Selection registry.Selection
+	Module    config.Module
+	Seed      uint64
+
+	Places, Lines, Bodies, Calls share.Claim
+	Turns                        float64       // of the loop, against other pools
+	Legs                         int           // 0 = as the settings allow
+	RetryAfter                   time.Duration // with what there is no room for
+
+	made string // of what the module was made
+}
+
+// Make makes the plan of a configuration and of the operator's file, which may be nil. running is the plan that it is to
+// follow, or nil at the start. The error is settings.Faults, every one of them.
+func Make(cfg *config.Config, f *settings.File, running *Plan) (*Plan, error) {
+	p := &Plan{}
+	if running != nil {
+		p.next = running.next
+	}
+	if f == nil || len(f.Services) == 0 {
+		p.plain(cfg, running)
+		return p, nil
+	}
+	faults := p.pools(cfg, f, running)
+	if len(faults) == 0 {
+		numbers := map[string]int{}
+		var views []*service.Pool
+		for i := range p.Pools {
+			q := &p.Pools[i]
+			numbers[q.Name] = int(q.ID)
+			views = append(views, q.view())
+		}
+		table, bad := f.Table(func(name string) (int, bool) { n, ok := numbers[name]; return n, ok })
+		if len(bad) > 0 { // the file was checked for these
+			return nil, fmt.Errorf("routes: %w", bad[0])
+		}
+		p.Directory = service.New(table, true, views...)
+		faults = p.contracts(f)
+	}
+	if feeds := p.Discoveries(); len(feeds) > cfg.Limits.Feeds && running != nil {
+		faults = append(faults, f.Fault([]string{"pool", "0"}, "%d discoveries; there is room for %d until the next start", len(feeds),
+			cfg.Limits.Feeds))
+	}
+	if len(faults) > 0 {
+		return nil, faults.Sorted()
+	}
+	return p, nil
+}
+
+// plain is the platform's case: one pool with the platform's own settings. Its module stays whatever the settings say
+// later, as the platform has it.
+func (p *Plan) plain(cfg *config.Config, running *Plan) {
+	q := Pool{Discovery: cfg.Discovery, Module: cfg.Module, Seed: cfg.Seed, RetryAfter: cfg.Limits.SpareAnswer}
+	if old := running.named(""); old != nil {
+		q.ID, q.Module, q.Seed = old.ID, old.Module, old.Seed
+	} else {
+		q.ID = p.take()
+	}
+	p.Pools = []Pool{q}
+	view := q.view()
+	view.MaxBudget = cfg.Limits.MaxBudget
+	p.Directory = service.Plain(view)
+}
+
+func (p *Plan) take() pool.ID {
+	id := p.next
+	p.next++
+	return id
+}
+
+// named finds a pool by its name.
+func (p *Plan) named(name string) *Pool {
+	if p == nil {
+		return nil
+	}
+	if i := slices.IndexFunc(p.Pools, func(q Pool) bool { return q.Name == name }); i >= 0 {
+		return &p.Pools[i]
+	}
+	return nil
+}
+
+// pools makes the pools of a file.
+func (p *Plan) pools(cfg *config.Config, f *settings.File, running *Plan) (faults settings.Faults) {
+	guarantees := guarantees(f.Pools)
+	followed := map[pool.ID]bool{}
+	for i, s := range f.Pools {
+		at := []string{"pool", strconv.Itoa(i)}
+		q := Pool{Name: s.Name, Discovery: cfg.Discovery, Module: cfg.Module, Seed: cfg.Seed}
+		if s.Discovery != "" {
+			q.Discovery = s.Discovery
+		}
+		if s.Select != nil {
+			q.Selection = registry.Selection{
+				Sites: s.Select.Sites, Blocks: s.Select.Blocks, Classes: s.Select.Classes, Names: s.Select.Names,
+			}
+		}
+		if s.Settings != "" {
+			m, err := config.LoadModule(s.Settings, cfg.Seed)
+			if err != nil {
+				faults = append(faults, f.Fault(append(at, "settings"), "%v", err))
+				continue
+			}
+			q.Module = m
+		}
+		if bad := classes(&q.Module, s.Classes, func(j int, says string) settings.Fault {
+			return f.Fault(append(slices.Clone(at), "class", strconv.Itoa(j), "name"), "%s", says)
+		}); len(bad) > 0 {
+			faults = append(faults, bad...)
+			continue
+		}
+		if _, err := policy.New(q.Module.Settings, q.Seed); err != nil { // with what its classes have otherwise
+			faults = append(faults, f.Fault(at, "%v", err))
+			continue
+		}
+		q.limit(&cfg.Limits, s.Limits, guarantees[i])
+		made, err := json.Marshal(q.Module)
+		if err != nil {
+			faults = append(faults, f.Fault(append(at, "settings"), "%v", err))
+			continue
+		}
+		q.made = string(made)
+		q.ID = -1
+		for _, name := range []string{s.Name, s.Was} {
+			// A module keeps to the settings that it was made with: with others it is another one.
+			if old := running.named(name); old != nil && name != "" && old.made == q.made && !followed[old.ID] {
+				q.ID = old.ID
+				break
+			}
+		}
+		if q.ID < 0 {
+			q.ID = p.take()
+		}
+		followed[q.ID] = true
+		p.Pools = append(p.Pools, q)
+	}
+	return faults
+}
+
+// classes keeps a module's classes to those that a pool names, and changes in them what the pool has otherwise.
+func classes(m *config.Module, some []settings.PoolClass, fault func(int, string) settings.Fault) (faults settings.Faults) {
+	if len(some) == 0 {
+		return nil
+	}
+	all, aims := m.Settings.Classes, m.TokenAims
+	m.Settings.Classes, m.TokenAims = nil, nil
+	for j, s := range some {
+		var names []string
+		found := false
+		for i, c := range all {
+			names = append(names, c.Name)
+			if c.Name != s.Name {
+				continue
+			}
+			found = true
+			set(&c.Worth, s.Worth)
+			set(&c.LateWorth, s.LateWorth)
+			set(&c.Aim, (*time.Duration)(s.Aim))
+			set(&c.AimPerKTokens, (*time.Duration)(s.AimPerKTokens))
+			set(&c.Deadline, (*time.Duration)(s.Deadline))
+			m.Settings.Classes = append(m.Settings.Classes, c)
+			var aim time.Duration
+			if i < len(aims) {
+				aim = aims[i]
+			}
+			m.TokenAims = append(m.TokenAims, aim)
+		}
+		if !found {
+			faults = append(faults, fault(j, fmt.Sprintf("class %q is not in the pool's settings; there are %q", s.Name, names)))
+		}
+	}
+	return faults
+}
+
+func set[T any](to *T, from *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
+// guarantees are the shares that pools have for themselves: those that are set, and for the others even parts of half
+// of what these leave, so that half of it stays common.
+func guarantees(pools []settings.Pool) []float64 {
+	out := make([]float64, len(pools))
+	left, without := 1.0, 0
+	for i, p := range pools {
+		if p.Limits != nil && p.Limits.Guarantee != nil {
+			out[i] = *p.Limits.Guarantee
+			left -= out[i]
+		} else {
+			without++
+		}
+	}
+	for i, p := range pools {
+		if p.Limits == nil || p.Limits.Guarantee == nil {
+			out[i] = max(left, 0) / 2 / float64(without)
+		}
+	}
+	return out
+}
+
+// limit sets a pool's parts of the process.
+func (q *Pool) limit(l *limits.Limits, s *settings.PoolLimits, guarantee float64) {
+	most := 1.0
+	q.RetryAfter, q.Turns = l.SpareAnswer, max(guarantee, 0.01)
+	if s == nil {
+		s = &settings.PoolLimits{}
+	}
+	if s.Most != nil {
+		most = *s.Most
+	}
+	if s.RetryAfter != nil {
+		q.RetryAfter = time.Duration(*s.RetryAfter)
+	}
+	q.Legs = s.Legs
+	part := func(total, bound int64) share.Claim {
+		c := share.Claim{Guarantee: int64(guarantee * float64(total)), Most: max(int64(math.Ceil(most*float64(total))), 1)}
+		if bound > 0 {
+			c.Most = min(c.Most, bound)
+		}
+		c.Guarantee = min(c.Guarantee, c.Most)
+		return c
+	}
+	q.Places = part(int64(l.Open), int64(s.Open))
+	q.Lines = part(int64(l.IssuerConns), int64(s.Lines))
+	q.Bodies = part(l.BodiesBytes, int64(s.BodyMB)<<20)
+	q.Calls = part(int64(l.AcquirerConns), 0)
+}
+
+// view is a pool as the fronts see it.
+func (q *Pool) view() *service.Pool {
+	var longest time.Duration
+	for _, c := range q.Module.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return &service.Pool{
+		ID: q.ID, Name: q.Name, Classes: q.Module.Settings.Classes, RetryAfter: q.RetryAfter, MaxBudget: max(4*longest, time.Minute),
+	}
+}
+
+// contracts says which contracts have classes that a pool of their service does not know.
+func (p *Plan) contracts(f *settings.File) (faults settings.Faults) {
+	for i, k := range f.Contracts {
+		if k.Service == "" {
+			continue
+		}
+		s := f.Services[slices.IndexFunc(f.Services, func(s settings.Service) bool { return s.Name == k.Service })]
+		names := []string{s.Pool}
+		if s.Pool == "" {
+			names = nil
+			for _, part := range s.Split {
+				names = append(names, part.Pool)
+			}
+		}
+		for _, name := range names {
+			known := p.named(name).view().Classes
+			for _, c := range k.Classes {
+				if !slices.ContainsFunc(known, func(x policy.Class) bool { return x.Name == c }) {
+					faults = append(faults, f.Fault([]string{"contract", strconv.Itoa(i), "classes"},
+						"pool %q of service %q has no class %q", name, k.Service, c))
+				}
+			}
+		}
+	}
+	return faults
+}
+
+// Discoveries lists the addresses that the plan's pools have their lists from.
+func (p *Plan) Discoveries() []string {
+	var all []string
+	for _, q := range p.Pools {
+		if !slices.Contains(all, q.Discovery) {
+			all = append(all, q.Discovery)
+		}
+	}
+	return all
+}
+
+// Changes are what leads from one plan to the next.
+type Changes struct {
+	Added   []Pool
+	Kept    []Pool
+	Moved   []Pool // of Kept: with another list or another part of it
+	Ended   []Pool // of the plan before
+	Renamed map[string]string
+}
+
+// From says what leads from another plan, or from none, to this one.
+func (p *Plan) From(running *Plan) Changes {
+	c := Changes{Renamed: map[string]string{}}
+	old := map[pool.ID]*Pool{}
+	if running != nil {
+		for i := range running.Pools {
+			old[running.Pools[i].ID] = &running.Pools[i]
+		}
+	}
+	for _, q := range p.Pools {
+		was := old[q.ID]
+		if was == nil {
+			c.Added = append(c.Added, q)
+			continue
+		}
+		delete(old, q.ID)
+		c.Kept = append(c.Kept, q)
+		if was.Name != q.Name {
+			c.Renamed[was.Name] = q.Name
+		}
+		if was.Discovery != q.Discovery || !was.Selection.Equal(&q.Selection) {
+			c.Moved = append(c.Moved, q)
+		}
+	}
+	if running != nil {
+		for _, q := range running.Pools {
+			if old[q.ID] != nil {
+				c.Ended = append(c.Ended, q)
+			}
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,174 @@
+package plan
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"notchhinge/internal/config"
+	"notchhinge/internal/route"
+	"notchhinge/internal/settings"
+	"notchhinge/internal/share"
+)
+
+func base(t *testing.T) *config.Config {
+	t.Helper()
+	c, err := config.Load(func(name string) string {
+		return map[string]string{"BALANCER_CONFIG": "../config/testdata/config.json"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Limits = c.Limits.WithFeeds(2)
+	return c
+}
+
+func file(t *testing.T, text string) *settings.File {
+	t.Helper()
+	f, err := settings.Parse([]byte(text), filepath.Join(t.TempDir(), "f"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func serviceOf(name, to string) string {
+	return fmt.Sprintf("[[service]]\nname = %q\n%s\n[[service.route]]\nhost = \"%s.example.org\"\n", name, to, name)
+}
+
+func poolOf(name, more string) string { return fmt.Sprintf("[[pool]]\nname = %q\n%s\n", name, more) }
+
+func make1(t *testing.T, text string, running *Plan) *Plan {
+	t.Helper()
+	p, err := Make(base(t), file(t, text), running)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func says(c Changes) string {
+	list := func(pools []Pool) (s []string) {
+		for _, p := range pools {
+			s = append(s, fmt.Sprintf("%s=%d", p.Name, p.ID))
+		}
+		return s
+	}
+	return fmt.Sprint("added ", list(c.Added), " kept ", list(c.Kept), " moved ", list(c.Moved), " ended ", list(c.Ended), " renamed ", c.Renamed)
+}
+
+// TestChanges follows one file through what operators do to it.
+func TestChanges(t *testing.T) {
+	var p *Plan
+	two := serviceOf("runs", `pool = "runs"`) + serviceOf("calib", `pool = "calib"`)
+	for i, c := range []struct{ text, want string }{
+		{"", "added [=0] kept [] moved [] ended [] renamed map[]"},
+		{"", "added [] kept [=0] moved [] ended [] renamed map[]"},
+		{two + poolOf("runs", "") + poolOf("calib", ""), "added [runs=1 calib=2] kept [] moved [] ended [=0] renamed map[]"},
+		{two + poolOf("calib", "[pool.limits]\nguarantee = 0.5") + poolOf("runs", ""), "added [] kept [calib=2 runs=1] moved [] ended [] renamed map[]"},
+		{two + poolOf("runs", "select = {blocks = [3]}") + poolOf("calib", `discovery = "127.0.0.1:9"`),
+			"added [] kept [runs=1 calib=2] moved [runs=1 calib=2] ended [] renamed map[]"},
+		{serviceOf("runs", `pool = "fast"`) + poolOf("fast", `was = "runs"`), "added [] kept [fast=1] moved [fast=1] ended [calib=2] renamed map[runs:fast]"},
+		{two + poolOf("runs", `was = "fast"`) + poolOf("calib", ""), "added [calib=3] kept [runs=1] moved [] ended [] renamed map[fast:runs]"},
+		{two + poolOf("runs", "[[pool.class]]\nname = \"doc-lookup\"\naim = \"1s\"") + poolOf("calib", ""),
+			"added [runs=4] kept [calib=3] moved [] ended [runs=1] renamed map[]"}, // a module keeps to its settings
+		{"", "added [=5] kept [] moved [] ended [runs=4 calib=3] renamed map[]"},
+	} {
+		next := make1(t, c.text, p)
+		if got := says(next.From(p)); got != c.want {
+			t.Errorf("%d: %s, want %s", i, got, c.want)
+		}
+		p = next
+	}
+}
+
+func TestAPoolTakesNoOthersConversations(t *testing.T) {
+	// Two that both say they were one: the first has it, the other begins anew.
+	p := make1(t, serviceOf("a", `pool = "a"`)+poolOf("a", ""), nil)
+	next := make1(t, serviceOf("s", `split = [{pool = "b", weight = 1}, {pool = "c", weight = 1}]`)+poolOf("b", `was = "a"`)+poolOf("c", `was = "a"`), p)
+	if got, want := says(next.From(p)), "added [c=1] kept [b=0] moved [] ended [] renamed map[a:b]"; got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
+
+func TestPartsOfAPool(t *testing.T) {
+	p := make1(t, serviceOf("s", `split = [{pool = "a", weight = 1}, {pool = "b", weight = 1}, {pool = "c", weight = 1}]`)+
+		poolOf("a", "[pool.limits]\nguarantee = 0.4\nmost = 0.5\nopen = 7\nlegs = 2\nretry_after = \"2s\"")+poolOf("b", "")+poolOf("c", ""), nil)
+	cfg := base(t)
+	var claims []share.Claim
+	for _, q := range p.Pools {
+		claims = append(claims, q.Lines)
+	}
+	if err := share.Check(int64(cfg.Limits.IssuerConns), claims); err != nil {
+		t.Error(err)
+	}
+	a, b, lines := p.Pools[0], p.Pools[1], float64(cfg.Limits.IssuerConns)
+	got := []any{a.Places, a.Lines, a.Legs, a.RetryAfter, b.Lines, b.RetryAfter, b.Legs}
+	want := []any{share.Claim{Guarantee: 7, Most: 7}, share.Claim{Guarantee: int64(0.4 * lines), Most: int64(0.5*lines + 0.5)}, 2, 2 * time.Second,
+		share.Claim{Guarantee: int64(0.15 * lines), Most: int64(lines)}, cfg.Limits.SpareAnswer, 0}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestClassesOfAPool(t *testing.T) {
+	p := make1(t, serviceOf("s", `pool = "a"`)+poolOf("a", "[[pool.class]]\nname = \"doc-lookup\"\naim = \"700ms\"\nworth = 9.5"), nil)
+	to := p.Directory.Table.Lookup(&route.Query{Host: "s.example.org", Path: "/x", Method: "POST"})
+	if to == nil {
+		t.Fatal("no route")
+	}
+	q := p.Directory.Find(to, 0)
+	n, ok := q.Class("doc-lookup")
+	if _, other := q.Class("shift-agent"); !ok || n != 0 || other || q.Classes[0].Aim != 700*time.Millisecond || q.Classes[0].Worth != 9.5 {
+		t.Errorf("%+v", q)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	one := serviceOf("s", `pool = "a"`)
+	many := ""
+	split := "[[service]]\nname = \"s\"\nsplit = ["
+	for i := range 20 {
+		many += poolOf(fmt.Sprint("p", i), fmt.Sprintf("discovery = \"127.0.0.1:%d\"", 9000+i))
+		split += fmt.Sprintf("{pool = \"p%d\", weight = 1}, ", i)
+	}
+	many += split + "]\n[[service.route]]\n"
+	for name, c := range map[string]struct {
+		text string
+		want []string
+	}{
+		"settings": {one + poolOf("a", fmt.Sprintf("settings = %q", bad)), []string{":8: pool[0].settings: "}},
+		"every class": {one + poolOf("a", "[[pool.class]]\nname = \"x\"\n[[pool.class]]\nname = \"y\""),
+			[]string{`:9: pool[0].class[0].name: class "x" is not in the pool's settings`, `:11: pool[0].class[1].name: class "y"`}},
+		"a class that the module refuses": {one + poolOf("a", "[[pool.class]]\nname = \"doc-lookup\"\nworth = 1.0\ndeadline = \"0s\""), nil},
+		"a contract's classes": {one + poolOf("a", "[[pool.class]]\nname = \"doc-lookup\"") + "[[contract]]\nteam = \"t\"\nkey_env = \"K\"\nservice = \"s\"\n" +
+			"classes = [\"shift-agent\"]\nlines = 1\nat_once = 1\nbudget_tokens = 1\nbudget_period = \"1h\"\nline_deadline = \"1m\"\n",
+			[]string{`:14: contract[0].classes: pool "a" of service "s" has no class "shift-agent"`}},
+		"discoveries": {many, []string{":1: pool[0]: 20 discoveries; there is room for 10"}},
+	} {
+		f, err := settings.Parse([]byte(c.text), "f", nil)
+		if err == nil {
+			_, err = Make(base(t), f, make1(t, "", nil))
+		}
+		var faults settings.Faults
+		if !errors.As(err, &faults) || c.want != nil && len(faults) != len(c.want) {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		for i, want := range c.want {
+			if got := faults[i].Error(); !strings.HasPrefix(strings.TrimPrefix(got, "f"), want) {
+				t.Errorf("%s: %s, want %s", name, got, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/feed.go
@@ -0,0 +1,202 @@
+package registry
+
+import (
+	"context"
+	"maps"
+	"path"
+	"slices"
+	"strings"
+	"sync"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/pool"
+	"notchhinge/policy"
+)
+
+// Selection is the part of a list that a pool has. What is empty takes all.
+type Selection struct {
+	Sites   []string
+	Blocks  []int
+	Classes []string
+	Names   []string // patterns as path.Match has them
+}
+
+// Equal tells whether two selections are the same.
+func (s *Selection) Equal(o *Selection) bool {
+	return slices.Equal(s.Sites, o.Sites) && slices.Equal(s.Blocks, o.Blocks) && slices.Equal(s.Classes, o.Classes) &&
+		slices.Equal(s.Names, o.Names)
+}
+
+// Takes tells whether an entry is part of the selection.
+func (s *Selection) Takes(e *Entry) bool {
+	return (len(s.Sites) == 0 || slices.Contains(s.Sites, e.Site)) &&
+		(len(s.Blocks) == 0 || slices.Contains(s.Blocks, e.Block)) &&
+		(len(s.Classes) == 0 || slices.Contains(s.Classes, e.Class)) &&
+		(len(s.Names) == 0 || slices.ContainsFunc(s.Names, func(p string) bool { ok, _ := path.Match(p, e.Host); return ok }))
+}
+
+func (s *Selection) all() bool {
+	return len(s.Sites)+len(s.Blocks)+len(s.Classes)+len(s.Names) == 0
+}
+
+// Feed gives what one discovery says to several pools, each its selection with its own numbers for the zones.
+type Feed struct {
+	Client *Client
+
+	post  func(broker.Event)
+	asked chan struct{}
+	stop  context.CancelFunc
+
+	mu    sync.Mutex
+	known bool             // a list has come, or was given
+	list  map[string]Entry // as last held
+	pools map[pool.ID]*member
+}
+
+type member struct {
+	sel   Selection
+	zones []string
+	has   map[string]bool // nil where it takes all
+}
+
+// NewFeed returns a feed of a discovery. c.Deliver and c.Post are the feed's.
+func NewFeed(c Client, post func(broker.Event)) *Feed {
+	f := &Feed{post: post, asked: make(chan struct{}, 1), pools: map[pool.ID]*member{}, list: map[string]Entry{}}
+	c.Deliver, c.Post = f.take, post
+	f.Client = New(c)
+	return f
+}
+
+// Run watches as it is asked to, until Stop.
+func (f *Feed) Run(ctx context.Context) {
+	ctx, f.stop = context.WithCancel(ctx)
+	go f.Client.Run(ctx, f.asked)
+}
+
+// Stop ends the watch.
+func (f *Feed) Stop() { f.stop() }
+
+// Ask has the discovery watched from now on. It does not wait; asking while a watch is on does nothing.
+func (f *Feed) Ask() {
+	select {
+	case f.asked <- struct{}{}:
+	default: // asked already
+	}
+}
+
+// Known sets the list that the feed starts with.
+func (f *Feed) Known(l List) {
+	f.Client.Known(l)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = f.known || len(l.Hosts) > 0
+	for _, e := range l.Hosts {
+		if e.Health != "Gone" {
+			f.list[e.Host] = e
+		}
+	}
+}
+
+// HasList tells whether a list has come, or was given.
+func (f *Feed) HasList() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+// Join gives a pool its selection from now on, whatever it had before, and at once what is known of it: as a list that is
+// as last held if it is new, and as a whole list otherwise. A pool that is not new keeps what it has as long as nothing
+// is known here.
+func (f *Feed) Join(id pool.ID, sel Selection, zones []string, first bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := &member{sel: sel, zones: zones}
+	if !sel.all() {
+		m.has = map[string]bool{}
+	}
+	f.pools[id] = m
+	if !first && !f.known {
+		return
+	}
+	l := List{Whole: true}
+	for _, e := range f.list {
+		l.Hosts = append(l.Hosts, e)
+	}
+	slices.SortFunc(l.Hosts, func(x, y Entry) int { return strings.Compare(x.Host, y.Host) })
+	kind := policy.ListFull
+	if first {
+		kind = policy.ListCached
+	}
+	f.tell(id, m, kind, l)
+}
+
+// Leave takes a pool out and tells whether any is left.
+func (f *Feed) Leave(id pool.ID) (left bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.pools, id)
+	return len(f.pools) > 0
+}
+
+// take hears what the discovery says. A list with an error in it is nobody's.
+func (f *Feed) take(kind policy.ListKind, l List) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(f.pools)) {
+		if err := f.tell(id, f.pools[id], kind, l); err != nil {
+			return err // the first would have it as well as any
+		}
+	}
+	if kind == policy.ListFailed {
+		return nil
+	}
+	f.known = true
+	if kind == policy.ListFull {
+		clear(f.list)
+	}
+	for _, e := range l.Hosts {
+		if e.Health == "Gone" {
+			delete(f.list, e.Host)
+		} else {
+			f.list[e.Host] = e
+		}
+	}
+	return nil
+}
+
+// tell passes a list on to a pool as its selection has it.
+func (f *Feed) tell(id pool.ID, m *member, kind policy.ListKind, l List) error {
+	if kind == policy.ListFailed {
+		f.post(broker.Listed{Pool: id, Kind: kind})
+		return nil
+	}
+	hosts, err := l.Entries(m.zones)
+	if err != nil {
+		return err
+	}
+	if m.has != nil {
+		if kind != policy.ListDelta {
+			clear(m.has)
+		}
+		some := hosts[:0]
+		for i, h := range hosts {
+			switch {
+			case m.sel.Takes(&l.Hosts[i]):
+				m.has[h.Name] = h.State != policy.Gone
+			case m.has[h.Name]: // it is of the selection no more
+				h.State, h.Left = policy.Gone, h.State != policy.Gone
+			default:
+				continue
+			}
+			if h.State == policy.Gone {
+				delete(m.has, h.Name)
+			}
+			some = append(some, h)
+		}
+		if hosts = some; len(hosts) == 0 && kind == policy.ListDelta && len(l.Hosts) > 0 {
+			return nil // it concerns others
+		}
+	}
+	f.post(broker.Listed{Pool: id, Kind: kind, Hosts: hosts})
+	return nil
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -31,6 +31,7 @@
 	Dial   string  `json:"dial"`
 	Site   string  `json:"site"`
 	Block  int     `json:"block"`
+	Class  string  `json:"class"` // of the box, where a discovery sorts them; "" = none
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
 	BornMS float64 `json:"born_ms"`
@@ -68,13 +69,12 @@
 
 // Client keeps the watch. Its calls follow one another on one connection.
 type Client struct {
-	Addr  string
-	Zones []string
-	Lim   limits.Limits
-	Post  func(broker.Event)
-	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
+	Addr    string
+	Lim     limits.Limits
+	Deliver func(policy.ListKind, List) error // news of the list, or a failed call; the error is of an entry
+	Post    func(broker.Event)                // notes
+	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 
-	moves chan string
 	seq   uint64
 	known bool
 	conn  net.Conn
@@ -82,74 +82,35 @@
 }
 
 // New returns a client of the discovery at addr.
-func New(c Client) *Client {
-	c.moves = make(chan string, 1)
-	return &c
-}
-
-// Move has the client watch another discovery from now on. It does not wait; of moves that come at once the
-// latest counts. One goroutine calls it.
-func (c *Client) Move(addr string) {
-	select {
-	case <-c.moves:
-	default:
-	}
-	c.moves <- addr
-}
+func New(c Client) *Client { return &c }
 
 // Known sets the list that the router starts with.
 func (c *Client) Known(l List) { c.seq, c.known = l.Seq, len(l.Hosts) > 0 }
 
 // Run watches each time it is asked to, until a call fails, which it reports. Asking while a watch is on is
-// no further call. A move ends the watch, which is no failure, and begins another at once.
+// no further call.
 func (c *Client) Run(ctx context.Context, asked <-chan struct{}) {
 	defer c.hangUp()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case addr := <-c.moves:
-			c.moveTo(addr)
 		case <-asked:
 		}
-		err := c.watchUntilMoved(ctx)
+		err := c.watch(ctx)
 		c.hangUp()
 		if ctx.Err() != nil {
-			return
+			return // its being told to stop is no failure
 		}
 		select {
 		case <-asked: // while the watch was on
 		default:
 		}
-		c.Post(broker.Listed{Kind: policy.ListFailed})
+		c.Deliver(policy.ListFailed, List{})
 		c.Post(broker.Note("discovery: " + err.Error()))
 	}
 }
 
-// moveTo starts over: the new discovery's versions need not follow the old one's, so that a whole list comes first.
-func (c *Client) moveTo(addr string) {
-	c.hangUp()
-	c.Addr, c.seq, c.known = addr, 0, false
-}
-
-// watchUntilMoved watches until a call fails that was not cut short by a move.
-func (c *Client) watchUntilMoved(ctx context.Context) error {
-	for {
-		watching, cancel := context.WithCancel(ctx)
-		ended := make(chan error, 1)
-		go func() { ended <- c.watch(watching) }()
-		select {
-		case err := <-ended:
-			cancel()
-			return err
-		case addr := <-c.moves:
-			cancel()
-			<-ended
-			c.moveTo(addr)
-		}
-	}
-}
-
 // watch calls again and again, each call right after the answer to the last, so that the watch goes on.
 func (c *Client) watch(ctx context.Context) error {
 	for {
@@ -158,17 +119,15 @@
 		if err != nil {
 			return err
 		}
-		hosts, err := l.Entries(c.Zones)
-		if err != nil {
-			return err
-		}
 		c.seq, c.known = l.Seq, true
 		kind := policy.ListDelta
 		if l.Whole {
 			kind = policy.ListFull
 		}
-		c.Post(broker.Listed{Kind: kind, Hosts: hosts})
-		if len(hosts) == 0 && time.Since(began) < c.Lim.WatchPause {
+		if err := c.Deliver(kind, l); err != nil {
+			return err
+		}
+		if len(l.Hosts) == 0 && time.Since(began) < c.Lim.WatchPause {
 			// Answers that do not wait must not make calls without end; the watch still goes on.
 			select {
 			case <-ctx.Done():
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,21 @@
 	"notchhinge/policy"
 )
 
+// deliver notes what a client has to say of the list, as a pool with one zone hears it.
+func deliver(got *[]broker.Event) func(policy.ListKind, List) error {
+	return func(kind policy.ListKind, l List) error {
+		if kind == policy.ListFailed {
+			*got = append(*got, broker.Listed{Kind: kind})
+			return nil
+		}
+		hosts, err := l.Entries([]string{"a"})
+		if err == nil {
+			*got = append(*got, broker.Listed{Kind: kind, Hosts: hosts})
+		}
+		return err
+	}
+}
+
 func TestWatch(t *testing.T) {
 	ready := broker.Host{Name: "s-5b", Dial: "127.0.0.9:5000", Cell: 3, Weight: 1, State: policy.Ready}
 	draining := ready
@@ -45,7 +61,7 @@
 				var got []broker.Event
 				far := make(chan net.Conn, 1)
 				cl := &Client{
-					Addr: "127.0.0.8:8500", Zones: []string{"a"},
+					Addr: "127.0.0.8:8500", Deliver: deliver(&got),
 					Lim:  limits.New(limits.Machine{Sockets: 1024}, limits.Site{}),
 					Post: func(e broker.Event) { got = append(got, e) },
 					Dial: func(context.Context, string, string) (net.Conn, error) {
@@ -79,40 +95,101 @@
 	}
 }
 
-func TestMove(t *testing.T) {
+func TestAnEndedFeedGoesAtOnce(t *testing.T) {
 	// A new configuration names another discovery: the call that waits at the old one is given up at once, the
 	// whole list of the new one comes first, and the module hears of no failure.
 	synctest.Test(t, func(t *testing.T) {
 		var got []broker.Event
 		far := make(chan net.Conn, 1)
-		cl := New(Client{
-			Addr: "127.0.0.8:8500", Lim: limits.New(limits.Machine{Sockets: 1024}, limits.Site{}),
-			Post: func(e broker.Event) { got = append(got, e) },
-			Dial: func(context.Context, string, string) (net.Conn, error) {
-				near, other := net.Pipe()
-				far <- other
-				return near, nil
-			},
-		})
-		cl.Known(List{Seq: 41, Hosts: make([]Entry, 1)})
+		feed := func(addr string) *Feed {
+			return NewFeed(Client{
+				Addr: addr, Lim: limits.New(limits.Machine{Sockets: 1024}, limits.Site{}),
+				Dial: func(context.Context, string, string) (net.Conn, error) {
+					near, other := net.Pipe()
+					far <- other
+					return near, nil
+				},
+			}, func(e broker.Event) { got = append(got, e) })
+		}
 		ctx, cancel := context.WithCancel(t.Context())
-		asked := make(chan struct{}, 1)
-		asked <- struct{}{}
-		go cl.Run(ctx, asked)
+		first := feed("127.0.0.8:8500")
+		first.Known(List{Seq: 41, Hosts: []Entry{{Host: "old", Health: "Ready"}}})
+		first.Join(0, Selection{}, nil, true)
+		first.Run(ctx)
+		first.Ask()
 		old := <-far
 		exchange.Play(t, old, "testdata/parts/waits.txt", nil)
-		cl.Move("127.0.0.8:8501")
+		second := feed("127.0.0.8:8501")
+		second.Join(0, Selection{}, nil, false)
+		second.Run(ctx)
+		second.Ask()
+		if first.Leave(0) {
+			t.Error("a pool is left")
+		}
+		first.Stop()
 		synctest.Wait()
 		exchange.Play(t, old, "testdata/parts/is_closed.txt", nil)
 		exchange.Play(t, <-far, "testdata/parts/moved.txt", nil)
 		synctest.Wait()
 		cancel()
 		synctest.Wait()
-		want := []broker.Event{broker.Listed{Kind: policy.ListFull, Hosts: []broker.Host{
-			{Name: "s-5b", Dial: "127.0.0.9:5000", Zone: -1, Cell: 3, Weight: 1, State: policy.Ready},
-		}}}
+		want := []broker.Event{
+			broker.Listed{Kind: policy.ListCached, Hosts: []broker.Host{{Name: "old", Zone: -1}}},
+			broker.Listed{Kind: policy.ListFull, Hosts: []broker.Host{
+				{Name: "s-5b", Dial: "127.0.0.9:5000", Zone: -1, Cell: 3, Weight: 1, State: policy.Ready},
+			}},
+		}
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("(-want +got):\n%s", diff)
 		}
 	})
 }
+
+// TestSelections has pools with parts of one list: each hears of its own only, and of what leaves its part that it left.
+func TestSelections(t *testing.T) {
+	var got []string
+	f := NewFeed(Client{}, func(e broker.Event) {
+		l := e.(broker.Listed)
+		s := fmt.Sprintf("%d %d:", l.Pool, l.Kind)
+		for _, h := range l.Hosts {
+			s += fmt.Sprintf(" %s=%d", h.Name, h.State)
+			if h.Left {
+				s += "(left)"
+			}
+		}
+		got = append(got, s)
+	})
+	expect := func(want ...string) {
+		t.Helper()
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+		got = nil
+	}
+	entry := func(name, site string, block int, class, health string) Entry {
+		return Entry{Host: name, Dial: "d", Site: site, Block: block, Class: class, Health: health}
+	}
+	f.Join(1, Selection{Sites: []string{"a"}, Names: []string{"r-*"}}, nil, true)
+	f.Join(2, Selection{Blocks: []int{7}}, nil, true)
+	f.Join(3, Selection{Classes: []string{"big"}}, nil, true)
+	expect("1 2:", "2 2:", "3 2:")
+	f.take(policy.ListFull, List{Hosts: []Entry{
+		entry("r-1", "a", 1, "", "Ready"), entry("r-2", "b", 7, "", "Ready"), entry("x", "a", 7, "big", "Ready"),
+	}})
+	expect("1 1: r-1=0", "2 1: r-2=0 x=0", "3 1: x=0")
+	f.take(policy.ListDelta, List{Hosts: []Entry{entry("r-1", "a", 1, "", "Terminating")}})
+	expect("1 0: r-1=1")
+	f.take(policy.ListDelta, List{Hosts: []Entry{entry("x", "a", 1, "big", "Ready")}}) // it moves out of block 7
+	expect("2 0: x=2(left)", "3 0: x=0")
+	f.take(policy.ListDelta, List{Hosts: []Entry{entry("r-2", "b", 7, "", "Gone")}})
+	expect("2 0: r-2=2")
+	f.take(policy.ListFailed, List{})
+	expect("1 3:", "2 3:", "3 3:")
+	f.Join(1, Selection{}, nil, false) // another selection: at once the whole of it, as far as it is known
+	expect("1 1: r-1=1 x=0")
+	f.Join(4, Selection{Names: []string{"x"}}, nil, true)
+	expect("4 2: x=0")
+	if err := f.take(policy.ListDelta, List{Hosts: []Entry{entry("y", "a", 1, "", "Odd")}}); err == nil || got != nil {
+		t.Errorf("a bad list: %v, told %q", err, got)
+	}
+}
--- /dev/null
+++ b/internal/router/plan.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"notchhinge/internal/broker"
+	"notchhinge/internal/config"
+	"notchhinge/internal/issuer"
+	"notchhinge/internal/plan"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/registry"
+	"notchhinge/internal/settings"
+	"notchhinge/policy"
+)
+
+// apply carries a plan out: pools that are new come first, then requests are led by the new routes, and last the pools
+// that nothing is led to any more begin to leave. What was led by the old routes is taken still.
+func (r *Router) apply(ctx context.Context, next *plan.Plan) error {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	c := next.From(r.plan)
+	modules := map[pool.ID]*policy.Balancer{}
+	for _, q := range c.Added {
+		m, err := policy.New(q.Module.Settings, q.Seed)
+		if err != nil {
+			return fmt.Errorf("pool %q: %w", q.Name, err)
+		}
+		modules[q.ID] = m
+	}
+	for _, q := range next.Pools {
+		r.set(&q, modules[q.ID])
+	}
+	for _, q := range c.Added {
+		r.join(ctx, &q, true)
+	}
+	for _, q := range c.Moved {
+		r.join(ctx, &q, false)
+	}
+	r.at.Store(next.Directory)
+	for _, q := range c.Ended {
+		r.loop.Post(broker.PoolEnd{Pool: q.ID})
+	}
+	r.plan = next
+	r.generation.Add(1)
+	return nil
+}
+
+// set gives a pool its parts of the process.
+func (r *Router) set(q *plan.Pool, module *policy.Balancer) {
+	r.issuer.Set(q.ID, issuer.Reports{
+		Columns: q.Module.Columns, Stats: len(q.Module.Columns) > 0, Piggyback: q.Module.Piggyback,
+	}, q.Lines)
+	r.front.Set(q.ID, q.Bodies, q.Calls)
+	e := broker.PoolSet{
+		Pool: q.ID, Name: q.Name, Module: module, WarmUp: q.Module.Settings.WarmUp, ColdFrom: q.Module.Settings.ColdFrom,
+		Places: q.Places, Turns: q.Turns, RetryAfter: q.RetryAfter, Attempts: r.cfg.Limits.Attempts,
+	}
+	if q.Name != "" {
+		e.Attempts = max(q.Module.Settings.Limits.MaxAttempts, 1)
+		if q.Legs > 0 {
+			e.Attempts = min(e.Attempts, q.Legs)
+		}
+		e.Classes = traceClasses(&q.Module)
+	}
+	r.loop.Post(e)
+}
+
+// join has a pool hear of its part of its discovery's list, which may be another than it had.
+func (r *Router) join(ctx context.Context, q *plan.Pool, first bool) {
+	r.mu.Lock()
+	f, old := r.feeds[q.Discovery], r.feedOf[q.ID]
+	fresh := f == nil
+	if fresh {
+		f = registry.NewFeed(registry.Client{Addr: q.Discovery, Lim: r.cfg.Limits, Dial: r.dial}, r.listed)
+		r.feeds[q.Discovery] = f
+	}
+	r.feedOf[q.ID] = f
+	r.mu.Unlock()
+	if fresh && first && r.plan == nil && q.Discovery == r.cfg.Discovery {
+		f.Known(r.cfg.Known)
+	}
+	f.Join(q.ID, q.Selection, q.Module.Zones, first)
+	if fresh {
+		f.Run(ctx)
+		if !first || q.Name != "" && !f.HasList() {
+			f.Ask() // nothing is known of it, and the module would take its time to ask
+		}
+	}
+	if old != nil && old != f {
+		r.leave(old, q.ID)
+	}
+}
+
+// leave takes a pool out of a feed, which ends with its last.
+func (r *Router) leave(f *registry.Feed, id pool.ID) {
+	if f.Leave(id) {
+		return
+	}
+	f.Stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for addr, other := range r.feeds {
+		if other == f {
+			delete(r.feeds, addr)
+		}
+	}
+}
+
+// feed is where a pool has its list from.
+func (r *Router) feed(id pool.ID) *registry.Feed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.feedOf[id]
+}
+
+// gone does broker.PoolGone.
+func (r *Router) gone(id pool.ID) {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	if f := r.feed(id); f != nil {
+		r.leave(f, id)
+	}
+	r.mu.Lock()
+	delete(r.feedOf, id)
+	r.mu.Unlock()
+	r.issuer.End(id)
+	r.front.End(id)
+	r.log.Info("pool ended", "id", int(id))
+}
+
+// reload takes over what a running router can: discovery's address, and services, routes and pools. What is bad changes
+// nothing.
+func (r *Router) reload(ctx context.Context, reread func(*plan.Plan) (*config.Config, *plan.Plan, error)) {
+	cfg, next, err := reread(r.plan)
+	if err == nil {
+		moved := cfg.Discovery != r.cfg.Discovery
+		c := next.From(r.plan)
+		if err = r.apply(ctx, next); err == nil {
+			r.cfg.Discovery = cfg.Discovery
+			args := []any{"discovery", cfg.Discovery, "moved", moved}
+			if len(c.Added)+len(c.Ended)+len(c.Renamed) > 0 || len(next.Pools) > 1 {
+				args = append(args, "pools", len(next.Pools), "added", len(c.Added), "ended", len(c.Ended), "renamed", len(c.Renamed),
+					"routes", next.Directory.Table.Len())
+			}
+			r.log.Info("configuration read again", args...)
+			return
+		}
+	}
+	var faults settings.Faults
+	if !errors.As(err, &faults) {
+		r.log.Error("configuration not taken over", "err", err)
+		return
+	}
+	for _, f := range faults {
+		r.log.Error("configuration not taken over", "file", f.File, "line", f.Line, "key", f.Key, "err", f.Says)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,13 +4,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,57 +21,62 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
 	"notchhinge/internal/issuer"
+	"notchhinge/internal/plan"
+	"notchhinge/internal/pool"
 	"notchhinge/internal/registry"
+	"notchhinge/internal/service"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
 
 // Router is one program's worth of parts.
 type Router struct {
-	cfg    *config.Config
-	log    *slog.Logger
-	broker *broker.Broker
-	loop   *broker.Loop
-	issuer *issuer.Client
-	list   *registry.Client
-	front  *acquirer.Server
-	asked  chan struct{}
-	ready  atomic.Bool
-	desk   *batch.Desk // nil where the batch front is off
-	door   net.Listener
-	traces *traces // nil where nothing is traced
+	cfg     *config.Config
+	log     *slog.Logger
+	dial    Dialer
+	broker  *broker.Broker
+	loop    *broker.Loop
+	issuer  *issuer.Client
+	front   *acquirer.Server
+	at      atomic.Pointer[service.Directory]
+	ready   atomic.Bool
+	desk    *batch.Desk // nil where the batch front is off
+	door    net.Listener
+	control net.Listener // nil where it is off
+	traces  *traces      // nil where nothing is traced
+
+	applying sync.Mutex // one change of the plan, or end of a pool, at a time
+	plan     *plan.Plan // that is carried out; nil before Serve
+
+	generation atomic.Int64 // plans carried out
+	first      *plan.Plan   // the one to begin with
+	mu         sync.Mutex   // never held while an event is posted: the loop takes it
+	feeds      map[string]*registry.Feed
+	feedOf     map[pool.ID]*registry.Feed
 }
 
 // Dialer opens connections.
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// New makes a router out of its configuration.
-func New(cfg *config.Config, log *slog.Logger, dial Dialer, clock broker.Clock) (*Router, error) {
-	b, err := broker.New(cfg.Settings, cfg.Seed, cfg.Limits)
-	if err != nil {
-		return nil, err
+// New makes a router out of its configuration and of the plan that it is to carry out.
+func New(cfg *config.Config, p *plan.Plan, log *slog.Logger, dial Dialer, clock broker.Clock) *Router {
+	r := &Router{
+		cfg: cfg, log: log, dial: dial, broker: broker.New(cfg.Limits), first: p,
+		feeds: map[string]*registry.Feed{}, feedOf: map[pool.ID]*registry.Feed{},
 	}
-	r := &Router{cfg: cfg, log: log, broker: b, asked: make(chan struct{}, 1)}
-	r.loop = broker.NewLoop(b, clock, r.perform)
-	r.issuer = issuer.New(issuer.Config{
-		Lim: cfg.Limits, Columns: cfg.Columns, Stats: len(cfg.Columns) > 0, Piggyback: cfg.Piggyback,
-		Post: r.loop.Post, Now: r.loop.Now, Dial: dial,
+	r.at.Store(p.Directory)
+	r.loop = broker.NewLoop(r.broker, clock, r.perform)
+	r.issuer = issuer.New(issuer.Config{Lim: cfg.Limits, Post: r.loop.Post, Now: r.loop.Now, Dial: dial})
+	r.front = acquirer.New(acquirer.Options{
+		Lim: cfg.Limits, Routes: r.at.Load, Post: r.loop.Post, Now: r.loop.Now, Ready: r.ready.Load,
 	})
-	r.list = registry.New(registry.Client{Addr: cfg.Discovery, Zones: cfg.Zones, Lim: cfg.Limits, Post: r.listed, Dial: dial})
-	classes := map[string]int{}
-	for i, c := range cfg.Settings.Classes {
-		classes[c.Name] = i
-	}
-	r.front = &acquirer.Server{
-		Lim: cfg.Limits, Classes: classes, Post: r.loop.Post, Now: r.loop.Now, Ready: r.ready.Load,
-	}
-	return r, nil
+	return r
 }
 
 // Batch turns the second front on, at a listener.
 func (r *Router) Batch(cfg *batch.Config, ln net.Listener) error {
 	desk, err := batch.NewDesk(batch.Options{
-		Config: cfg, Lim: r.cfg.Limits, Classes: r.cfg.Settings.Classes, Post: r.loop.Post, Now: r.loop.Now, Log: r.log,
+		Config: cfg, Lim: r.cfg.Limits, Routes: r.at.Load, Post: r.loop.Post, Now: r.loop.Now, Log: r.log,
 		Trace: r.traces != nil,
 	})
 	r.desk, r.door = desk, ln
@@ -135,14 +140,28 @@
 	case broker.Reminded:
 		go e.Of.(reminder).Due()
 	case broker.Watch:
-		select {
-		case r.asked <- struct{}{}:
-		default: // asked already
+		if f := r.feed(e.Pool); f != nil {
+			f.Ask()
 		}
+	case broker.PoolGone:
+		go r.gone(e.Pool)
 	case broker.Log:
-		r.log.Info(e.Line)
+		if e.Pool != "" {
+			r.log.Info(e.Line, "pool", e.Pool)
+		} else {
+			r.log.Info(e.Line)
+		}
 	case broker.Counted:
-		r.print(e.Counters)
+		if to, ok := e.Of.(chan broker.Counted); ok {
+			to <- e // it has room
+			return
+		}
+		r.print("counters", nil, &e.Counters)
+		for i := range e.Pools {
+			if p := &e.Pools[i]; p.Name != "" {
+				r.print("pool", []any{"pool", p.Name, "hosts", p.Hosts, "ready", p.Ready, "leaving", p.Leaving}, &p.Counters)
+			}
+		}
 	}
 }
 
@@ -154,17 +173,17 @@
 // reminder is what a front has itself reminded of.
 type reminder interface{ Due() }
 
-func (r *Router) print(c broker.Counters) {
+func (r *Router) print(what string, args []any, c *broker.Counters) {
 	var legs []any
 	for result := policy.OK; result <= policy.Moot; result++ {
 		if n := c.Outcomes[result]; n > 0 {
 			legs = append(legs, slog.Int(trace.Result(result).String(), n))
 		}
 	}
-	r.log.Info("counters", "taken", c.Taken, "declined", c.Declined, "open", c.Open, "legs", c.Legs,
+	r.log.Info(what, append(args, "taken", c.Taken, "declined", c.Declined, "open", c.Open, "legs", c.Legs,
 		slog.Group("outcomes", legs...),
 		slog.Group("answers", "served", c.Served, "broken", c.Broken, "refused", c.Refused, "failed", c.Failed, "gone", c.Gone),
-		"probes", c.Probes, "lists", c.Lists, "list_lines", c.Lines)
+		"probes", c.Probes, "lists", c.Lists, "list_lines", c.Lines)...)
 	if c.Traces != nil {
 		r.log.Info("traces", r.traces.account(c.Traces)...)
 	}
@@ -175,7 +194,8 @@
 	Stop   <-chan os.Signal // drain and return
 	Audit  <-chan os.Signal // print the counters
 	Reload <-chan os.Signal // read the configuration again
-	Reread func() (*config.Config, error)
+	// Reread makes the plan that is to follow the running one.
+	Reread func(running *plan.Plan) (*config.Config, *plan.Plan, error)
 }
 
 // Serve runs the router until it is stopped and owes nothing more.
@@ -192,20 +212,17 @@
 // ServeOn is Serve on a listener that is already open.
 func (r *Router) ServeOn(ln net.Listener, sig Signals) error {
 	defer ln.Close()
-	known, err := r.cfg.Known.Entries(r.cfg.Zones)
-	if err != nil {
-		return fmt.Errorf("known: %w", err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan struct{})
 	go func() { r.loop.Run(ctx); close(ended) }()
-	r.list.Known(r.cfg.Known)
-	r.listed(broker.Listed{Kind: policy.ListCached, Hosts: known})
-	go r.list.Run(ctx, r.asked)
-	r.log.Info("serving", "listen", ln.Addr().String(), "known_hosts", len(known))
-	served := make(chan error, 2)
+	if err := r.apply(ctx, r.first); err != nil {
+		return err
+	}
+	r.log.Info("serving", "listen", ln.Addr().String(), "known_hosts", len(r.cfg.Known.Hosts))
+	served := make(chan error, 3)
 	stopBatch := r.serveBatch(served)
+	defer r.serveControl(served)()
 	go func() { served <- r.front.Serve(ln) }()
 	for {
 		select {
@@ -214,7 +231,7 @@
 		case <-sig.Audit:
 			r.loop.Post(broker.Audit{})
 		case <-sig.Reload:
-			r.reload(sig.Reread)
+			r.reload(ctx, sig.Reread)
 		case <-sig.Stop:
 			if r.desk != nil {
 				r.desk.Stop()
@@ -237,21 +254,6 @@
 	}
 }
 
-// reload takes over what a running router can: discovery's address. A configuration that is bad changes nothing.
-func (r *Router) reload(reread func() (*config.Config, error)) {
-	cfg, err := reread()
-	if err != nil {
-		r.log.Error("configuration not taken over", "err", err)
-		return
-	}
-	moved := cfg.Discovery != r.cfg.Discovery
-	if moved {
-		r.cfg.Discovery = cfg.Discovery
-		r.list.Move(cfg.Discovery)
-	}
-	r.log.Info("configuration read again", "discovery", cfg.Discovery, "moved", moved)
-}
-
 // drain ends a router in order. Connections keep arriving for a while after SIGTERM, so that the listener
 // outlives it; what is open on others is closed with its answer, and nothing that was taken is left behind.
 func (r *Router) drain(ctx context.Context, ln net.Listener) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -21,6 +21,7 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
 	"notchhinge/internal/exchange"
+	"notchhinge/internal/plan"
 )
 
 func load(t *testing.T) *config.Config {
@@ -34,6 +35,16 @@
 	return c
 }
 
+// begin makes the plan of a configuration without services.
+func begin(t *testing.T, cfg *config.Config) *plan.Plan {
+	t.Helper()
+	p, err := plan.Make(cfg, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
 // pipeListener is a listener whose connections are in memory.
 type pipeListener struct {
 	conns  chan net.Conn
@@ -87,7 +98,7 @@
 func bubble(t *testing.T, after time.Duration) (front *pipeListener, stop chan os.Signal, done chan error, log *strings.Builder) {
 	front, stop, done, log = newPipeListener(), make(chan os.Signal, 1), make(chan error, 1), &strings.Builder{}
 	cfg := load(t)
-	r, err := New(cfg, slog.New(slog.NewTextHandler(log, nil)), func(ctx context.Context, _, addr string) (net.Conn, error) {
+	r := New(cfg, begin(t, cfg), slog.New(slog.NewTextHandler(log, nil)), func(ctx context.Context, _, addr string) (net.Conn, error) {
 		near, far := net.Pipe()
 		if addr == cfg.Discovery {
 			go func() { io.Copy(io.Discard, far); far.Close() }()
@@ -96,9 +107,6 @@
 		}
 		return near, nil
 	}, broker.UnixClock())
-	if err != nil {
-		t.Fatal(err)
-	}
 	go func() { done <- r.ServeOn(front, Signals{Stop: stop}) }()
 	return front, stop, done, log
 }
--- a/internal/router/trace.go
+++ b/internal/router/trace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"notchhinge/internal/config"
+	"notchhinge/internal/plan"
 	"notchhinge/internal/settings"
 	"notchhinge/internal/trace"
 	"notchhinge/internal/trace/export"
@@ -27,22 +28,32 @@
 }
 
 // TraceOptions are those of a recorder for this router.
-func TraceOptions(cfg *config.Config, s *settings.Trace) trace.Options {
+func TraceOptions(cfg *config.Config, p *plan.Plan, s *settings.Trace) trace.Options {
 	o := trace.Options{
 		Router: cfg.Name, Seed: cfg.Seed, Share: *s.Share, PerSecond: *s.PerSecond, Margin: time.Duration(*s.Margin),
 		TellAll: s.TellHosts == "all", Steps: s.MemoryMB << 20 / trace.StepBytes, Linger: cfg.Limits.TraceLinger,
 	}
-	for i, c := range cfg.Settings.Classes {
-		k := trace.Class{Name: c.Name, Aim: c.Aim, AimPerKTokens: c.AimPerKTokens}
-		if i < len(cfg.TokenAims) {
-			k.TokenAim = cfg.TokenAims[i]
+	o.Classes = traceClasses(&cfg.Module)
+	for _, q := range p.Pools {
+		for _, c := range q.Module.Settings.Classes {
+			o.Window = max(o.Window, c.Deadline)
 		}
-		o.Classes = append(o.Classes, k)
-		o.Window = max(o.Window, c.Deadline)
 	}
 	return o
 }
 
+// traceClasses are a module's classes as a recorder must know them.
+func traceClasses(m *config.Module) (all []trace.Class) {
+	for i, c := range m.Settings.Classes {
+		k := trace.Class{Name: c.Name, Aim: c.Aim, AimPerKTokens: c.AimPerKTokens}
+		if i < len(m.TokenAims) {
+			k.TokenAim = m.TokenAims[i]
+		}
+		all = append(all, k)
+	}
+	return all
+}
+
 // Trace has journeys recorded and sent where the settings say. It is called before Serve and Batch.
 func (r *Router) Trace(s *settings.Trace, version string) error {
 	t := &traces{}
@@ -72,7 +83,7 @@
 	}
 	r.traces = t
 	r.front.Trace = true
-	r.broker.Trace(TraceOptions(r.cfg, s))
+	r.broker.Trace(TraceOptions(r.cfg, r.first, s))
 	return nil
 }
 
--- a/internal/router/trace_test.go
+++ b/internal/router/trace_test.go
@@ -32,7 +32,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		front, stop, done := newPipeListener(), make(chan os.Signal, 1), make(chan error, 1)
 		cfg := load(t)
-		r, err := New(cfg, slog.New(slog.NewTextHandler(&log, nil)), func(_ context.Context, _, addr string) (net.Conn, error) {
+		r := New(cfg, begin(t, cfg), slog.New(slog.NewTextHandler(&log, nil)), func(_ context.Context, _, addr string) (net.Conn, error) {
 			near, far := net.Pipe()
 			if addr == cfg.Discovery {
 				go func() { io.Copy(io.Discard, far); far.Close() }()
@@ -41,9 +41,6 @@
 			}
 			return near, nil
 		}, broker.UnixClock())
-		if err != nil {
-			t.Fatal(err)
-		}
 		if err := r.Trace(f.Trace, "test"); err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/service/directory.go
@@ -0,0 +1,67 @@
+// Package service holds the directory by which both fronts find a request's pool: the table of routes, and of each pool
+// what a front must know. What the directory is made of is decided by package plan.
+package service
+
+import (
+	"time"
+
+	"notchhinge/internal/pool"
+	"notchhinge/internal/route"
+	"notchhinge/policy"
+)
+
+// Directory leads requests to pools. It does not change; with other settings there is another one.
+type Directory struct {
+	Table *route.Table
+	// Strict: hosts and paths are brought into their one spelling, routed by that, and sent on in it. Otherwise they are
+	// looked at and sent on as they came, and Host does not count.
+	Strict bool
+	pools  map[int]*Pool
+}
+
+// New returns a directory. The table's numbers of pools are their IDs.
+func New(t *route.Table, strict bool, pools ...*Pool) *Directory {
+	d := &Directory{Table: t, Strict: strict, pools: map[int]*Pool{}}
+	for _, p := range pools {
+		p.numbers = map[string]int{}
+		for i, c := range p.Classes {
+			p.numbers[c.Name] = i
+		}
+		d.pools[int(p.ID)] = p
+	}
+	return d
+}
+
+// Pool is a pool as the fronts see it.
+type Pool struct {
+	ID         pool.ID
+	Name       string
+	Classes    []policy.Class
+	MaxBudget  time.Duration // no authorisation waits longer, whatever it asks for
+	RetryAfter time.Duration // with what a front turns away for want of room
+	numbers    map[string]int
+}
+
+// Class finds a class of the pool's.
+func (p *Pool) Class(name string) (number int, ok bool) {
+	number, ok = p.numbers[name]
+	return number, ok
+}
+
+// Find returns the pool that a target's conversation belongs to.
+func (d *Directory) Find(to *route.Target, conversation uint64) *Pool {
+	return d.pools[to.Pool(conversation)]
+}
+
+// CallsPath is where the platform's clients ask.
+const CallsPath = "/v1/chat/completions"
+
+// Plain is the directory of the platform's case: one pool that takes POST at CallsPath, whatever the host.
+func Plain(p *Pool) *Directory {
+	t, faults := route.New([]route.Service{{Shares: []route.Share{{Weight: 1}}}}, []route.Route{{Path: CallsPath, Method: "POST"}},
+		func(string) (int, bool) { return int(p.ID), true })
+	if len(faults) > 0 {
+		return nil // it has none, as the test sees
+	}
+	return New(t, false, p)
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -67,10 +67,10 @@
 // Parse is Load on a text that is already read.
 func Parse(text []byte, path string, classes []string) (*File, error) {
 	lines, err := index(text)
+	from := source{path, lines}
 	faults := Faults{}
 	fault := func(key []string, format string, args ...any) {
-		line, shown := lines.find(key)
-		faults = append(faults, Fault{File: path, Line: line, Key: shown, Says: fmt.Sprintf(format, args...)})
+		faults = append(faults, from.Fault(key, format, args...))
 	}
 	var syntax *unstable.ParserError
 	if errors.As(err, &syntax) {
@@ -89,7 +89,7 @@
 	if err := meets(tree, fault); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	f := &File{}
+	f := &File{source: from}
 	if len(faults) == 0 {
 		if err := toml.Unmarshal(text, f); err != nil { // what the schema cannot say: times
 			d := (*toml.DecodeError)(nil)
@@ -103,8 +103,7 @@
 		}
 	}
 	if len(faults) > 0 {
-		slices.SortStableFunc(faults, func(x, y Fault) int { return x.Line - y.Line })
-		return nil, faults
+		return nil, faults.Sorted()
 	}
 	dir := filepath.Dir(path)
 	under := func(p *string) {
@@ -121,9 +120,27 @@
 	for i := range f.Contracts {
 		under(&f.Contracts[i].OpenAPI)
 	}
+	for i := range f.Pools {
+		under(&f.Pools[i].Settings)
+	}
+	if f.Control != nil {
+		under(&f.Control.Path)
+	}
 	return f, nil
 }
 
+// Fault is a fault of a key, for what only a subsystem can tell.
+func (s *source) Fault(key []string, format string, args ...any) Fault {
+	line, shown := s.lines.find(key)
+	return Fault{File: s.path, Line: line, Key: shown, Says: fmt.Sprintf(format, args...)}
+}
+
+// Sorted returns faults in the order of their lines.
+func (f Faults) Sorted() Faults {
+	slices.SortStableFunc(f, func(x, y Fault) int { return x.Line - y.Line })
+	return f
+}
+
 // meets holds a file against the schema and reports each fault.
 func meets(tree map[string]any, fault func(key []string, format string, args ...any)) error {
 	text, err := json.Marshal(tree)
@@ -242,6 +259,7 @@
 			fault([]string{"batch"}, "needs one [[contract]] at least")
 		}
 	}
+	f.checkServices(fault)
 	teams := map[string]bool{}
 	for i, k := range f.Contracts {
 		at := []string{"contract", strconv.Itoa(i)}
@@ -250,7 +268,7 @@
 		}
 		teams[k.Team] = true
 		for _, c := range k.Classes {
-			if classes != nil && !slices.Contains(classes, c) {
+			if classes != nil && len(f.Pools) == 0 && !slices.Contains(classes, c) {
 				fault(append(at, "classes"), "class %q is unknown; there are %q", c, classes)
 			}
 		}
@@ -280,7 +298,7 @@
 			n := it.Node()
 			path = append(path, string(n.Data))
 			last = p.Shape(n.Raw).Start.Line
-			if e.Kind == unstable.Table {
+			if e.Kind == unstable.Table || e.Kind == unstable.ArrayTable && !it.IsLast() {
 				if count, is := arrays[strings.Join(path, "/")]; is { // a table within the latest of an array
 					path = append(path, strconv.Itoa(count-1))
 				}
@@ -305,8 +323,15 @@
 	return lines, p.Error()
 }
 
-// inline notes the keys of inline tables.
+// inline notes the keys of inline tables, and of those in arrays.
 func (l lineIndex) inline(p *unstable.Parser, v *unstable.Node, path []string) {
+	if v != nil && v.Kind == unstable.Array {
+		n := 0
+		for it := v.Children(); it.Next(); n++ {
+			l.inline(p, it.Node(), append(slices.Clone(path), strconv.Itoa(n)))
+		}
+		return
+	}
 	if v == nil || v.Kind != unstable.InlineTable {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,10 +7,21 @@
 	"time"
 )
 
+// source is where a file's keys stand.
+type source struct {
+	path  string
+	lines lineIndex
+}
+
 // File is the whole file. A nil table is off.
 type File struct {
+	source
+
 	Trace     *Trace     `toml:"trace" jsonschema:"description=Journeys of requests: what is recorded and where it goes. Without this table nothing is."`
 	Batch     *Batch     `toml:"batch" jsonschema:"description=The batch front: files of requests. Off without this table. It needs one contract at least."`
+	Services  []Service  `toml:"service" jsonschema:"description=What is served and which requests it gets. Without any the router has the one pool that the platform tells it of."`
+	Pools     []Pool     `toml:"pool" jsonschema:"description=A part of the boxes with a decision module and limits of its own."`
+	Control   *Control   `toml:"control" jsonschema:"description=A local socket for notchhinge pools and notchhinge routes. Off without this table."`
 	Contracts []Contract `toml:"contract" jsonschema:"description=What a team may do on the batch front."`
 }
 
@@ -53,6 +64,7 @@
 type Contract struct {
 	Team         string   `toml:"team" jsonschema:"required,pattern=^[A-Za-z0-9_-]{1\\,64}$,description=name of letters digits - and _"`
 	KeyEnv       string   `toml:"key_env" jsonschema:"required,description=environment variable that holds the team's key"`
+	Service      string   `toml:"service" jsonschema:"description=service that its lines go to; without it they take the routes of POST /v1/chat/completions at batch.notchhinge"`
 	Classes      []string `toml:"classes" jsonschema:"required,minItems=1,description=classes by name; the first is taken where a batch names none"`
 	Lines        int      `toml:"lines" jsonschema:"required,minimum=1,description=lines in one file"`
 	AtOnce       int      `toml:"at_once" jsonschema:"required,minimum=1,description=authorisations at once over all batches"`
@@ -62,6 +74,75 @@
 	OpenAPI      string   `toml:"openapi" jsonschema:"description=OpenAPI file that bodies of lines must meet"`
 }
 
+// Service is something that teams ask for under a name of its own.
+type Service struct {
+	Name   string  `toml:"name" jsonschema:"required,pattern=^[A-Za-z0-9_.-]{1\\,64}$,description=name of letters digits - . and _"`
+	Pool   string  `toml:"pool" jsonschema:"description=the pool that serves it; or split"`
+	Split  []Split `toml:"split" jsonschema:"description=pools that serve it by weight; a conversation stays on its side"`
+	Routes []Route `toml:"route" jsonschema:"required,minItems=1,description=requests that it gets; the most specific route wins whatever the order"`
+}
+
+// Split is a pool's part of a service.
+type Split struct {
+	Pool   string  `toml:"pool" jsonschema:"required,description=name of a pool"`
+	Weight float64 `toml:"weight" jsonschema:"required,minimum=0,description=against the others of the service; 0 = nothing"`
+}
+
+// Route is one way to a service. What is not given matches anything but for the method.
+type Route struct {
+	Host   string            `toml:"host" jsonschema:"description=a name or an address or *.suffix; without a port"`
+	Path   string            `toml:"path" jsonschema:"description=exact path"`
+	Prefix string            `toml:"prefix" jsonschema:"description=first segments of a path"`
+	Method string            `toml:"method" jsonschema:"default=POST,pattern=^([A-Z]+|any)$,description=a method or any"`
+	Class  string            `toml:"class" jsonschema:"description=class by name"`
+	Header map[string]string `toml:"header" jsonschema:"description=headers and the one value that each must have"`
+}
+
+// Pool is a part of the boxes.
+type Pool struct {
+	Name      string      `toml:"name" jsonschema:"required,pattern=^[A-Za-z0-9_.-]{1\\,64}$,description=name of letters digits - . and _"`
+	Was       string      `toml:"was" jsonschema:"description=the name that it had before: it keeps its conversations"`
+	Discovery string      `toml:"discovery" jsonschema:"description=address and port of its discovery; the platform's without it"`
+	Settings  string      `toml:"settings" jsonschema:"description=JSON file with the decision module's settings in the platform's form; the platform's without it"`
+	Select    *Select     `toml:"select" jsonschema:"description=the part of its discovery's list that it has; all without it"`
+	Classes   []PoolClass `toml:"class" jsonschema:"description=its classes; all of its settings as they are without any"`
+	Limits    *PoolLimits `toml:"limits" jsonschema:"description=what it may have of what the process has"`
+}
+
+// Select is a part of a list: entries that meet all that is given.
+type Select struct {
+	Sites   []string `toml:"sites" jsonschema:"description=sites by name"`
+	Blocks  []int    `toml:"blocks" jsonschema:"description=blocks by number"`
+	Classes []string `toml:"classes" jsonschema:"description=classes of boxes by name"`
+	Names   []string `toml:"names" jsonschema:"description=patterns of names with * and ?"`
+}
+
+// PoolClass is a class of the pool's settings with what is other here.
+type PoolClass struct {
+	Name          string    `toml:"name" jsonschema:"required,description=a class of the settings"`
+	Worth         *float64  `toml:"worth" jsonschema:"minimum=0,description=of an answer in time"`
+	LateWorth     *float64  `toml:"late_worth" jsonschema:"minimum=0,maximum=1,description=share of it that a late answer keeps"`
+	Aim           *Duration `toml:"aim" jsonschema:"description=first token wanted within this"`
+	AimPerKTokens *Duration `toml:"aim_per_1000_tokens" jsonschema:"description=added to the aim for each 1000 tokens of the prompt"`
+	Deadline      *Duration `toml:"deadline" jsonschema:"description=a client's patience"`
+}
+
+// PoolLimits are a pool's parts of what the process has: open requests and descriptors and bytes of bodies.
+type PoolLimits struct {
+	Guarantee  *float64  `toml:"guarantee" jsonschema:"minimum=0,maximum=1,description=share that nobody else can use up; without it an even part of half of what others' guarantees leave"`
+	Most       *float64  `toml:"most" jsonschema:"minimum=0,maximum=1,default=1,description=share that it can use at the most"`
+	Open       int       `toml:"open" jsonschema:"minimum=1,description=open requests at the most"`
+	Lines      int       `toml:"lines" jsonschema:"minimum=1,description=connections to boxes at the most"`
+	BodyMB     int       `toml:"body_mb" jsonschema:"minimum=1,description=bodies held at the most"`
+	Legs       int       `toml:"legs" jsonschema:"minimum=1,maximum=16,description=attempts of one request at the most; no more than the settings allow"`
+	RetryAfter *Duration `toml:"retry_after" jsonschema:"default=500ms,description=told to whom it has no room for"`
+}
+
+// Control says where the local socket is.
+type Control struct {
+	Path string `toml:"path" jsonschema:"required,minLength=1,description=the socket; only its owner may use it; a relative path starts from this file's folder"`
+}
+
 // Duration is a time as the file writes it, such as "90s" or "1h30m".
 type Duration time.Duration
 
@@ -94,6 +175,13 @@
 		w := or(*d, Duration(v))
 		*d = &w
 	}
+	for i := range f.Services {
+		for j := range f.Services[i].Routes {
+			if r := &f.Services[i].Routes[j]; r.Method == "" {
+				r.Method = "POST"
+			}
+		}
+	}
 	if t := f.Trace; t != nil {
 		share, rate := or(t.Share, 0.01), or(t.PerSecond, 10)
 		t.Share, t.PerSecond = &share, &rate
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -85,3 +85,44 @@
 		}
 	})
 }
+
+func TestServicesAndPools(t *testing.T) {
+	const head = "[[service]]\nname = \"s\"\npool = \"p\"\n[[service.route]]\nhost = \"a.b\"\n[[service.route]]\nprefix = \"/x\"\nmethod = \"any\"\n"
+	f, err := Parse([]byte(head+"[[pool]]\nname = \"p\"\nsettings = \"s.json\"\n[control]\npath = \"c\"\n"), "/etc/n/n.toml", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := f.Services[0].Routes; r[0].Method != "POST" || r[1].Method != "any" || f.Pools[0].Settings != "/etc/n/s.json" || f.Control.Path != "/etc/n/c" {
+		t.Errorf("%+v", f)
+	}
+	for name, c := range map[string]struct {
+		text string
+		want []string
+	}{
+		"no pool":       {head, []string{`f:3: service[0].pool: there is no pool "p"`}},
+		"of no service": {head + "[[pool]]\nname = \"p\"\n[[pool]]\nname = \"q\"\n", []string{`f:12: pool[1].name: no service leads to pool "q"`}},
+		"twice":         {head + "[[pool]]\nname = \"p\"\n[[pool]]\nname = \"p\"\n", []string{`f:12: pool[1].name: "p" is another pool already`}},
+		"only pools":    {"[[pool]]\nname = \"p\"\n", []string{"f:1: pool[0]: pools need one [[service]]"}},
+		"a tie": {head + "[[service.route]]\nhost = \"A.B.\"\n[[pool]]\nname = \"p\"\n",
+			[]string{"f:9: service[0].route[2]: could match what route 0 matches"}},
+		"the second service's route": {head + "[[service]]\nname = \"t\"\npool = \"p\"\n[[service.route]]\npath = \"/a\"\n[[service.route]]\npath = \"/a//b\"\n[[pool]]\nname = \"p\"\n",
+			[]string{"f:15: service[1].route[1].path: \"/a//b\": the path can be read in two ways"}},
+		"a split": {"[[service]]\nname = \"s\"\nsplit = [{pool = \"p\", weight = 0},\n {pool = \"x\", weight = 1, heavy = 1}]\n[[service.route]]\n[[pool]]\nname = \"p\"\n",
+			[]string{"f:4: service[0].split[1].heavy: is no key"}},
+		"both":       {"[[service]]\nname = \"s\"\npool = \"p\"\nsplit = [{pool = \"p\", weight = 1}]\n[[service.route]]\n[[pool]]\nname = \"p\"\n", []string{"f:4: service[0].split: a service has a pool or a split"}},
+		"guarantees": {head + "[[pool]]\nname = \"p\"\nlimits = {guarantee = 0.7, most = 0.6}\n", []string{"f:11: pool[0].limits.guarantee: 0.7 is above"}},
+		"patterns":   {head + "[[pool]]\nname = \"p\"\ndiscovery = \"x\"\n[pool.select]\nnames = [\"[\"]\n", []string{"f:11: pool[0].discovery: ", "f:13: pool[0].select.names: "}},
+	} {
+		_, err := Parse([]byte(c.text), "f", nil)
+		var faults Faults
+		if !errors.As(err, &faults) || len(faults) != len(c.want) {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		for i, want := range c.want {
+			if got := faults[i].Error(); !strings.HasPrefix(got, want) {
+				t.Errorf("%s: %s, want %s", name, got, want)
+			}
+		}
+	}
+}
--- a/internal/trace/export/otlp.go
+++ b/internal/trace/export/otlp.go
@@ -201,6 +201,9 @@
 	if t.Session != 0 {
 		add(text("gen_ai.conversation.id", fmt.Sprintf("%016x", t.Session)))
 	}
+	if t.Pool != "" {
+		add(text("notchhinge.pool", t.Pool))
+	}
 	if t.Team != "" {
 		add(text("notchhinge.team", t.Team))
 	}
--- a/internal/trace/pack.go
+++ b/internal/trace/pack.go
@@ -16,7 +16,7 @@
 	b = append(b, t.Flags, byte(t.Outcome), byte(t.Why), byte(len(t.Legs)))
 	b = words(b, t.Session, math.Float64bits(t.Prompt), math.Float64bits(t.Kept), uint64(t.At), uint64(t.Reading), uint64(t.First),
 		uint64(t.Decided), uint64(t.End), uint64(t.Aim), uint64(t.RetryAfter), uint64(t.Tokens), uint64(taken))
-	for _, s := range [...]string{t.State, t.Front, t.Team, t.CallID, t.Class} {
+	for _, s := range [...]string{t.State, t.Pool, t.Front, t.Team, t.CallID, t.Class} {
 		b = append(binary.LittleEndian.AppendUint16(b, uint16(len(s))), s...)
 	}
 	for i := range t.Legs {
@@ -90,7 +90,7 @@
 	var tokens, taken, bytes time.Duration
 	u.times(&t.At, &t.Reading, &t.First, &t.Decided, &t.End, &t.Aim, &t.RetryAfter, &tokens, &taken)
 	t.Tokens = int(tokens)
-	for _, s := range [...]*string{&t.State, &t.Front, &t.Team, &t.CallID, &t.Class} {
+	for _, s := range [...]*string{&t.State, &t.Pool, &t.Front, &t.Team, &t.CallID, &t.Class} {
 		*s = u.text()
 	}
 	for range legs {
--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -211,6 +211,7 @@
 	Router  string  `json:"router"`
 	Front   string  `json:"front"`
 	Team    string  `json:"team,omitempty"`
+	Pool    string  `json:"pool,omitempty"` // "" where there is only one
 	CallID  string  `json:"call_id"`
 	Class   string  `json:"class"`
 	Session uint64  `json:"session,omitzero"`
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -18,10 +18,16 @@
 	TokenAim      time.Duration // for each token of the rest, on average; 0 = no such aim
 }
 
+// Set is what a recorder must know of a pool.
+type Set struct {
+	Pool    string
+	Classes []Class // by their numbers in the pool's requests
+}
+
 // Options are fixed for the life of a Recorder.
 type Options struct {
-	Router    string // its name, in every record
-	Classes   []Class
+	Router    string        // its name, in every record
+	Classes   []Class       // of what is of no set
 	Window    time.Duration // a retry is looked for so long after the try before it
 	Linger    time.Duration // a try that is over waits so long for the last word of its legs and of its client
 	Margin    time.Duration // an answer that was so near to its aim counts as late: the client sees it later still
@@ -83,6 +89,7 @@
 	taken time.Duration // the reducer took it, from At
 	out   int           // legs whose own end has not come
 	over  bool          // towards its client
+	class *Class        // nil where it is unknown
 	tells bool          // and it will be said when the answer is written
 	until time.Duration // it is closed then, whatever is missing; 0 = not over
 	place *list.Element // among those that linger
@@ -107,17 +114,22 @@
 }
 
 // Taken begins the journey of an authorisation. o may be nil: then it has no context and nothing is known of its
-// beginning.
+// beginning. So may set: then its class is one of the options'.
 func (r *Recorder) Taken(now time.Duration, id policy.RequestID, from any, callID string, at time.Duration,
-	q *policy.Request, o *Origin) *Journey {
+	q *policy.Request, o *Origin, set *Set) *Journey {
 	r.counts.Taken++
 	j := r.journey()
 	t := &j.try
 	t.Router, t.CallID, t.Session, t.Prompt, t.At = r.o.Router, callID, q.Session, q.PromptTokens, min(at, now)
 	t.Legs = j.legs[:0]
 	j.id, j.from, j.taken = id, from, now-t.At
-	if q.Class >= 0 && q.Class < len(r.o.Classes) {
-		c := &r.o.Classes[q.Class]
+	classes := r.o.Classes
+	if set != nil {
+		t.Pool, classes = set.Pool, set.Classes
+	}
+	if q.Class >= 0 && q.Class < len(classes) {
+		c := &classes[q.Class]
+		j.class = c
 		t.Class, t.Aim = c.Name, c.Aim+time.Duration(float64(c.AimPerKTokens)*q.PromptTokens/1000)
 	}
 	var parent Context
@@ -215,7 +227,7 @@
 	clear(j.carry[:min(len(j.try.Legs), len(j.carry))])
 	clear(j.try.Legs) // a part of j.legs; the rest is clear
 	j.try = Try{}
-	j.id, j.from, j.why, j.out, j.over, j.tells, j.place = 0, nil, 0, 0, false, false, nil
+	j.id, j.from, j.why, j.out, j.over, j.tells, j.place, j.class = 0, nil, 0, 0, false, false, nil, nil
 	r.spare = append(r.spare, j)
 }
 
@@ -426,7 +438,7 @@
 		delete(r.telling, j.from)
 	}
 	t := &j.try
-	t.Late, t.Reasons = r.slow(t), t.Reasons|reasons(t)
+	t.Late, t.Reasons = r.slow(t, j.class), t.Reasons|reasons(t)
 	if t.Late {
 		t.Reasons |= ForLate
 	}
@@ -483,17 +495,15 @@
 }
 
 // slow tells whether an answer came later than its class wants: its first event, or the pace of the rest.
-func (r *Recorder) slow(t *Try) bool {
+func (r *Recorder) slow(t *Try, c *Class) bool {
 	if t.First == 0 || t.Aim == 0 {
 		return false
 	}
 	if t.First > t.Aim-r.o.Margin {
 		return true
 	}
-	for i := range r.o.Classes {
-		if c := &r.o.Classes[i]; c.Name == t.Class && c.TokenAim > 0 && t.Tokens > 0 {
-			return t.End-t.First > time.Duration(t.Tokens)*c.TokenAim-r.o.Margin
-		}
+	if c != nil && c.TokenAim > 0 && t.Tokens > 0 {
+		return t.End-t.First > time.Duration(t.Tokens)*c.TokenAim-r.o.Margin
 	}
 	return false
 }
--- a/internal/trace/recorder_test.go
+++ b/internal/trace/recorder_test.go
@@ -60,7 +60,7 @@
 
 func (r *rig) take(id policy.RequestID, session uint64, prompt float64, o *Origin) {
 	q := policy.Request{ID: id, Session: session, PromptTokens: prompt}
-	r.of[id] = r.Taken(r.now, id, id, fmt.Sprint("call", id), r.now, &q, o)
+	r.of[id] = r.Taken(r.now, id, id, fmt.Sprint("call", id), r.now, &q, o, nil)
 }
 
 // serve plays a leg to its end: first its first event, then the stream.
--- a/internal/trace/show/show.go
+++ b/internal/trace/show/show.go
@@ -179,6 +179,9 @@
 	s := scale{begin: begin, span: max(end-begin, 1), width: max(width, 60) - label - 2}
 	first := step[0]
 	fmt.Fprintf(w, "trace %v  %s  class %s", first.Trace, plural(len(step), "try", "tries"), first.Class)
+	if first.Pool != "" {
+		fmt.Fprintf(w, "  pool %s", first.Pool)
+	}
 	if first.Team != "" {
 		fmt.Fprintf(w, "  team %s", first.Team)
 	}
