--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -23,7 +25,7 @@
 type File struct {
 	Name  string `toml:"name"`
 	About string `toml:"about"`
-	Kind  string `toml:"kind"` // tracing, cost or collector
+	Kind  string `toml:"kind"` // one of kinds
 	Seed  uint64 `toml:"seed"`
 
 	Fleet struct {
@@ -46,7 +48,10 @@
 	Trace struct {
 		Share float64 `toml:"share"`
 	} `toml:"trace"`
-	Rounds  int       `toml:"rounds"` // of kind cost: pairs
+	Services struct {
+		Rate float64 `toml:"rate"` // calls a second that the second service's boxes can just carry
+	} `toml:"services"` // of kinds services, reloads and shared: the second service; fleet and traffic are the first's
+	Rounds  int       `toml:"rounds"` // of kind cost and services: pairs; of kind reloads: reloads
 	Trouble []Trouble `toml:"trouble"`
 	Short   struct {
 		Length settings.Duration `toml:"length"`
@@ -105,7 +110,7 @@
 	case f.Name == "" || f.About == "":
 		return errors.New("name and about are wanted")
 	case kinds[f.Kind] == nil:
-		return fmt.Errorf("kind: %q is none of tracing, cost and collector", f.Kind)
+		return fmt.Errorf("kind: %q is none of %q", f.Kind, slices.Sorted(maps.Keys(known)))
 	case f.Fleet.Routers < 1 || f.Fleet.Boxes < 1 || !(f.Fleet.Speed > 0) || !(f.Fleet.Size > 0):
 		return errors.New("fleet: routers, boxes, speed and size above 0 are wanted")
 	case !(f.Fleet.Cores > 0) || f.Fleet.MemoryMB < 16 || f.Fleet.Sockets < 64:
@@ -114,9 +119,13 @@
 		return errors.New("traffic.length and short.length above 0 are wanted")
 	case f.Kind == "cost" && (f.Traffic.Clients < 1 || f.Rounds < 1 || f.Short.Rounds < 1):
 		return errors.New("cost: traffic.clients, rounds and short.rounds of 1 at least are wanted")
+	case f.twoServices() && !(f.Services.Rate > 0):
+		return errors.New("services.rate above 0 is wanted")
+	case (f.Kind == "services" || f.Kind == "reloads") && (f.Rounds < 1 || f.Short.Rounds < 1):
+		return fmt.Errorf("%s: rounds and short.rounds of 1 at least are wanted", f.Kind)
 	case !(f.Traffic.Rate > 0):
 		return errors.New("traffic.rate above 0 is wanted")
-	case !(f.Trace.Share > 0 && f.Trace.Share <= 1):
+	case !f.twoServices() && !(f.Trace.Share > 0 && f.Trace.Share <= 1):
 		return errors.New("trace.share above 0 and up to 1 is wanted")
 	}
 	for i, t := range f.Trouble {
@@ -137,13 +146,21 @@
 	return nil
 }
 
+func (f *File) twoServices() bool {
+	return f.Kind == "services" || f.Kind == "reloads" || f.Kind == "shared"
+}
+
 // kinds run the kinds of experiments; known are their bars.
-var kinds = map[string]func(context.Context, *run) error{"tracing": tracing, "cost": cost, "collector": collector}
+var kinds = map[string]func(context.Context, *run) error{"tracing": tracing, "cost": cost, "collector": collector,
+	"services": services, "reloads": reloads, "shared": shared}
 
 var known = map[string]map[string]bool{
 	"tracing":   {"requests": true, "phase_error_ms": true, "share_error": true},
 	"cost":      {"throughput": true, "memory_mb": true},
 	"collector": {"answers": true},
+	"services":  {"worth": true},
+	"reloads":   {"memory_mb": true},
+	"shared":    {"drain_ms": true},
 }
 
 func (t *Trouble) fleet(scale float64) *fleet.Trouble {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -74,6 +74,7 @@
 	Kind string
 	Addr string
 	Log  string // file
+	File string // of its --config; "" = none
 	cmd  *exec.Cmd
 	done chan error
 }
@@ -174,6 +175,7 @@
 		if err := os.WriteFile(own, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
+		r.File = own
 		args = append(args, "--config", own)
 	}
 	r.Log = filepath.Join(f.o.Dir, r.Name+".log")
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -78,6 +78,7 @@
 // Client asks what a plan holds.
 type Client struct {
 	Routers []string // addresses
+	Host    string   // of the service that is asked for; "" = the router's address
 	Retries int      // further tries of a call at the most
 	Pause   time.Duration
 	Seed    uint64
@@ -95,6 +96,9 @@
 	return c.http
 }
 
+// Close closes idle connections.
+func (c *Client) Close() { c.client().CloseIdleConnections() }
+
 // Run asks each call when it is due, from the start on, and returns once all have their end or the context is over.
 func (c *Client) Run(ctx context.Context, plan []Call, to *Ledger) {
 	var all sync.WaitGroup
@@ -207,6 +211,9 @@
 		t.Outcome, t.Detail = Failed, err.Error()
 		return 0
 	}
+	if c.Host != "" {
+		req.Host = c.Host
+	}
 	h := req.Header
 	h.Set("Content-Type", "application/json")
 	h.Set("X-Call-Id", t.CallID)
@@ -306,3 +313,21 @@
 	aim := k.Aim + time.Duration(float64(k.AimPerKTokens)*float64(call.Prompt)/1000)
 	t.Late = t.First.Sub(t.Sent) > aim || t.End.Sub(t.First) > time.Duration(t.Tokens)*k.TokenAim
 }
+
+// Worth is what a ledger's calls were worth in time, as a share of what they all would be.
+func Worth(plan []Call, tries []Try) float64 {
+	got := map[int]bool{}
+	for i := range tries {
+		if t := &tries[i]; t.Outcome == Served && !t.Late {
+			got[t.Call] = true
+		}
+	}
+	var had, all float64
+	for i := range plan {
+		all += plan[i].Class.Worth
+		if got[plan[i].Number] {
+			had += plan[i].Class.Worth
+		}
+	}
+	return had / max(all, 1e-9)
+}
--- a/internal/lab/standin/box.go
+++ b/internal/lab/standin/box.go
@@ -57,6 +57,8 @@
 	Params model.Params
 	Spans  func(Span) // gets the box's own spans; may be nil
 	Disc   *Discovery
+	Also   *Discovery                               // lists it, too; may be nil
+	Asked  func(box, host, id string, at time.Time) // hears of each request, its Host and its id; may be nil
 
 	mu      sync.Mutex
 	addr    string
@@ -114,14 +116,18 @@
 	}}
 	go b.srv.Serve(ln)
 	go b.run(b.life, b.engine, b.ended)
-	if b.Disc != nil {
-		b.Disc.Set(Entry{
-			Host: b.Name, Dial: b.addr, Site: "room", Class: "gpu", Health: "Ready", Share: 1, BornMS: bornMS,
-		})
-	}
+	b.set(Entry{Host: b.Name, Dial: b.addr, Site: "room", Class: "gpu", Health: "Ready", Share: 1, BornMS: bornMS})
 	return nil
 }
 
+func (b *Box) set(e Entry) {
+	for _, d := range []*Discovery{b.Disc, b.Also} {
+		if d != nil {
+			d.Set(e)
+		}
+	}
+}
+
 // Addr is where it listens, or listened.
 func (b *Box) Addr() string {
 	b.mu.Lock()
@@ -139,9 +145,7 @@
 	b.mu.Lock()
 	e := Entry{Host: b.Name, Dial: b.addr, Site: "room", Class: "gpu", Health: health, Share: 1}
 	b.mu.Unlock()
-	if b.Disc != nil {
-		b.Disc.Set(e)
-	}
+	b.set(e)
 }
 
 // Die ends the process at once: its connections are closed and new ones refused.
@@ -259,6 +263,12 @@
 		http.Error(w, "no request of the lab", http.StatusBadRequest)
 		return
 	}
+	if b.Asked != nil {
+		b.mu.Lock()
+		name := b.Name
+		b.mu.Unlock()
+		b.Asked(name, r.Host, id, began)
+	}
 	if c, ok := trace.ParseParent(r.Header.Get("Traceparent")); ok && b.Spans != nil {
 		b.mu.Lock()
 		name := b.Name
