Registry: one pool paces calls to a discovery that is down; events are searched once

Of several pools on one discovery each heard of a failed call and asked again, and each of these calls failed for all: their number grew with every failure. Now the first pool alone hears of it; when it leaves, the next. Events that pass were searched three times from the back for fields that are mostly not there; now once from the front.

--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -145,7 +145,7 @@
 		cfg.Limits = cfg.Limits.WithBatch(b.Files())
 	}
 	p, err := plan.Make(cfg, f, nil)
-	if err != nil || len(f.Services) == 0 {
+	if err != nil || len(f.Services) == 0 && f.Control == nil {
 		return p, err
 	}
 	cfg.Limits = cfg.Limits.WithFeeds(len(p.Discoveries()))
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,8 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/route"
 	"notchhinge/internal/service"
 	"notchhinge/policy"
 )
@@ -320,3 +323,42 @@
 	}
 	same(t, "result", []string{"1 id-0 failed answer_too_long"}, outcomesOf(t, j))
 }
+
+func TestLinesGoToTheServiceOfTheirContract(t *testing.T) {
+	// By its service's name, or by the routes of the lines' host; and what nothing leads to any more has its outcome.
+	directory := func(names ...string) *service.Directory {
+		var services []route.Service
+		routes := []route.Route{{Service: names[0], Host: host, Method: "POST"}}
+		var pools []*service.Pool
+		for i, n := range names {
+			services = append(services, route.Service{Name: n, Shares: []route.Share{{Pool: n, Weight: 1}}})
+			pools = append(pools, &service.Pool{ID: pool.ID(i + 1), Name: n, Classes: []policy.Class{{Name: "batch-summary", Deadline: 12 * time.Second}}})
+		}
+		table, faults := route.New(services, routes, func(name string) (int, bool) { return slices.Index(names, name) + 1, true })
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		return service.New(table, true, pools...)
+	}
+	for name, want := range map[string]pool.ID{"calib": 2, "": 1} {
+		r := newRig(t, t.TempDir(), func(k *Contract) { k.Service, k.AtOnce = name, 1 })
+		at := directory("runs", "calib")
+		r.routes = func() *service.Directory { return at }
+		var to []pool.ID
+		post := r.post
+		r.post = func(e broker.Event) {
+			if e, ok := e.(broker.Taken); ok {
+				to = append(to, e.Pool)
+			}
+			post(e)
+		}
+		j := r.job(fileText(2))
+		r.after(0)[0].Decline(broker.Failed, 0)
+		if at = directory("other"); name == "" {
+			at.Table, _ = route.New(nil, nil, nil)
+		}
+		r.after(0)
+		same(t, "pools", []pool.ID{want}, to)
+		same(t, "outcomes", []string{"1 id-0 failed timed_out", "2 id-1 failed no_route"}, outcomesOf(t, j))
+	}
+}
--- a/internal/broker/scale_test.go
+++ b/internal/broker/scale_test.go
@@ -32,7 +32,6 @@
 				c.Reduce(now, l)
 			}
 			grown := heap() - before
-			b.ReportMetric(float64(grown)/float64(n), "B/pool")
 			i := 0
 			for b.Loop() {
 				i++
@@ -46,6 +45,7 @@
 				c.Reduce(now, LegBegan{leg})
 				c.Reduce(now, LegEnded{Leg: leg, Result: policy.OK})
 			}
+			b.ReportMetric(float64(grown)/float64(n), "B/pool")
 			runtime.KeepAlive(c)
 		})
 	}
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -320,7 +320,6 @@
 	}
 	for {
 		l.note(part, end)
-		l.passed(part)
 		if werr := to.Relay(part); werr != nil {
 			c.Post(broker.Departed{From: e.From})
 			end.Result = policy.Cancelled
@@ -358,17 +357,6 @@
 	return whole && !resp.Close
 }
 
-// passed keeps a traced leg's account of what it passes on.
-func (l *leg) passed(part []byte) {
-	if l.times == nil {
-		return
-	}
-	l.times.Bytes += len(part)
-	if n, ok := number(part, `"completion_tokens":`); ok {
-		l.times.Tokens = n
-	}
-}
-
 // bound waits until the broker has said whether the leg is the acquirer's.
 func (l *leg) bound(ctx context.Context) bool {
 	select {
@@ -379,25 +367,46 @@
 	}
 }
 
-// note takes from passing events what the module wants to know.
+// note takes from passing events what the module wants to know, and what a traced leg keeps account of.
 func (l *leg) note(part []byte, end *broker.LegEnded) {
-	if n, ok := number(part, `"cached_tokens":`); ok {
-		end.Kept = float64(n)
+	if usage := tail(part, `"usage":`); usage != nil {
+		if n, ok := number(usage, `"cached_tokens":`); ok {
+			end.Kept = float64(n)
+		}
+		if l.times != nil {
+			if n, ok := number(usage, `"completion_tokens":`); ok {
+				l.times.Tokens = n
+			}
+		}
+	}
+	if l.times != nil {
+		l.times.Bytes += len(part)
+	}
+	if !l.reports.Piggyback {
+		return
 	}
-	const comment = "\n: " + loadHeader + ":"
-	if at := bytes.LastIndex(part, []byte(comment)); l.reports.Piggyback && at >= 0 {
-		text, _, _ := bytes.Cut(part[at+len(comment):], []byte("\n"))
+	if text := tail(part, "\n: "+loadHeader+":"); text != nil {
+		text, _, _ = bytes.Cut(text, []byte("\n"))
 		end.Report = ParseReport(string(text), l.reports.Columns)
 	}
 }
 
-// number reads the number behind the last place where a field's name stands in passing events.
-func number(part []byte, name string) (n int, ok bool) {
-	at := bytes.LastIndex(part, []byte(name))
-	if at < 0 {
+// tail returns what stands behind the last place of a name, or nil. Mostly the name is not there: to look for it from
+// the front is many times as fast then.
+func tail(part []byte, name string) []byte {
+	if !bytes.Contains(part, []byte(name)) {
+		return nil
+	}
+	return part[bytes.LastIndex(part, []byte(name))+len(name):]
+}
+
+// number reads the number behind the place where a field's name stands.
+func number(text []byte, name string) (n int, ok bool) {
+	_, rest, ok := bytes.Cut(text, []byte(name))
+	if !ok {
 		return 0, false
 	}
-	digits := bytes.TrimLeft(part[at+len(name):], " ")
+	digits := bytes.TrimLeft(rest, " ")
 	for n < len(digits) && n < 15 && digits[n] >= '0' && digits[n] <= '9' {
 		n++
 	}
--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/pool"
@@ -47,6 +48,10 @@
 	asked chan struct{}
 	stop  context.CancelFunc
 
+	// The loop asks, and must not wait for mu, which is held while it is posted to.
+	failed atomic.Bool  // the last call failed, and the first pool has been told so
+	first  atomic.Int64 // the pool whose module paces calls after a failure: the one with the least number
+
 	mu    sync.Mutex
 	known bool             // a list has come, or was given
 	list  map[string]Entry // as last held
@@ -76,8 +81,18 @@
 // Stop ends the watch.
 func (f *Feed) Stop() { f.stop() }
 
-// Ask has the discovery watched from now on. It does not wait; asking while a watch is on does nothing.
-func (f *Feed) Ask() {
+// Ask has the discovery watched from now on, as a pool's module wants it. It does not wait; asking while a watch is on
+// does nothing. After a call that failed it is the first pool alone that hears of it and whose module says when to ask
+// again: were it all of them, each failure would have as many calls follow as there are pools, and each of these would
+// fail for all.
+func (f *Feed) Ask(id pool.ID) {
+	if !f.failed.Load() || int64(id) == f.first.Load() {
+		f.AskNow()
+	}
+}
+
+// AskNow is Ask for nobody in particular.
+func (f *Feed) AskNow() {
 	select {
 	case f.asked <- struct{}{}:
 	default: // asked already
@@ -115,6 +130,7 @@
 		m.has = map[string]bool{}
 	}
 	f.pools[id] = m
+	f.choose()
 	if !first && !f.known {
 		return
 	}
@@ -134,22 +150,41 @@
 func (f *Feed) Leave(id pool.ID) (left bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	paced := f.failed.Load() && f.first.Load() == int64(id)
 	delete(f.pools, id)
+	if f.choose(); paced && len(f.pools) > 0 { // another has to see to it now
+		f.post(broker.Listed{Pool: pool.ID(f.first.Load()), Kind: policy.ListFailed})
+	}
 	return len(f.pools) > 0
 }
 
+// choose finds the first pool. The lock is held.
+func (f *Feed) choose() {
+	least := pool.ID(-1)
+	for id := range f.pools {
+		if least < 0 || id < least {
+			least = id
+		}
+	}
+	f.first.Store(int64(least))
+}
+
 // take hears what the discovery says. A list with an error in it is nobody's.
 func (f *Feed) take(kind policy.ListKind, l List) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.failed.Store(kind == policy.ListFailed)
+	if kind == policy.ListFailed {
+		if len(f.pools) > 0 {
+			f.post(broker.Listed{Pool: pool.ID(f.first.Load()), Kind: kind})
+		}
+		return nil
+	}
 	for _, id := range slices.Sorted(maps.Keys(f.pools)) {
 		if err := f.tell(id, f.pools[id], kind, l); err != nil {
 			return err // the first would have it as well as any
 		}
 	}
-	if kind == policy.ListFailed {
-		return nil
-	}
 	f.known = true
 	if kind == policy.ListFull {
 		clear(f.list)
@@ -166,10 +201,6 @@
 
 // tell passes a list on to a pool as its selection has it.
 func (f *Feed) tell(id pool.ID, m *member, kind policy.ListKind, l List) error {
-	if kind == policy.ListFailed {
-		f.post(broker.Listed{Pool: id, Kind: kind})
-		return nil
-	}
 	hosts, err := l.Entries(m.zones)
 	if err != nil {
 		return err
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -85,7 +85,7 @@
 	if fresh {
 		f.Run(ctx)
 		if !first || q.Name != "" && !f.HasList() {
-			f.Ask() // nothing is known of it, and the module would take its time to ask
+			f.AskNow() // nothing is known of it, and the module would take its time to ask
 		}
 	}
 	if old != nil && old != f {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -141,7 +141,7 @@
 		go e.Of.(reminder).Due()
 	case broker.Watch:
 		if f := r.feed(e.Pool); f != nil {
-			f.Ask()
+			f.Ask(e.Pool)
 		}
 	case broker.PoolGone:
 		go r.gone(e.Pool)
