Registry: a pool that becomes the first on a failing discovery is told so

A pool that moved to a discovery that was down, and was older than those on it, paced its calls from then on without having heard of the failure: nobody would have asked again. Whoever becomes the first is told now; the test fails without it.

--- a/internal/registry/feed.go
+++ b/internal/registry/feed.go
@@ -150,15 +150,13 @@
 func (f *Feed) Leave(id pool.ID) (left bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	paced := f.failed.Load() && f.first.Load() == int64(id)
 	delete(f.pools, id)
-	if f.choose(); paced && len(f.pools) > 0 { // another has to see to it now
-		f.post(broker.Listed{Pool: pool.ID(f.first.Load()), Kind: policy.ListFailed})
-	}
+	f.choose()
 	return len(f.pools) > 0
 }
 
-// choose finds the first pool. The lock is held.
+// choose finds the first pool. If that is another now and the last call failed, it has to see to the next. The lock is
+// held.
 func (f *Feed) choose() {
 	least := pool.ID(-1)
 	for id := range f.pools {
@@ -166,7 +164,9 @@
 			least = id
 		}
 	}
-	f.first.Store(int64(least))
+	if f.first.Swap(int64(least)) != int64(least) && f.failed.Load() && least >= 0 {
+		f.post(broker.Listed{Pool: least, Kind: policy.ListFailed})
+	}
 }
 
 // take hears what the discovery says. A list with an error in it is nobody's.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -229,6 +229,11 @@
 	if f.Ask(2); !asked() || !cmp.Equal(failed, []pool.ID{1, 2}) {
 		t.Errorf("told of a failure: %v", failed)
 	}
+	f.Join(0, Selection{}, nil, false) // a pool of before comes from another discovery, and is the first now
+	if f.Ask(0); !asked() || !cmp.Equal(failed, []pool.ID{1, 2, 0}) {
+		t.Errorf("told of a failure: %v", failed)
+	}
+	f.Leave(0)
 	f.take(policy.ListDelta, List{})
 	f.Join(4, Selection{}, nil, true)
 	if f.Ask(4); !asked() {
