Route: a host with two trailing dots is malformed

SplitHost took one of them off and let the other stand, so that 0.. became 0., which is another spelling of 0. FuzzHost found it; its input is a seed now, and the table of hosts has two such. Three fuzz targets ran 10 s each without a find.

--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -267,7 +267,7 @@
 	for in, want := range map[string]string{
 		"Runs.Example.ORG": "runs.example.org", "runs.example.org.": "runs.example.org", "runs.example.org:8080": "runs.example.org",
 		"[2001:DB8:0::1]:80": "2001:db8::1", "[::1]": "::1", "10.0.0.1:5": "10.0.0.1", "a_b-c": "a_b-c", "A.:1": "a",
-		"": "", ".": "", "a..b": "", ".a": "", "a b": "", "[::1": "", "[fe80::1%25eth0]": "", "a:80x": "", "a:123456": "", "::1": "",
+		"": "", ".": "", "a..b": "", "a..": "", "0..:80": "", ".a": "", "a b": "", "[::1": "", "[fe80::1%25eth0]": "", "a:80x": "", "a:123456": "", "::1": "",
 		"a/b": "", "ä": "", "u@h": "", strings.Repeat("a", 64): "", strings.Repeat("a.", 127) + "a": "", "[1.2.3.4]": "",
 	} {
 		if got, err := Host(in); got != want || (err == nil) != (want != "") {
@@ -392,7 +392,7 @@
 }
 
 func FuzzHost(f *testing.F) {
-	for _, s := range []string{"Runs.example.org:80", "[2001:db8::1]:1", "a.", "10.1.2.3"} {
+	for _, s := range []string{"Runs.example.org:80", "[2001:db8::1]:1", "a.", "0..", "10.1.2.3"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
--- a/internal/route/target.go
+++ b/internal/route/target.go
@@ -65,6 +65,9 @@
 			return "", "", ErrHost
 		}
 	}
+	if label == 0 { // of two trailing dots only one is taken off
+		return "", "", ErrHost
+	}
 	if upper {
 		host = strings.ToLower(host)
 	}
