Share: the lane of a holder that has ended goes when it is empty

A pool that ended with authorisations waiting, or was led one late, left its lane behind for the life of the process, and each turn looks at all lanes. A lane without a weight now goes with its last entry; the test fails without it.

--- a/internal/share/lanes.go
+++ b/internal/share/lanes.go
@@ -14,6 +14,7 @@
 	entries []T
 	weight  float64
 	tag     float64 // of its first entry
+	kept    bool    // has a weight, and stays while it is empty
 }
 
 // NewLanes returns an empty queue.
@@ -24,12 +25,20 @@
 	if !(weight > 0) {
 		weight = 1
 	}
-	l.lane(id).weight = weight
+	q := l.lane(id)
+	q.weight, q.kept = weight, true
 }
 
-// End forgets a holder's weight once nothing of its is queued.
+// End forgets a holder. What it has queued, or queues still, has its turns; its lane goes when it is empty.
 func (l *Lanes[T]) End(id int) {
-	if q := l.lanes[id]; q != nil && len(q.entries) == 0 {
+	if q := l.lanes[id]; q != nil {
+		q.kept = false
+		l.forget(id, q)
+	}
+}
+
+func (l *Lanes[T]) forget(id int, q *lane[T]) {
+	if !q.kept && len(q.entries) == 0 {
 		delete(l.lanes, id)
 	}
 }
@@ -69,28 +78,25 @@
 		return x, false
 	}
 	l.served = next.tag
-	return l.first(next), true
-}
-
-func (l *Lanes[T]) first(q *lane[T]) T {
 	var none T
-	x := q.entries[0]
-	q.entries[0] = none
-	if q.entries = q.entries[1:]; len(q.entries) == 0 {
-		q.entries = nil
+	x, next.entries[0] = next.entries[0], none
+	if next.entries = next.entries[1:]; len(next.entries) == 0 {
+		next.entries = nil
 	}
-	q.tag += 1 / q.weight
+	next.tag += 1 / next.weight
 	l.n--
-	return x
+	l.forget(best, next)
+	return x, true
 }
 
 // PopIf takes the first entry that pick picks out, wherever it stands, and returns it.
 func (l *Lanes[T]) PopIf(pick func(T) bool) (x T, ok bool) {
-	for _, q := range l.lanes {
+	for id, q := range l.lanes {
 		for i, e := range q.entries {
 			if pick(e) {
 				q.entries = append(q.entries[:i:i], q.entries[i+1:]...)
 				l.n--
+				l.forget(id, q)
 				return e, true
 			}
 		}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -148,6 +148,21 @@
 	}
 }
 
+// TestAnEndedLaneGoesWhenItIsEmpty: one that has entries at its end, or gets a late one, is not kept for ever.
+func TestAnEndedLaneGoesWhenItIsEmpty(t *testing.T) {
+	l := NewLanes[int]()
+	l.Weigh(1, 2)
+	l.Push(1, 7)
+	l.End(1)
+	if x, ok := l.Pop(); x != 7 || !ok || len(l.lanes) != 0 {
+		t.Errorf("%d, %v, %d lanes", x, ok, len(l.lanes))
+	}
+	l.Push(1, 8)
+	if _, ok := l.PopIf(func(x int) bool { return x == 8 }); !ok || len(l.lanes) != 0 {
+		t.Errorf("%v, %d lanes after a late one", ok, len(l.lanes))
+	}
+}
+
 func TestLanesKeepOrderAndLoseNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type entry struct{ lane, n int }
@@ -187,5 +202,11 @@
 		if _, ok := l.Pop(); ok || pushed != popped {
 			t.Fatalf("pushed %d, popped %d", pushed, popped)
 		}
+		for id := range 4 {
+			l.End(id)
+		}
+		if len(l.lanes) != 0 {
+			t.Fatalf("%d lanes are left", len(l.lanes))
+		}
 	})
 }
