Route: splits are drawn by xxhash and not by a copy of the module's mixing

split.go had FNV-1a written out and the decision module's mix and unit once more. One known hash does both. Which conversation is on which side changes with it, once; no release has splits yet. Still no allocation.

--- a/internal/route/split.go
+++ b/internal/route/split.go
@@ -1,8 +1,11 @@
 package route
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // share is a compiled Share.
@@ -58,7 +61,7 @@
 	best, lowest := -1, math.Inf(1)
 	for i := range t.shares {
 		s := &t.shares[i]
-		if score := -math.Log(unit(mix(conversation, s.hash))) / s.weight; score < lowest {
+		if score := -math.Log(draw(conversation, s.hash)) / s.weight; score < lowest {
 			best, lowest = s.pool, score
 		}
 	}
@@ -68,20 +71,12 @@
 // Conversation is a number for what has no session, such as a single call by its id.
 func Conversation(id string) uint64 { return hash(id) }
 
-// hash is FNV-1a.
-func hash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(s); i++ {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return h
-}
+func hash(s string) uint64 { return xxhash.Sum64String(s) }
 
-func mix(x, y uint64) uint64 {
-	x = (x ^ y*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>32) * 0x94d049bb133111eb
-	return x ^ x>>29
+// draw is a number from 0 to 1, both excluded, for a conversation at a pool: the same at all routers.
+func draw(conversation, pool uint64) float64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], conversation)
+	binary.LittleEndian.PutUint64(b[8:], pool)
+	return (float64(xxhash.Sum64(b[:])>>11) + 0.5) / (1 << 53)
 }
-
-// unit maps a hash into (0, 1).
-func unit(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// draw makes a route of few names, so that many of them meet.
-func draw(t *rapid.T) Route {
+// drawRoute makes a route of few names, so that many of them meet.
+func drawRoute(t *rapid.T) Route {
 	r := Route{
 		Service: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service"),
 		Host:    rapid.SampledFrom([]string{"", "x.y.z", "w.x.y.z", "*.z", "*.y.z", "*.x.y.z"}).Draw(t, "host"),
@@ -152,7 +152,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var routes []Route
 		for range rapid.IntRange(1, 12).Draw(t, "routes") {
-			r := draw(t)
+			r := drawRoute(t)
 			if _, faults := New(services(append(routes, r)), append(routes, r), one); len(faults) == 0 {
 				routes = append(routes, r)
 			}
@@ -296,10 +296,12 @@
 	if to := tb.Lookup(&q); to == nil {
 		t.Fatal("no route")
 	}
+	both, _ := New([]Service{{Name: "s", Shares: []Share{{Pool: "a", Weight: 1}, {Pool: "b", Weight: 1}}}}, nil, one)
 	if n := testing.AllocsPerRun(100, func() {
 		tb.Lookup(&q)
 		Path("/v1/chat/completions")
 		SplitHost("runs.example.org:80")
+		both.Service("s").Pool(Conversation("id"))
 	}); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
