Plan: one rule where lines of batches go, for the desk and for the check of contracts

The desk and the plan each worked out where a contract's lines lead, the files of pools' settings were read twice to gather the names of classes, and the path of calls stood in two places. service.Directory.Line is the rule now; the plan checks every contract by it, so that one without a service whose lines no route takes is a fault of the file and not of each line.

--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -9,6 +9,7 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
+	"notchhinge/internal/service"
 	"notchhinge/policy"
 )
 
@@ -36,14 +37,11 @@
 	endBroken // a stream that broke; the line may be tried again whole
 )
 
-// host is what lines are sent to, and routed by where their team names no service.
-const host = "batch.notchhinge"
-
 func newAttempt(d *Desk, w *try) *attempt {
 	return &attempt{
 		desk: d, try: w, safe: w.class.Effect == policy.Safe, got: collector{most: d.lim.AnswerBytes},
 		order: issuer.Order{
-			Method: "POST", Target: endpoint, Host: host, CallID: fmt.Sprintf("%016x", rand.Uint64()),
+			Method: "POST", Target: endpoint, Host: service.BatchHost, CallID: fmt.Sprintf("%016x", rand.Uint64()),
 			ContentType: "application/json", Body: w.body,
 		},
 	}
--- a/internal/batch/contract.go
+++ b/internal/batch/contract.go
@@ -74,7 +74,8 @@
 	return &c, nil
 }
 
-// Check takes the contracts' keys from the environment, reads their descriptions, and says what is wrong.
+// Check takes the contracts' keys from the environment, reads their descriptions, and says what is wrong. classes are
+// those that contracts may name; nil where they are checked elsewhere.
 func (c *Config) Check(classes map[string]int, getenv func(string) string) error {
 	var err error
 	teams, keys := map[string]bool{}, map[string]bool{}
@@ -128,6 +129,9 @@
 		return errors.New("lines, at_once, budget_tokens, budget_period and line_deadline must be above 0")
 	}
 	for _, name := range k.Classes {
+		if classes == nil {
+			break
+		}
 		if _, ok := classes[name]; !ok {
 			return fmt.Errorf("class %q is unknown to the settings", name)
 		}
--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -15,7 +15,6 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/limits"
-	"notchhinge/internal/route"
 	"notchhinge/internal/service"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
@@ -269,10 +268,7 @@
 // lead finds the pool that a line goes to: its service's, or that of its route.
 func (d *Desk) lead(w *try) (*service.Pool, error) {
 	at, name := d.routes(), w.job.rec.Class
-	to := at.Table.Service(w.job.team.Service)
-	if w.job.team.Service == "" {
-		to = at.Table.Lookup(&route.Query{Host: host, Path: endpoint, Method: "POST", Class: name})
-	}
+	to := at.Line(w.job.team.Service, name)
 	if to == nil {
 		return nil, errors.New("no route takes the line, or its service is gone")
 	}
--- a/internal/batch/desk_test.go
+++ b/internal/batch/desk_test.go
@@ -328,7 +328,7 @@
 	// By its service's name, or by the routes of the lines' host; and what nothing leads to any more has its outcome.
 	directory := func(names ...string) *service.Directory {
 		var services []route.Service
-		routes := []route.Route{{Service: names[0], Host: host, Method: "POST"}}
+		routes := []route.Route{{Service: names[0], Host: service.BatchHost, Method: "POST"}}
 		var pools []*service.Pool
 		for i, n := range names {
 			services = append(services, route.Service{Name: n, Shares: []route.Share{{Pool: n, Weight: 1}}})
--- a/internal/batch/line.go
+++ b/internal/batch/line.go
@@ -10,6 +10,7 @@
 	"io"
 	"strings"
 
+	"notchhinge/internal/service"
 	"notchhinge/policy"
 )
 
@@ -21,7 +22,7 @@
 	Body     json.RawMessage `json:"body"`
 }
 
-const endpoint = "/v1/chat/completions"
+const endpoint = service.CallsPath
 
 // chat is what the front reads of a body.
 type chat struct {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -182,34 +182,13 @@
 // LoadSettings reads the operator's own file. The error is settings.Faults where the file is at fault.
 func (c *Config) LoadSettings(path string, getenv func(string) string) (*settings.File, *batch.Config, error) {
 	var names []string
-	classes := map[string]int{}
-	for i, k := range c.Settings.Classes {
+	for _, k := range c.Settings.Classes {
 		names = append(names, k.Name)
-		classes[k.Name] = i
 	}
 	f, err := settings.Load(path, names)
 	if err != nil || f.Batch == nil {
 		return f, nil, err
 	}
-	for _, p := range f.Pools {
-		for _, k := range p.Classes {
-			if _, known := classes[k.Name]; !known {
-				classes[k.Name] = len(classes)
-			}
-		}
-		if p.Settings == "" {
-			continue
-		}
-		m, err := LoadModule(p.Settings, c.Seed)
-		if err != nil {
-			return nil, nil, err
-		}
-		for _, k := range m.Settings.Classes {
-			if _, known := classes[k.Name]; !known {
-				classes[k.Name] = len(classes)
-			}
-		}
-	}
 	b := &batch.Config{Listen: f.Batch.Listen, Spool: f.Batch.Spool}
 	for _, k := range f.Contracts {
 		b.Contracts = append(b.Contracts, batch.Contract{
@@ -218,7 +197,7 @@
 			LineDeadline: batch.Period(k.LineDeadline), OpenAPI: k.OpenAPI,
 		})
 	}
-	if err := b.Check(classes, getenv); err != nil {
+	if err := b.Check(nil, getenv); err != nil { // the classes are the settings' to check, or the plan's where there are pools
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return f, b, nil
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -272,26 +272,21 @@
 	}
 }
 
-// contracts says which contracts have classes that a pool of their service does not know.
+// contracts says which contracts have classes whose lines nothing leads, or that a pool they may be led to does not know.
 func (p *Plan) contracts(f *settings.File) (faults settings.Faults) {
 	for i, k := range f.Contracts {
-		if k.Service == "" {
-			continue
-		}
-		s := f.Services[slices.IndexFunc(f.Services, func(s settings.Service) bool { return s.Name == k.Service })]
-		names := []string{s.Pool}
-		if s.Pool == "" {
-			names = nil
-			for _, part := range s.Split {
-				names = append(names, part.Pool)
+		for _, c := range k.Classes {
+			fault := func(format string, args ...any) {
+				faults = append(faults, f.Fault([]string{"contract", strconv.Itoa(i), "classes"}, format, args...))
 			}
-		}
-		for _, name := range names {
-			known := p.named(name).view().Classes
-			for _, c := range k.Classes {
-				if !slices.ContainsFunc(known, func(x policy.Class) bool { return x.Name == c }) {
-					faults = append(faults, f.Fault([]string{"contract", strconv.Itoa(i), "classes"},
-						"pool %q of service %q has no class %q", name, k.Service, c))
+			to := p.Directory.Line(k.Service, c)
+			if to == nil {
+				fault("no route takes lines of class %q: POST %s%s, as no service is named", c, service.BatchHost, service.CallsPath)
+				continue
+			}
+			for _, q := range p.Directory.Pools(to) {
+				if _, known := q.Class(c); !known {
+					fault("pool %q of service %q has no class %q", q.Name, to.Service, c)
 				}
 			}
 		}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -150,10 +150,14 @@
 		"settings": {one + poolOf("a", fmt.Sprintf("settings = %q", bad)), []string{":8: pool[0].settings: "}},
 		"every class": {one + poolOf("a", "[[pool.class]]\nname = \"x\"\n[[pool.class]]\nname = \"y\""),
 			[]string{`:9: pool[0].class[0].name: class "x" is not in the pool's settings`, `:11: pool[0].class[1].name: class "y"`}},
-		"a class that the module refuses": {one + poolOf("a", "[[pool.class]]\nname = \"doc-lookup\"\nworth = 1.0\ndeadline = \"0s\""), nil},
+		"a class without time": {one + poolOf("a", "[[pool.class]]\nname = \"doc-lookup\"\nworth = 1.0\ndeadline = \"0s\""),
+			[]string{":11: pool[0].class[0].deadline: a time above 0"}},
 		"a contract's classes": {one + poolOf("a", "[[pool.class]]\nname = \"doc-lookup\"") + "[[contract]]\nteam = \"t\"\nkey_env = \"K\"\nservice = \"s\"\n" +
 			"classes = [\"shift-agent\"]\nlines = 1\nat_once = 1\nbudget_tokens = 1\nbudget_period = \"1h\"\nline_deadline = \"1m\"\n",
 			[]string{`:14: contract[0].classes: pool "a" of service "s" has no class "shift-agent"`}},
+		"a contract without a service or a route": {one + poolOf("a", "") + "[[contract]]\nteam = \"t\"\nkey_env = \"K\"\n" +
+			"classes = [\"chat\"]\nlines = 1\nat_once = 1\nbudget_tokens = 1\nbudget_period = \"1h\"\nline_deadline = \"1m\"\n",
+			[]string{`:12: contract[0].classes: no route takes lines of class "chat": POST batch.notchhinge/v1/chat/completions`}},
 		"discoveries": {many, []string{":1: pool[0]: 20 discoveries; there is room for 10"}},
 	} {
 		f, err := settings.Parse([]byte(c.text), "f", nil)
@@ -161,7 +165,7 @@
 			_, err = Make(base(t), f, make1(t, "", nil))
 		}
 		var faults settings.Faults
-		if !errors.As(err, &faults) || c.want != nil && len(faults) != len(c.want) {
+		if !errors.As(err, &faults) || len(faults) != len(c.want) {
 			t.Errorf("%s: %v", name, err)
 			continue
 		}
--- a/internal/route/split.go
+++ b/internal/route/split.go
@@ -51,6 +51,14 @@
 // Splits tells whether there is more than one pool that Pool may return.
 func (t *Target) Splits() bool { return len(t.shares) > 1 }
 
+// Pools returns the numbers of all pools that Pool may return.
+func (t *Target) Pools() (all []int) {
+	for _, s := range t.shares {
+		all = append(all, s.pool)
+	}
+	return all
+}
+
 // Pool returns the number of the pool for a conversation: over conversations in proportion to the weights, and always
 // the same for one. When weights change, conversations move only from pools whose part shrinks to pools whose part
 // grows, and no more of them than must (weighted rendezvous hashing).
--- a/internal/service/directory.go
+++ b/internal/service/directory.go
@@ -53,15 +53,35 @@
 	return d.pools[to.Pool(conversation)]
 }
 
-// CallsPath is where the platform's clients ask.
-const CallsPath = "/v1/chat/completions"
+// Pools returns every pool that a target may lead to.
+func (d *Directory) Pools(to *route.Target) (all []*Pool) {
+	for _, n := range to.Pools() {
+		all = append(all, d.pools[n])
+	}
+	return all
+}
+
+// CallsPath is where the platform's clients ask, and BatchHost the host that lines of batches are sent to.
+const (
+	CallsPath = "/v1/chat/completions"
+	BatchHost = "batch.notchhinge"
+)
+
+// Line returns where the lines of a batch go: to the service that their contract names, or by their route. It is nil
+// where nothing leads them.
+func (d *Directory) Line(service, class string) *route.Target {
+	if service != "" {
+		return d.Table.Service(service)
+	}
+	return d.Table.Lookup(&route.Query{Host: BatchHost, Path: CallsPath, Method: "POST", Class: class})
+}
 
 // Plain is the directory of the platform's case: one pool that takes POST at CallsPath, whatever the host.
 func Plain(p *Pool) *Directory {
 	t, faults := route.New([]route.Service{{Shares: []route.Share{{Weight: 1}}}}, []route.Route{{Path: CallsPath, Method: "POST"}},
 		func(string) (int, bool) { return int(p.ID), true })
 	if len(faults) > 0 {
-		return nil // it has none, as the test sees
+		return nil // it has none, as every test of a front sees
 	}
 	return New(t, false, p)
 }
