Trace: classes come with a pool's set alone, and attempts from its module alone

The recorder knew classes by its options or by a pool's set, and the router gave the platform's pool its attempts another way than all others.

--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -27,7 +27,7 @@
 	ready      int // of the hosts
 	counts     Counters
 	held       int        // authorisations that are not forgotten
-	set        *trace.Set // for the journal; nil = the journal's own classes
+	set        *trace.Set // for the journal
 	leaving    bool       // nothing more is routed to it; it goes with its last authorisation
 	gone       bool
 }
@@ -56,9 +56,7 @@
 	if p.retryAfter == 0 {
 		p.retryAfter = b.lim.SpareAnswer
 	}
-	if e.Name != "" || e.Classes != nil {
-		p.set = &trace.Set{Pool: e.Name, Classes: e.Classes}
-	}
+	p.set = &trace.Set{Pool: e.Name, Classes: e.Classes}
 	b.places.Set(int(p.id), e.Places)
 }
 
--- a/internal/broker/trace_test.go
+++ b/internal/broker/trace_test.go
@@ -11,7 +11,7 @@
 
 func traced(r *rig, o trace.Options) {
 	o.Router, o.Window, o.Linger, o.Steps, o.Seed = "n1", 10*sec, 2*sec, 1000, 5
-	o.Classes = []trace.Class{{Name: "chat", Aim: sec}}
+	r.Reduce(r.now, PoolSet{Classes: []trace.Class{{Name: "chat", Aim: sec}}})
 	r.Trace(o)
 }
 
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -55,14 +55,11 @@
 	r.front.Set(q.ID, q.Bodies, q.Calls)
 	e := broker.PoolSet{
 		Pool: q.ID, Name: q.Name, Module: module, WarmUp: q.Module.Settings.WarmUp, ColdFrom: q.Module.Settings.ColdFrom,
-		Places: q.Places, Turns: q.Turns, RetryAfter: q.RetryAfter, Attempts: r.cfg.Limits.Attempts,
+		Classes: traceClasses(&q.Module), Places: q.Places, Turns: q.Turns, RetryAfter: q.RetryAfter,
+		Attempts: q.Module.Settings.Limits.MaxAttempts,
 	}
-	if q.Name != "" {
-		e.Attempts = max(q.Module.Settings.Limits.MaxAttempts, 1)
-		if q.Legs > 0 {
-			e.Attempts = min(e.Attempts, q.Legs)
-		}
-		e.Classes = traceClasses(&q.Module)
+	if q.Legs > 0 {
+		e.Attempts = min(e.Attempts, q.Legs)
 	}
 	r.loop.Post(e)
 }
--- a/internal/router/trace.go
+++ b/internal/router/trace.go
@@ -33,7 +33,6 @@
 		Router: cfg.Name, Seed: cfg.Seed, Share: *s.Share, PerSecond: *s.PerSecond, Margin: time.Duration(*s.Margin),
 		TellAll: s.TellHosts == "all", Steps: s.MemoryMB << 20 / trace.StepBytes, Linger: cfg.Limits.TraceLinger,
 	}
-	o.Classes = traceClasses(&cfg.Module)
 	for _, q := range p.Pools {
 		for _, c := range q.Module.Settings.Classes {
 			o.Window = max(o.Window, c.Deadline)
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -123,12 +123,11 @@
 	t.Router, t.CallID, t.Session, t.Prompt, t.At = r.o.Router, callID, q.Session, q.PromptTokens, min(at, now)
 	t.Legs = j.legs[:0]
 	j.id, j.from, j.taken = id, from, now-t.At
-	classes := r.o.Classes
 	if set != nil {
-		t.Pool, classes = set.Pool, set.Classes
+		t.Pool = set.Pool
 	}
-	if q.Class >= 0 && q.Class < len(classes) {
-		c := &classes[q.Class]
+	if set != nil && q.Class >= 0 && q.Class < len(set.Classes) {
+		c := &set.Classes[q.Class]
 		j.class = c
 		t.Class, t.Aim = c.Name, c.Aim+time.Duration(float64(c.AimPerKTokens)*q.PromptTokens/1000)
 	}
--- a/internal/trace/recorder_test.go
+++ b/internal/trace/recorder_test.go
@@ -24,10 +24,11 @@
 func (r *rig) Wake(at time.Duration) { r.wakes = append(r.wakes, at) }
 func (r *rig) Keep(t *Try)           { r.kept = append(r.kept, t) }
 
+var classes = &Set{Classes: []Class{{Name: "chat", Aim: time.Second, AimPerKTokens: 100 * ms, TokenAim: 50 * ms}}}
+
 func newRig(change func(*Options)) *rig {
 	o := Options{
 		Router: "n1", Seed: 3, Window: 10 * time.Second, Linger: time.Second, Steps: 1000,
-		Classes: []Class{{Name: "chat", Aim: time.Second, AimPerKTokens: 100 * ms, TokenAim: 50 * ms}},
 	}
 	if change != nil {
 		change(&o)
@@ -60,7 +61,7 @@
 
 func (r *rig) take(id policy.RequestID, session uint64, prompt float64, o *Origin) {
 	q := policy.Request{ID: id, Session: session, PromptTokens: prompt}
-	r.of[id] = r.Taken(r.now, id, id, fmt.Sprint("call", id), r.now, &q, o, nil)
+	r.of[id] = r.Taken(r.now, id, id, fmt.Sprint("call", id), r.now, &q, o, classes)
 }
 
 // serve plays a leg to its end: first its first event, then the stream.
