--- a/internal/broker/pools_test.go
+++ b/internal/broker/pools_test.go
@@ -139,6 +139,48 @@
 	}
 }
 
+// TestAColdBoxGetsItsShareFromBothPools: what both modules send a box that has just started stays, in any window, within the
+// share of both pools' traffic and the one request that may be saved up.
+func TestAColdBoxGetsItsShareFromBothPools(t *testing.T) {
+	const share = 0.5 // it warms up so slowly that it stays at that
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := New(limits.New(limits.Machine{Cores: 1, MemoryMB: 192, Sockets: 4096}, limits.Site{MaxAttempts: 3})), 1000*sec
+		var usual [2]float64
+		for i := range usual {
+			set := settings()
+			set.ColdFrom, set.WarmUp = share, 1000*time.Hour
+			m, err := policy.New(set, rapid.Uint64().Draw(t, "seed"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			id := pool.ID(i + 1)
+			b.Reduce(now, PoolSet{Pool: id, Name: fmt.Sprint(i), Module: m, WarmUp: set.WarmUp, ColdFrom: set.ColdFrom})
+			l := hosts(id, "shared")
+			for k := range rapid.IntRange(1, 3).Draw(t, "own boxes") {
+				l.Hosts = append(l.Hosts, hosts(id, fmt.Sprint("own ", i, k)).Hosts...)
+			}
+			l.Hosts[0].BornAt = now
+			usual[i] = float64(len(l.Hosts))
+			b.Reduce(now, l)
+		}
+		over, least := 0.0, 0.0 // what was sent less what the traffic allows, since the start, and the least that it was
+		for n := range rapid.IntRange(1, 200).Draw(t, "calls") {
+			now += time.Millisecond
+			p := rapid.IntRange(0, 1).Draw(t, "pool")
+			over -= share / usual[p]
+			for _, f := range b.Reduce(now, Taken{From: n, Pool: pool.ID(p + 1), At: now, Request: policy.Request{Session: uint64(n + 1), ExpiresIn: sec}}) {
+				if s, ok := f.(SendLeg); ok && s.Dial == "at shared" {
+					over++
+				}
+			}
+			if over-least > 1+1e-3 {
+				t.Fatalf("by call %d %.3f more than allowed was sent in some window", n+1, over-least-1)
+			}
+			least = min(least, over)
+		}
+	})
+}
+
 // TestTurnsGoRoundWhenOnePoolFloods: authorisations of one pool that wait do not stand before another's, and one whose
 // acquirer leaves while it waits is taken first.
 func TestTurnsGoRoundWhenOnePoolFloods(t *testing.T) {
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -15,6 +15,7 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/exchange"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
 	"notchhinge/internal/share"
 	"notchhinge/policy"
 )
@@ -371,3 +372,58 @@
 		t.Errorf("%v (-want +got):\n%s", err, diff)
 	}
 }
+
+func TestLinesOfTwoPools(t *testing.T) {
+	// Lines to a host that two pools share are each one's own; a pool gets back what another has beyond its guarantee, and
+	// nothing of what that is guaranteed; a host that closed a line of one has closed the other's, too.
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		d := newDesk(dial)
+		d.lines.stock.Resize(3)
+		for id := range pool.ID(2) {
+			d.Set(id, d.Reports, share.Claim{Guarantee: 1})
+		}
+		get := func(of pool.ID, host policy.ReplicaID) *line {
+			l, err := d.lines.get(t.Context(), dest{host, "a", of}, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return l
+		}
+		first, second := get(0, 1), get(0, 2)
+		if _, err := d.lines.get(t.Context(), dest{3, "a", 0}, time.Second); !errors.Is(err, errNoRoom) {
+			t.Errorf("a line of the other's guarantee: %v", err)
+		}
+		other := get(1, 1)
+		if other == first || d.Lines(0) != 2 || d.Lines(1) != 1 {
+			t.Errorf("%d and %d lines", d.Lines(0), d.Lines(1))
+		}
+		for _, l := range []*line{first, second} {
+			d.lines.put(l)
+		}
+		more := get(1, 2) // an idle one of the first pool, which has more than its guarantee, goes for it
+		if d.Lines(0) != 1 || d.Lines(1) != 2 || d.lines.open != 3 {
+			t.Errorf("%d and %d lines, %d open", d.Lines(0), d.Lines(1), d.lines.open)
+		}
+		if _, err := d.lines.get(t.Context(), dest{4, "a", 1}, time.Second); !errors.Is(err, errNoRoom) {
+			t.Errorf("the guaranteed one went: %v", err)
+		}
+		more.Close()
+		d.lines.closeIf(func(dest) bool { return true })
+		mine, theirs, elsewhere := get(0, 1), other, get(1, 2)
+		for _, l := range []*line{mine, theirs, elsewhere} {
+			d.lines.put(l)
+		}
+		d.lines.clear(mine.to)
+		if len(d.lines.idle) != 1 || len(d.lines.idle[elsewhere.to]) != 1 || d.lines.open != 1 {
+			t.Errorf("idle after the host closed: %v", d.lines.idle)
+		}
+		d.End(1)
+		if d.lines.open != 0 || d.lines.stock.Used() != 0 {
+			t.Errorf("%d lines of a pool that has ended", d.lines.open)
+		}
+		for len(far) > 0 {
+			(<-far).Close()
+		}
+	})
+}
