Policy: many routers draw a session alike and leave the first drawn only for what moving saves

Of turns whose session had been at a host before, 25 to 45% came back to it; the others read 6,000 to 7,000 tokens anew, as much as all new sessions together (1,500 of 2,000 thousand tokens in 5 s). The draw is by session, so that routers agree, but was led apart by the width of a prefix, counted from some 20 requests of a router, by ranks weighed with its own reports, and by the choice of the less loaded of two.

Ruled out: routers' restarts (no first token lost to them after 15 s), checks (2 ms; 120 ms where probes are served in turn), dead hosts (1 could not connect), pace on the wire (37.5 ms, always the same).

Changed: with many routers a prefix's order weighs by place, beyond twice its width, instead of cutting the list; ranks leave reports out; a session leaves the first drawn only if more prompt waits there than its own is long, with half a thousand tokens for each request held; a host that errs counts as silent, one whose probe is late as crowded.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -103,6 +103,75 @@
 	}
 }
 
+// What was read for a session is found again only where its turns meet at one replica, whichever gateway they
+// come through: what each gateway has counted or been reported may not lead them apart.
+func TestManyGatewaysDrawTheSameReplicaForASession(t *testing.T) {
+	same, n := 0, 200
+	seen := [2]map[uint64]ReplicaID{{}, {}}
+	for g := range seen {
+		b, err := New(many(80), uint64(g))
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &recorder{}
+		b.Listed(t0, a, List{Kind: ListFull, Replicas: room(40)})
+		for i := range n {
+			if g == 1 { // it has met another mix of prefixes, and one replica that was busy for a moment
+				b.prefixes.saw(uint64(i % 3))
+				b.reported(t0, b.fleet.byID[ReplicaID(i%40+1)], report(float64(i%7)))
+			}
+			q := req(RequestID(i+1), 0, uint64(1000+i))
+			q.Prefix, q.PromptTokens = uint64(i%10+1), 8000
+			b.Arrive(t0+Time(i)*sec, a, q)
+			for len(b.held) > 0 {
+				for _, to := range b.held[0].asked {
+					b.Probed(t0+Time(i)*sec, a, ProbeResult{Replica: to.ID, Report: report(3)})
+				}
+			}
+			b.Finished(t0+Time(i)*sec+ms, a, Outcome{ID: q.ID, Replica: a.last(t).to, Result: OK, Ended: true})
+			seen[g][q.Session] = a.last(t).to
+		}
+	}
+	for session, to := range seen[0] {
+		if seen[1][session] == to {
+			same++
+		}
+	}
+	if same < n*8/10 {
+		t.Errorf("two gateways draw the same replica for %d of %d sessions", same, n)
+	}
+}
+
+func TestReplicaDrawnFirstIsLeftForWhatMovingSaves(t *testing.T) {
+	busy := func(x1, held, errors float64) Report { return Report{N: 3, Values: [4]float64{x1, held, errors}} }
+	for name, c := range map[string]struct {
+		first, second ProbeResult
+		moves         bool
+	}{
+		"a little busier": {ProbeResult{Report: busy(4, 4, 0)}, ProbeResult{Report: busy(0, 0, 0)}, false},
+		"much to read":    {ProbeResult{Report: busy(9, 0, 0)}, ProbeResult{Report: busy(0, 0, 0)}, true},
+		"holds many":      {ProbeResult{Report: busy(0, 30, 0)}, ProbeResult{Report: busy(0, 2, 0)}, true},
+		"errs":            {ProbeResult{Report: busy(0, 0, 3)}, ProbeResult{Report: busy(20, 20, 0)}, true},
+		"probe was late":  {ProbeResult{Result: Error}, ProbeResult{Report: busy(0, 0, 0)}, false},
+		"both were late":  {ProbeResult{Result: Error}, ProbeResult{Result: Error}, false},
+		"hangs":           {ProbeResult{Result: TimedOut}, ProbeResult{Result: Error}, true},
+	} {
+		s := many(80)
+		s.ReportColumns = []string{"x1", "inflight", "eps"}
+		b, a := start(t, s, room(40))
+		q := req(1, 0, 77)
+		q.PromptTokens = 8000
+		b.Arrive(t0, a, q)
+		one, two := b.probed(t)
+		c.first.Replica, c.second.Replica = one.ID, two.ID
+		b.Probed(t0+ms, a, c.first)
+		b.Probed(t0+ms, a, c.second)
+		if moved := a.last(t).to == two.ID; moved != c.moves {
+			t.Errorf("%s: moved %v", name, moved)
+		}
+	}
+}
+
 // all has every gateway take some requests, answers each check at once, and counts the sends to each replica.
 func all(t *testing.T, gateways, requests int, fleet func(b *Balancer) []Replica) map[ReplicaID]float64 {
 	t.Helper()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,22 +30,22 @@
 	logEvery   = 5 * time.Second // at most one line of each kind in this
 
 	prefixSpread = 3    // a prefix is served by three times the replicas that its share of traffic needs
+	prefixNear   = 2    // with many gateways places in a prefix's order count from twice as many on
 	prefixPrior  = 5    // requests after which a first sight no longer counts for much
 	prefixMemory = 256  // requests after which older ones count half
 	maxPrefixes  = 1024 // orders kept for each part of the fleet
 
-	boundLoad      = 2                // no new session for a replica with over twice the mean of own attempts
-	boundUnsized   = 1                // or over this much, where no list tells how much a replica can hold
-	reportFades    = 10 * time.Second // a report counts for less and less, and no more after this
-	spillStep      = 0.1              // a wholly late answer moves a tenth of the sessions
-	spillPerSecond = 0.1              // and so does a second of overload by the reports
-	zoneOverload   = 3                // the zone is overloaded at three times the load reported elsewhere
-	sampleEvery    = time.Second      // one probe in the zone and one outside in this
+	boundLoad    = 2                // no new session for a replica with over twice the mean of own attempts
+	boundUnsized = 1                // or over this much, where no list tells how much a replica can hold
+	reportFades  = 10 * time.Second // a report counts for less and less, and no more after this
+	spillStep    = 0.1              // a wholly late answer moves a tenth of the sessions
 
 	checkFrom  = 8                      // gateways from which each meets a replica too seldom to know how it is
 	checkWait  = 120 * time.Millisecond // for the answer to a check
 	checkFresh = 400 * time.Millisecond // no replica is checked more often
-	silentLoad = 100                    // load of a replica that has not answered its check
+	silent     = 1000                   // backlog of one that has not answered its check
+	crowded    = 5                      // and of one that answers that it could not in time
+	errorsMost = 0.2                    // errors a second from which one counts as silent
 	coldMost   = 4                      // share of all sessions that a cold replica may draw, in even shares
 
 	shedAbove  = 0.08 // mean of lost worth from which new sessions are refused
@@ -252,8 +252,6 @@
 	switch token {
 	case watchToken:
 		a.Watch()
-	case sampleToken:
-		b.sample(a)
 	case checkToken:
 		b.settle(now, a)
 	}
@@ -292,7 +290,7 @@
 	for ; to != nil && len(r.asked) < 2; to, _ = b.draw(now, r) {
 		r.asked = append(r.asked, to)
 		if now >= to.askedAt+checkFresh {
-			to.askedAt, to.load = now, silentLoad
+			to.askedAt, to.backlog = now, silent
 			a.Probe(to.ID)
 			a.Wake(checkWait, checkToken)
 		}
@@ -301,7 +299,8 @@
 	b.settle(now, a)
 }
 
-// settle sends on what need not wait for a check any more, to the less loaded of the two.
+// settle sends on what need not wait for a check any more: to the first of the two, which may have the prompt
+// of the session, unless more is to be done there before than to read it all anew at the other.
 func (b *Balancer) settle(now Time, a Actions) {
 	held := b.held
 	b.held = nil
@@ -315,7 +314,7 @@
 		default:
 			var best *replica
 			for _, to := range r.asked {
-				if b.usable(now, to, r, overBound) && (best == nil || to.load < best.load) {
+				if b.usable(now, to, r, overBound) && (best == nil || to.backlog+r.PromptTokens/1000 < best.backlog) {
 					best = to
 				}
 			}
@@ -468,7 +467,10 @@
 		for _, p := range b.reach(r) {
 			list, n := p.replicas, len(p.replicas)
 			if r.Prefix != 0 && n > 0 {
-				list, n = p.order(r.Prefix), b.prefixes.width(r.Prefix, n)
+				list = p.order(r.Prefix)
+				if !b.checks {
+					n = b.prefixes.width(r.Prefix, n)
+				}
 			}
 			for _, some := range [][]*replica{list[:n], list[n:]} {
 				if to := b.pick(now, r, some, want); to != nil {
@@ -497,8 +499,15 @@
 func (b *Balancer) pick(now Time, r *request, some []*replica, want purpose) *replica {
 	var best *replica
 	lowest := math.Inf(1)
-	for _, to := range some {
-		s := rank(r.seed, to) / to.room(now)
+	near := prefixNear * float64(b.prefixes.width(r.Prefix, len(some)))
+	for i, to := range some {
+		s := rank(r.seed, to)
+		switch {
+		case !b.checks:
+			s /= to.room(now)
+		case r.Prefix != 0: // in the prefix's order
+			s *= near + float64(i)
+		}
 		if s < lowest && r.mayGo(now, to) && b.usable(now, to, r, want) {
 			best, lowest = to, s
 		}
@@ -567,7 +576,7 @@
 	if len(b.loads.use) == 0 {
 		lacks = max(lacks, 2*b.shed) // no report shows whether the zone is full; that sessions are refused does
 	}
-	if r.coin(spillSalt) < max(b.spill, b.loads.spill, lacks) {
+	if r.coin(spillSalt) < max(b.spill, lacks) {
 		return []*part{&b.fleet.all}
 	}
 	return []*part{&b.fleet.near, &b.fleet.far}
@@ -629,6 +638,7 @@
 	answered  Time    // last sign of life
 	errors    int     // since then
 	reportAt  Time
+	backlog   float64 // thousands of prompt tokens, or their like, to be done there first, by its last report
 	load      float64 // by its last report, against the mean of all reports seen; 0 = no report yet
 }
 
@@ -751,10 +761,6 @@
 type loads struct {
 	use  []bool // columns that grow with the work a replica holds
 	mean [4]float64
-
-	near, far float64 // running means of the load in the zone and elsewhere
-	spill     float64 // share of the sessions that spills since the zone is overloaded by its reports
-	at        Time
 }
 
 // take returns the mean of a report's usable columns, each against its running mean.
@@ -799,40 +805,33 @@
 	if p.Result == ConnectFailed {
 		b.mark(now, a, to, "no connection")
 	}
-	if to.reportAt = now; p.Result == OK {
-		to.load = 0
+	to.reportAt = now
+	switch p.Result {
+	case OK:
+		to.backlog = 0
+	case Error:
+		to.backlog = crowded
 	}
 	b.reported(now, to, p.Report)
 	b.settle(now, a)
 }
 
-// sample probes one replica in the zone and one elsewhere, at random: with little traffic, and none of it far
-// away, nothing else tells how loaded the zone is against the rest.
-func (b *Balancer) sample(a Actions) {
-	for _, p := range []*part{&b.fleet.near, &b.fleet.far} {
-		if n := len(p.replicas); n > 0 {
-			a.Probe(p.replicas[b.rnd.IntN(n)].ID)
-		}
-	}
-	a.Wake(sampleEvery/2+time.Duration(b.rnd.Int64N(int64(sampleEvery))), sampleToken)
-}
-
 // reported takes a load report.
 func (b *Balancer) reported(now Time, to *replica, p Report) {
 	if p.N == 0 {
 		return
 	}
 	to.load, to.reportAt = b.loads.take(p), now
-	side := &b.loads.far
-	if to.Zone == b.set.Zone {
-		side = &b.loads.near
-	}
-	*side += (to.load - *side) / 8
-	dt := lapse(now, &b.loads.at)
-	if b.loads.far > 0 && b.loads.near > zoneOverload*b.loads.far {
-		b.loads.spill = min(b.loads.spill+spillPerSecond*dt, 1)
-	} else {
-		b.loads.spill = max(b.loads.spill-spillPerSecond*dt, 0)
+	to.backlog = 0
+	for i, c := range b.set.ReportColumns[:min(p.N, len(b.set.ReportColumns))] {
+		switch v := p.Values[i]; {
+		case c == "x1" && v >= 0:
+			to.backlog += v
+		case c == "inflight" && v >= 0: // each slows the others down
+			to.backlog += v / 2
+		case c == "eps" && v > errorsMost:
+			to.backlog += silent
+		}
 	}
 }
 
@@ -900,9 +899,8 @@
 // Discovery upkeep.
 
 const (
-	watchToken  = 0
-	sampleToken = 1
-	checkToken  = 2
+	watchToken = 0
+	checkToken = 1
 )
 
 type watch struct {
@@ -926,9 +924,6 @@
 		// Gateways that start together must not ask together: discovery turns a crowd away.
 		b.watch.begun = true
 		b.wakeToAsk(a, 0, b.set.AskWithin/2)
-		if b.set.Limits.Probes && len(b.set.ReportColumns) > 0 && b.set.Zones > 1 {
-			b.sample(a)
-		}
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -947,8 +947,8 @@
 	for i := range 50 {
 		b.Arrive(t0, a, req(RequestID(i+1), 0, uint64(i+1)))
 	}
-	if len(a.sends) != 50 || b.loads.near != b.loads.near {
-		t.Errorf("%d of 50 requests were sent, the zone's load is %v", len(a.sends), b.loads.near)
+	if to := b.fleet.byID[1]; len(a.sends) != 50 || to.load != to.load || to.backlog != to.backlog {
+		t.Errorf("%d of 50 requests were sent, the load is %v and %v", len(a.sends), to.load, to.backlog)
 	}
 }
 
