Policy: with many routers, what would be late at both drawn replicas is refused at once

A router with 1.3 requests a second learns an overload from its own late answers over some 8 requests, 6 s after it began, and forgets it over 14, 11 s after its end.

Changed: of the two hosts asked, if the better one's backlog takes four times what the class's aim allows for reading it, beyond the aim, the request is refused at once with Retry-After (not the rest of a stream, nor where nothing is known). Refusing by lateness stays beside it.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -172,6 +172,35 @@
 	}
 }
 
+// A gateway with little traffic learns of an overload by late answers long after it began, and of its end
+// long after it has passed. The two that it asks say so at once.
+func TestWhatWouldBeLateAtBothIsRefusedAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		one, two ProbeResult
+		resumed  bool
+		refused  int
+	}{
+		"both behind":        {ProbeResult{Report: report(9)}, ProbeResult{Report: report(7)}, false, 1},
+		"one has room":       {ProbeResult{Report: report(9)}, ProbeResult{Report: report(2)}, false, 0},
+		"the rest of stream": {ProbeResult{Report: report(9)}, ProbeResult{Report: report(7)}, true, 0},
+		"nothing is known":   {ProbeResult{Result: TimedOut}, ProbeResult{Result: TimedOut}, false, 0},
+	} {
+		s := many(80)
+		s.Classes[0].AimPerKTokens = 40 * ms // of an aim of 1 s
+		b, a := start(t, s, room(40))
+		q := req(1, 0, 77)
+		q.Resumed = c.resumed
+		b.Arrive(t0, a, q)
+		one, two := b.probed(t)
+		c.one.Replica, c.two.Replica = one.ID, two.ID
+		b.Probed(t0+ms, a, c.one)
+		b.Probed(t0+ms, a, c.two)
+		if a.count("refuse 1") != c.refused || len(a.sends) != 1-c.refused || len(b.requests) != 1-c.refused {
+			t.Errorf("%s: %q", name, a.lines)
+		}
+	}
+}
+
 // all has every gateway take some requests, answers each check at once, and counts the sends to each replica.
 func all(t *testing.T, gateways, requests int, fleet func(b *Balancer) []Replica) map[ReplicaID]float64 {
 	t.Helper()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,6 +46,7 @@
 	silent     = 1000                   // backlog of one that has not answered its check
 	crowded    = 5                      // and of one that answers that it could not in time
 	errorsMost = 0.2                    // errors a second from which one counts as silent
+	lateFrom   = 4                      // a backlog takes so many times what aims allow for reading it
 	coldMost   = 4                      // share of all sessions that a cold replica may draw, in even shares
 
 	shedAbove  = 0.08 // mean of lost worth from which new sessions are refused
@@ -300,7 +301,8 @@
 }
 
 // settle sends on what need not wait for a check any more: to the first of the two, which may have the prompt
-// of the session, unless more is to be done there before than to read it all anew at the other.
+// of the session, unless more is to be done there before than to read it all anew at the other. Where the
+// better one would be late too, it refuses at once: what is sent there makes others late.
 func (b *Balancer) settle(now Time, a Actions) {
 	held := b.held
 	b.held = nil
@@ -318,9 +320,12 @@
 					best = to
 				}
 			}
-			if best == nil {
+			switch perK := lateFrom * float64(r.class.AimPerKTokens); {
+			case best == nil:
 				b.seek(now, a, r)
-			} else {
+			case !r.Resumed && best.backlog < silent && best.backlog*perK > float64(b.aim(r)):
+				b.decline(now, a, r, Shedding)
+			default:
 				b.send(now, a, r, best, b.drew(best, newSession))
 			}
 		}
