--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -268,3 +268,58 @@
 		t.Errorf("%.0f requests went to the cold replica, at most %.0f allowed", count[1], most)
 	}
 }
+
+// Gateways that start in one millisecond, or whose discovery fails in one, must not come to it together: it
+// serves calls one after another and turns a crowd away.
+func TestGatewaysThatStartOrFailTogetherCallApart(t *testing.T) {
+	const gateways = 80
+	most := func(waits []Time, in Time) int {
+		n := map[Time]int{}
+		high := 0
+		for _, w := range waits {
+			n[w/in]++
+			high = max(high, n[w/in])
+		}
+		return high
+	}
+	var b [gateways]*Balancer
+	var a [gateways]*recorder
+	waits := make([]Time, gateways)
+	ask := func(g int) Time {
+		w := a[g].wakes[len(a[g].wakes)-1]
+		if w.token != watchToken {
+			t.Fatalf("gateway %d: %q", g, a[g].lines)
+		}
+		return w.after
+	}
+	for g := range gateways {
+		var err error
+		if b[g], err = New(many(gateways), uint64(g)); err != nil {
+			t.Fatal(err)
+		}
+		a[g] = &recorder{}
+		b[g].Listed(t0, a[g], List{Kind: ListCached, Replicas: room(40)})
+		b[g].Arrive(t0, a[g], req(1, 0, 77)) // the list at the start serves at once
+		if a[g].count("probe") != 2 {
+			t.Fatalf("gateway %d waits for discovery: %q", g, a[g].lines)
+		}
+		a[g].wakes = a[g].wakes[:1]
+		waits[g] = ask(g)
+	}
+	if n := most(waits, 500*ms); n > gateways/4 {
+		t.Errorf("%d of %d gateways first call within half a second", n, gateways)
+	}
+	longest := many(gateways).AskWithin
+	for try := range 8 {
+		for g := range gateways {
+			b[g].Listed(t0, a[g], List{Kind: ListFailed})
+			waits[g] = ask(g)
+			if want := min(watchRetry<<try, longest); waits[g] < want/2 || waits[g] > want {
+				t.Fatalf("failure %d: gateway %d calls again after %v, want half of %v to all of it", try, g, waits[g], want)
+			}
+		}
+		if n := most(waits, 100*ms); n > gateways/2 {
+			t.Errorf("failure %d: %d of %d gateways call again within 100 ms", try, n, gateways)
+		}
+	}
+}
