--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -315,7 +315,7 @@
 			b[g].Listed(t0, a[g], List{Kind: ListFailed})
 			waits[g] = ask(g)
 			if want := min(watchRetry<<try, longest); waits[g] < want/2 || waits[g] > want {
-				t.Fatalf("failure %d: gateway %d calls again after %v, want half of %v to all of it", try, g, waits[g], want)
+				t.Fatalf("failure %d: gateway %d calls after %v, wanted half of %v to all", try, g, waits[g], want)
 			}
 		}
 		if n := most(waits, 100*ms); n > gateways/2 {
