Operators' calls, drain by call, and a second process that takes the address over

internal/admin answers operators beside all traffic; internal/succession says by locks who owns the address; the heir inherits what the module has learnt (policy/handover.go copies state, and decides nothing), listens, has the owner leave off accepting, and says yes once the owner is done or 4.7 s after its start.

Found on the way: this kernel does not steer SO_REUSEPORT groups by BPF, so the owner runs its queue dry and closes; four requests taken 1.1 s after SIGTERM were killed unfinished (DrainIdle longer in an upgrade was the cause); a drain by call went on sweeping after the end.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -37,6 +37,8 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining atomic.Bool
+	yielding atomic.Bool  // another process takes new connections: those there are go with their next answer
+	fewer    atomic.Int64 // connections that are not to be used of those there may be
 	wg       sync.WaitGroup
 
 	roomMu sync.Mutex
@@ -110,8 +112,9 @@
 		s.conns = map[*conn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
-	c.spare = len(s.conns) > s.Lim.AcquirerConns && !s.makeRoom(c.came)
-	full := len(s.conns) > s.Lim.AcquirerConns+s.Lim.SpareConns
+	most := s.Most()
+	c.spare = len(s.conns) > most && !s.makeRoom(c.came)
+	full := len(s.conns) > most+s.Lim.SpareConns
 	s.mu.Unlock()
 	if full {
 		s.Post(broker.Declined{}) // not even a word to decline it has room
@@ -148,9 +151,42 @@
 	return true
 }
 
-// Drain has every connection closed with its next answer from now on.
+// Drain has every connection closed with its next answer from now on, and readiness say no.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Undrain ends a drain.
+func (s *Server) Undrain() { s.draining.Store(false) }
+
+// Draining tells whether there is one.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Yield has every connection closed with its next answer, or not any more; readiness stays as it is, for it is the
+// address that is ready, whoever answers there.
+func (s *Server) Yield(to bool) { s.yielding.Store(to) }
+
+// Most tells how many connections there may be.
+func (s *Server) Most() int { return s.Lim.AcquirerConns - int(s.fewer.Load()) }
+
+// Conns tells how many connections there are.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// closing tells whether connections end with their answers.
+func (s *Server) closing() bool { return s.draining.Load() || s.yielding.Load() }
+
+// Resize changes how many connections there may be. Of those that are too many the idle ones are closed at once; others
+// go with their answers, as each that comes makes room.
+func (s *Server) Resize(most int) {
+	s.fewer.Store(int64(s.Lim.AcquirerConns - most))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for now := time.Now(); len(s.conns) > most && s.makeRoom(now); {
+	}
+}
+
 // CloseIdle closes the connections on which no authorisation is open.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
@@ -160,6 +196,18 @@
 	}
 }
 
+// SweepIdle is CloseIdle, but for connections that are so new that their first message may be on its way.
+func (s *Server) SweepIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		if _, _, idle := c.idleSince(now); idle {
+			c.closeIdle()
+		}
+	}
+}
+
 // Wait returns once every connection is closed, or the context is over.
 func (s *Server) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -46,7 +46,7 @@
 	b := make([]byte, 0, len(events)+192)
 	if !a.begun {
 		a.begun = true
-		a.last = a.last || a.conn.s.draining.Load()
+		a.last = a.last || a.conn.s.closing()
 		b = append(b, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"...)
 		if a.last {
 			b = append(b, "Connection: close\r\n"...)
@@ -73,7 +73,7 @@
 	}
 	// A stream that began before a drain has no word of it in its head; its connection is closed all the same,
 	// lest the acquirer use it for ever.
-	a.end(whole && err == nil && !a.last && !a.conn.s.draining.Load())
+	a.end(whole && err == nil && !a.last && !a.conn.s.closing())
 	return err
 }
 
@@ -127,7 +127,7 @@
 
 // answer writes a short answer and tells whether the connection goes on.
 func (c *conn) answer(d *decline) bool {
-	closing := d.close || d.unread || c.s.draining.Load()
+	closing := d.close || d.unread || c.s.closing()
 	b := append([]byte("HTTP/1.1 "), strconv.Itoa(d.status)...)
 	b = append(b, ' ')
 	b = append(b, http.StatusText(d.status)...)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -179,6 +179,16 @@
 		}
 	case Note:
 		b.do(Log{Line: string(e)})
+	case Recall:
+		all := map[string]*policy.Learned{}
+		for _, p := range b.pools {
+			all[p.name] = p.module.Learned()
+		}
+		b.do(Recalled{e.Of, all})
+	case Taught:
+		if p := b.pools[e.Pool]; p != nil && e.Learned != nil {
+			p.module.Learn(b.now, e.Learned)
+		}
 	case Audit:
 		b.do(b.counted(e.Of))
 	}
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -119,6 +119,13 @@
 	}
 	// PoolEnd: nothing more is routed to a pool. PoolGone follows once nothing of its is open.
 	PoolEnd struct{ Pool pool.ID }
+	// Recall asks for what the modules have learnt.
+	Recall struct{ Of any }
+	// Taught gives a pool's module what another process's had learnt.
+	Taught struct {
+		Pool    pool.ID
+		Learned *policy.Learned
+	}
 	// Audit asks for the counters.
 	Audit struct{ Of any }
 	// Note is a line for the staff.
@@ -140,6 +147,8 @@
 func (Tick) event()     {}
 func (PoolSet) event()  {}
 func (PoolEnd) event()  {}
+func (Recall) event()   {}
+func (Taught) event()   {}
 func (Audit) event()    {}
 func (Note) event()     {}
 
@@ -190,6 +199,11 @@
 	PoolGone struct{ Pool pool.ID }
 	// Log is a line for the staff, of a pool or of none.
 	Log struct{ Pool, Line string }
+	// Recalled answers Recall, by the names of the pools.
+	Recalled struct {
+		Of    any
+		Pools map[string]*policy.Learned
+	}
 	// Counted answers Audit.
 	Counted struct {
 		Of       any
@@ -209,6 +223,7 @@
 func (Watch) effect()    {}
 func (PoolGone) effect() {}
 func (Log) effect()      {}
+func (Recalled) effect() {}
 func (Counted) effect()  {}
 
 // Counters tell what a router took in, sent and answered since its start.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // where operators call; "" = nowhere
+	Shared    string // folder that a successor shares; "" = there is none, and nobody succeeds
 	Seed      uint64
 	Known     registry.List
 	Module
@@ -74,6 +76,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Admin     string `json:"admin"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -126,6 +129,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	c.Shared = getenv("TMPDIR")
 	return c, nil
 }
 
@@ -136,6 +140,7 @@
 	}
 	for name, to := range map[string]*string{
 		"BALANCER_NAME": &f.Name, "BALANCER_LISTEN": &f.Listen, "BALANCER_DISCOVERY": &f.Discovery,
+		"BALANCER_ADMIN": &f.Admin,
 	} {
 		if v := getenv(name); v != "" {
 			*to = v
@@ -146,6 +151,11 @@
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
 	}
+	if f.Admin != "" {
+		if err := address(f.Admin); err != nil {
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
@@ -168,15 +178,31 @@
 	if r.Limits.IdleClose <= 0 {
 		return nil, errors.New("settings: limits.idleClose must be above 0")
 	}
-	return &Config{
-		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed, Known: f.Known, Module: m,
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Admin: f.Admin, Seed: seed, Known: f.Known, Module: m,
 		Limits: limits.New(
 			limits.Machine{Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets},
 			limits.Site{
 				ConnectTimeout: micros(r.Limits.ConnectTimeout), IdleClose: micros(r.Limits.IdleClose),
 				MaxOpen: r.Limits.MaxOpen, MaxAttempts: m.Settings.Limits.MaxAttempts, LongestDeadline: longest,
 			}),
-	}, nil
+	}
+	if c.Admin != "" {
+		c.Limits = c.Limits.WithAdmin()
+	}
+	return c, nil
+}
+
+// address checks a host and a port from 1 to 65535.
+func address(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return fmt.Errorf("%q is no host with a port from 1 to 65535", addr)
+	}
+	return nil
 }
 
 // LoadSettings reads the operator's own file. The error is settings.Faults where the file is at fault.
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -104,6 +104,21 @@
 	return int(c.lines.stock.Held(int(id)))
 }
 
+// Resize changes how many lines there may be. Idle ones beyond that are closed.
+func (c *Client) Resize(most int) {
+	c.lines.mu.Lock()
+	c.lines.stock.Resize(int64(most))
+	c.lines.mu.Unlock()
+	c.lines.shrink(int64(most))
+}
+
+// Most tells how many lines there may be.
+func (c *Client) Most() int {
+	c.lines.mu.Lock()
+	defer c.lines.mu.Unlock()
+	return int(c.lines.stock.Total())
+}
+
 // reports is how a pool's hosts report. The lock is held.
 func (c *Client) reports(id pool.ID) *Reports {
 	if r := c.pools[id]; r != nil {
--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -116,6 +116,21 @@
 	return nil, nil
 }
 
+// shrink closes idle lines until there are no more than most, or none is idle.
+func (p *lines) shrink(most int64) {
+	var all []*line
+	p.mu.Lock()
+	for to, s := range p.idle {
+		n := min(max(p.stock.Used()-most-int64(len(all)), 0), int64(len(s)))
+		all = append(all, s[:n]...)
+		p.keep(to, s[n:])
+	}
+	p.mu.Unlock()
+	for _, l := range all {
+		l.Close()
+	}
+}
+
 // victim takes out an idle line that may go for a new one of a pool: one of its own, or one that another pool has
 // beyond its guarantee.
 func (p *lines) victim(of pool.ID) *line {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -157,6 +157,52 @@
 	return l
 }
 
+// The operators' address: calls that wait for their answer, one head, how long a caller may take (some keep a connection
+// for 4 s without a word, and are not to be told that they are wrong), and the pause after an accept that failed.
+const (
+	AdminCallers = 16
+	AdminHead    = 4 << 10
+	AdminWait    = 5 * time.Second
+	AdminPause   = 10 * time.Millisecond
+)
+
+// Succession: how often a process looks whether the other has come or gone (a look is a system call and holds nothing
+// up), how long an heir waits for the list of boxes and then for what the owner has learnt before it does without, and
+// how long from its start on it may leave the owner to come to its end before it says yes, which the deployment wants
+// within 6 s.
+const (
+	HeirLook   = 250 * time.Millisecond
+	HeirList   = 700 * time.Millisecond // a list that has not changed is not told again
+	HeirLegacy = time.Second
+	HeirYes    = 4700 * time.Millisecond
+	QueueDry   = 20 * time.Millisecond // what is in a listener's queue is accepted well within this
+)
+
+// DrainSweep is how often a drained router closes what has become idle.
+const DrainSweep = 100 * time.Millisecond
+
+// WithAdmin makes room for the operators' address: its listener and its callers.
+func (l Limits) WithAdmin() Limits {
+	l.AcquirerConns = max(l.AcquirerConns-AdminCallers-1, 1)
+	return l
+}
+
+// Room is what a process may use of what it was granted.
+type Room struct {
+	Acquirers int   // connections from acquirers
+	Lines     int   // connections to issuer hosts
+	Memory    int64 // soft limit of the Go heap
+}
+
+// Whole is the room of a process that is alone.
+func (l *Limits) Whole() Room { return Room{l.AcquirerConns, l.IssuerConns, l.MemoryBytes} }
+
+// Shared is the room of each of two processes that stand for one router: half of what is used. What both keep in
+// reserve comes off once more.
+func (l *Limits) Shared() Room {
+	return Room{max((l.AcquirerConns-reserve-l.SpareConns)/2, 1), max(l.IssuerConns/2, 1), l.MemoryBytes / 2}
+}
+
 // ControlConns is how many may use the control socket at once.
 const ControlConns = 4
 
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
@@ -112,6 +114,13 @@
 	return r.feedOf[id]
 }
 
+// allFeeds are those there are at present.
+func (r *Router) allFeeds() []*registry.Feed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.feeds))
+}
+
 // gone does broker.PoolGone.
 func (r *Router) gone(id pool.ID) {
 	r.applying.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -44,6 +45,7 @@
 	door    net.Listener
 	control net.Listener // nil where it is off
 	traces  *traces      // nil where nothing is traced
+	ops     operations
 
 	applying sync.Mutex // one change of the plan, or end of a pool, at a time
 	plan     *plan.Plan // that is carried out; nil before Serve
@@ -63,6 +65,7 @@
 	r := &Router{
 		cfg: cfg, log: log, dial: dial, broker: broker.New(cfg.Limits), first: p,
 		feeds: map[string]*registry.Feed{}, feedOf: map[pool.ID]*registry.Feed{},
+		ops: operations{heard: make(chan struct{}), dry: make(chan struct{})},
 	}
 	r.at.Store(p.Directory)
 	r.loop = broker.NewLoop(r.broker, clock, r.perform)
@@ -115,6 +118,9 @@
 	if l, ok := e.(broker.Listed); ok && len(l.Hosts) > 0 {
 		r.ready.Store(true)
 	}
+	if l, ok := e.(broker.Listed); ok && l.Kind != policy.ListCached && l.Kind != policy.ListFailed {
+		r.ops.hear()
+	}
 	r.loop.Post(e)
 }
 
@@ -151,6 +157,8 @@
 		} else {
 			r.log.Info(e.Line)
 		}
+	case broker.Recalled:
+		e.Of.(chan map[string]*policy.Learned) <- e.Pools // it has room
 	case broker.Counted:
 		if to, ok := e.Of.(chan broker.Counted); ok {
 			to <- e // it has room
@@ -202,16 +210,26 @@
 func (r *Router) Serve(sig Signals) error {
 	runtime.GOMAXPROCS(r.cfg.Limits.Procs)
 	debug.SetMemoryLimit(r.cfg.Limits.MemoryBytes)
-	ln, err := net.Listen("tcp", r.cfg.Listen)
-	if err != nil {
+	if r.cfg.Admin != "" {
+		ln, err := net.Listen("tcp", r.cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+		r.Admin(ln)
+	}
+	if err := r.claim(); err != nil {
 		return err
 	}
-	return r.ServeOn(ln, sig)
+	return r.serve(r.listen, sig)
 }
 
 // ServeOn is Serve on a listener that is already open.
 func (r *Router) ServeOn(ln net.Listener, sig Signals) error {
-	defer ln.Close()
+	return r.serve(func(context.Context, Signals) (net.Listener, error) { return ln, nil }, sig)
+}
+
+// serve runs the router. Its listener is opened once all else runs.
+func (r *Router) serve(open func(context.Context, Signals) (net.Listener, error), sig Signals) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan struct{})
@@ -219,11 +237,20 @@
 	if err := r.apply(ctx, r.first); err != nil {
 		return err
 	}
+	served := make(chan error, 4)
+	defer r.serveAdmin(served)()
+	ln, err := open(ctx, sig)
+	if err != nil || ln == nil {
+		return err
+	}
+	defer func() { r.ops.door().Close() }()
 	r.log.Info("serving", "listen", ln.Addr().String(), "known_hosts", len(r.cfg.Known.Hosts))
-	served := make(chan error, 3)
+	r.ops.listening.Store(true)
 	stopBatch := r.serveBatch(served)
 	defer r.serveControl(served)()
-	go func() { served <- r.front.Serve(ln) }()
+	r.accept(ln, served)
+	stopWatch := r.watchPlace(ctx, served)
+	defer stopWatch()
 	for {
 		select {
 		case err := <-served:
@@ -232,21 +259,14 @@
 			r.loop.Post(broker.Audit{})
 		case <-sig.Reload:
 			r.reload(ctx, sig.Reread)
+		case <-r.ops.dry:
+			r.log.Info("nothing is left to do here, and the heir serves")
+			r.end(ctx, stopBatch)
+			cancel()
+			<-ended
+			return nil
 		case <-sig.Stop:
-			if r.desk != nil {
-				r.desk.Stop()
-			}
-			r.loop.Post(broker.Drain{})
-			r.drain(ctx, ln)
-			stopBatch()
-			r.issuer.Close()
-			if r.traces != nil {
-				r.loop.Post(broker.Flush{})
-				r.loop.Idle(ctx) // the loop has come past it
-				r.traces.close()
-			}
-			r.loop.Post(broker.Audit{})
-			r.loop.Idle(ctx) // the loop has come past the audit
+			r.end(ctx, stopBatch)
 			cancel()
 			<-ended
 			return nil
@@ -254,16 +274,37 @@
 	}
 }
 
+// end ends what runs, in order.
+func (r *Router) end(ctx context.Context, stopBatch func()) {
+	r.toEnd()
+	if r.desk != nil {
+		r.desk.Stop()
+	}
+	r.loop.Post(broker.Drain{})
+	r.drain(ctx)
+	stopBatch()
+	r.issuer.Close()
+	if r.traces != nil {
+		r.loop.Post(broker.Flush{})
+		r.loop.Idle(ctx) // the loop has come past it
+		r.traces.close()
+	}
+	r.loop.Post(broker.Audit{})
+	r.loop.Idle(ctx) // the loop has come past the audit
+}
+
 // drain ends a router in order. Connections keep arriving for a while after SIGTERM, so that the listener
 // outlives it; what is open on others is closed with its answer, and nothing that was taken is left behind.
-func (r *Router) drain(ctx context.Context, ln net.Listener) {
+func (r *Router) drain(ctx context.Context) {
 	r.log.Info("draining")
 	began := time.Now()
 	r.front.Drain()
-	time.Sleep(r.cfg.Limits.DrainIdle)
-	r.front.CloseIdle()
-	time.Sleep(r.cfg.Limits.DrainListen - time.Since(began))
-	ln.Close()
+	if !r.ops.yielded.Load() { // else the heir listens, and what was idle here has had its time
+		time.Sleep(r.cfg.Limits.DrainIdle)
+		r.front.CloseIdle()
+		time.Sleep(r.cfg.Limits.DrainListen - time.Since(began))
+	}
+	r.ops.door().Close()
 	r.front.CloseIdle()
 	r.loop.Idle(ctx)
 	r.front.CloseIdle()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -94,11 +94,9 @@
 	}
 }
 
-// bubble runs a router in memory. Its discovery answers nothing; its one host answers after a while.
-func bubble(t *testing.T, after time.Duration) (front *pipeListener, stop chan os.Signal, done chan error, log *strings.Builder) {
-	front, stop, done, log = newPipeListener(), make(chan os.Signal, 1), make(chan error, 1), &strings.Builder{}
-	cfg := load(t)
-	r := New(cfg, begin(t, cfg), slog.New(slog.NewTextHandler(log, nil)), func(ctx context.Context, _, addr string) (net.Conn, error) {
+// newRouter makes a router whose discovery answers nothing and whose one host answers after a while.
+func newRouter(t *testing.T, cfg *config.Config, after time.Duration, log io.Writer) *Router {
+	return New(cfg, begin(t, cfg), slog.New(slog.NewTextHandler(log, nil)), func(ctx context.Context, _, addr string) (net.Conn, error) {
 		near, far := net.Pipe()
 		if addr == cfg.Discovery {
 			go func() { io.Copy(io.Discard, far); far.Close() }()
@@ -107,10 +105,22 @@
 		}
 		return near, nil
 	}, broker.UnixClock())
-	go func() { done <- r.ServeOn(front, Signals{Stop: stop}) }()
+}
+
+// bubble runs a router in memory.
+func bubble(t *testing.T, after time.Duration) (front *pipeListener, stop chan os.Signal, done chan error, log *strings.Builder) {
+	front, stop, done, log, _ = bubbleOf(t, after)
 	return front, stop, done, log
 }
 
+// bubbleOf is bubble with the router itself.
+func bubbleOf(t *testing.T, after time.Duration) (*pipeListener, chan os.Signal, chan error, *strings.Builder, *Router) {
+	front, stop, done, log := newPipeListener(), make(chan os.Signal, 1), make(chan error, 1), &strings.Builder{}
+	r := newRouter(t, load(t), after, log)
+	go func() { done <- r.ServeOn(front, Signals{Stop: stop}) }()
+	return front, stop, done, log, r
+}
+
 func TestDrain(t *testing.T) {
 	// SIGTERM with an answer on its way, an idle connection, and a connection that arrives late: what was taken
 	// is answered, the idle one is closed, and the program ends once it owes nothing.
--- a/internal/share/stock.go
+++ b/internal/share/stock.go
@@ -116,6 +116,9 @@
 // Resize changes how much there is.
 func (s *Stock) Resize(total int64) { s.total = total }
 
+// Total is how much there is.
+func (s *Stock) Total() int64 { return s.total }
+
 // Used is what all holders have.
 func (s *Stock) Used() int64 { return s.held }
 
