--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+func TestAdminTakesDescriptorsOfItsOwn(t *testing.T) {
+	without, err := Load(env("BALANCER_CONFIG", "testdata/config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	with, err := Load(env("BALANCER_CONFIG", "testdata/config.json", "BALANCER_ADMIN", "127.0.0.1:9"))
+	if err != nil || with.Admin != "127.0.0.1:9" || with.Limits.AcquirerConns >= without.Limits.AcquirerConns {
+		t.Errorf("%+v, %v", with, err)
+	}
+	// Two processes together keep to one router's descriptors.
+	l := with.Limits
+	if both := l.Shared(); 2*(both.Acquirers+both.Lines+l.SpareConns+24+17) > 1024 {
+		t.Errorf("%+v each", both)
+	}
+}
+
 func TestDescriptorsAreWithinTheLimit(t *testing.T) {
 	c, err := Load(env("BALANCER_CONFIG", "testdata/config.json"))
 	if err != nil {
@@ -67,6 +83,9 @@
 		`"seed": "8c=>"seed": "zz`:                         "seed:",
 		`"listen": "127.0.0.1:5000"=>"listen": "here"`:     "listen:",
 		`"discovery": "127.0.0.1:8500"=>"discovery": ""`:   "discovery:",
+		`"discovery"=>"admin": "127.0.0.1", "discovery"`:   "admin:",
+		`"discovery"=>"admin": "127.0.0.1:0", "discovery"`: "admin:",
+		`"discovery"=>"admin": ":x", "discovery"`:          "admin:",
 		`"cores": 1.0=>"cores": 0`:                         "limits:",
 		`"memory_mb": 192=>"memory_mb": -1`:                "limits:",
 		`"effect": "pure"=>"effect": "odd"`:                "effect",
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -172,7 +172,7 @@
 // within 6 s.
 const (
 	HeirLook   = 250 * time.Millisecond
-	HeirList   = 700 * time.Millisecond // a list that has not changed is not told again
+	HeirList   = 300 * time.Millisecond // a list that has not changed is not told again
 	HeirLegacy = time.Second
 	HeirYes    = 4700 * time.Millisecond
 	QueueDry   = 20 * time.Millisecond // what is in a listener's queue is accepted well within this
