--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -8,27 +8,28 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"notchhinge/internal/broker"
+	"notchhinge/internal/issuer"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/pool"
-	"notchhinge/internal/route"
 	"notchhinge/internal/service"
 	"notchhinge/internal/share"
+	"notchhinge/policy"
 )
 
 // Options is what a Server is made of.
 type Options struct {
-	Lim    limits.Limits
-	Routes func() *service.Directory // at present; it may be asked at any time
-	Post   func(broker.Event)
-	Now    broker.Clock
-	Ready  func() bool // whether the router knows of issuer hosts
-	Trace  bool        // journeys are recorded: contexts are read, and the writing of answers is told
+	Lim     limits.Limits
+	Dialect Dialect
+	Routes  func() *service.Directory // at present; it may be asked at any time
+	Post    func(broker.Event)
+	Now     broker.Clock
+	Ready   func() bool // whether the router knows of issuer hosts
+	Trace   bool        // journeys are recorded: contexts are read, and the writing of answers is told
 }
 
 // Server is the front.
@@ -51,9 +52,13 @@
 
 // New returns a front. Its pools have no claims yet.
 func New(o Options) *Server {
-	return &Server{
+	s := &Server{
 		Options: o, bodies: share.New(o.Lim.BodiesBytes), calls: share.New(int64(o.Lim.AcquirerConns + o.Lim.SpareConns)),
 	}
+	if s.Dialect == nil {
+		s.Dialect = platform{s}
+	}
+	return s
 }
 
 // Set gives a pool its parts of the room for bodies, in bytes, and of the calls that may be coming in or open at once.
@@ -218,128 +223,87 @@
 	}
 }
 
-const (
-	readyPath = "/health/ready"
-	livePath  = "/health/live"
-)
-
-// decline is an answer that this front gives by itself.
-type decline struct {
-	status int
-	reason string
-	allow  string // for a wrong method
-	retry  time.Duration
-	close  bool // the connection is closed after it
+// Refusal is an answer that this front gives by itself.
+type Refusal struct {
+	Status int
+	Reason string
+	Allow  string // for a wrong method
+	Retry  time.Duration
+	Close  bool // the connection is closed after it
 	unread bool // so it is here, since the rest of the message is still coming
+	quiet  bool // it is no refusal, but what was asked for: it is not counted
 }
 
-// way is where a message leads to.
-type way struct {
-	pool         *service.Pool
-	target, host string // as they are sent on
+// Way is where a message leads to.
+type Way struct {
+	Pool         *service.Pool // nil: nowhere; it is refused once its body is read
+	Target, Host string        // as they are sent on
+	Of           any           // what the dialect knows of it
 }
 
-// route finds a message's pool by its host, path, method, class and headers; d is what it is declined with otherwise.
-func (s *Server) route(req *http.Request) (w way, d *decline) {
-	path, query, asks := strings.Cut(req.RequestURI, "?") // as it came, for so it is passed on
-	switch path {
-	case readyPath, livePath:
-		switch {
-		case req.Method != http.MethodGet:
-			return w, &decline{status: http.StatusMethodNotAllowed, reason: "only GET is served here", allow: "GET"}
-		case path == readyPath && (s.draining.Load() || !s.Ready()):
-			return w, &decline{status: http.StatusServiceUnavailable, reason: "not ready"}
-		}
-		return w, &decline{status: http.StatusOK, reason: "ok"}
-	}
-	at := s.Routes()
-	w.target, w.host = req.RequestURI, req.Host
-	q := route.Query{Path: path, Method: req.Method, Header: req.Header}
-	if classes := req.Header[classHeader]; len(classes) == 1 {
-		q.Class = classes[0]
-	}
-	if at.Strict {
-		if d := w.spell(req, path, query, asks, &q); d != nil {
-			return w, d
-		}
-	}
-	to := at.Table.Lookup(&q)
-	if to == nil {
-		if allow := at.Table.Methods(&q); len(allow) > 0 {
-			list := strings.Join(allow, ", ")
-			return w, &decline{status: http.StatusMethodNotAllowed, reason: "only " + list + " is served here", allow: list}
-		}
-		d := &decline{status: http.StatusNotFound, reason: "no such path"}
-		if at.Strict {
-			d.reason = "no_route: no route takes " + q.Method + " " + q.Path + " at " + q.Host
-		}
-		return w, d
-	}
-	var conversation uint64
-	if to.Splits() {
-		if session := req.Header.Get(sessionHeader); session != "" {
-			conversation = word(session)
-		} else {
-			conversation = route.Conversation(req.Header.Get(idHeader))
-		}
-	}
-	w.pool = at.Find(to, conversation)
-	return w, nil
+// Message is a whole message that is to be an authorisation.
+type Message struct {
+	Request policy.Request
+	Order   issuer.Order
+	// Attempts is how many legs it may have at the most; 0 = as many as its pool allows.
+	Attempts int
+	// Name is the one under which one authorisation of its pool may be open; "" = none.
+	Name string
+	// Of is the dialect's own word of it; it comes back with Reply and Kept.
+	Of any
 }
 
-// spell brings host and path into their one spelling, in which they are both routed and sent on.
-func (w *way) spell(req *http.Request, path, query string, asks bool, q *route.Query) *decline {
-	// In the absolute form the target's authority is the host, whatever the header says; so net/http has read it.
-	if !strings.HasPrefix(path, "/") {
-		if req.URL.Scheme != "http" && req.URL.Scheme != "https" || req.URL.User != nil {
-			return &decline{status: http.StatusBadRequest, reason: "bad_target: the target has no form that is served here"}
-		}
-		path = req.URL.EscapedPath()
-		if path == "" {
-			path = "/"
-		}
-	}
-	host, port, err := route.SplitHost(req.Host)
-	if err != nil {
-		return &decline{status: http.StatusBadRequest, reason: "bad_host: " + err.Error()}
-	}
-	if path, err = route.Path(path); err != nil {
-		return &decline{status: http.StatusBadRequest, reason: "bad_path: " + err.Error()}
-	}
-	q.Host, q.Path = host, path
-	w.host, w.target = route.JoinHost(host, port), path
-	if asks {
-		w.target += "?" + query
-	}
-	return nil
+// Dialect is what messages of acquirers look like. A Server without one speaks the platform's.
+type Dialect interface {
+	// Lead finds where a message leads to by its head. With a Refusal, its body is read first, within limits.
+	Lead(req *http.Request) (Way, *Refusal)
+	// Accept makes a message out of its head and body, or says what it is refused with.
+	Accept(req *http.Request, w *Way, body []byte) (Message, *Refusal)
+	// Head writes the head of an answer that is passed on, up to the empty line but for what concerns the connection.
+	Head(m *Message, resp *http.Response) Reply
+	// Close says how an authorisation ends that nothing served; kept is the last answer that was not passed on, if any.
+	Close(m *Message, why broker.Verdict, retryAfter time.Duration, mayHaveRun bool, kept *Kept) (*Refusal, *Kept)
+}
+
+// Reply is the head of an answer that is passed on.
+type Reply struct {
+	Head   []byte // status line and headers, each with its end of line
+	Length int64  // of the body; -1 = in chunks
+}
+
+// Kept is a whole small answer of an issuer host that was not passed on.
+type Kept struct {
+	Result policy.Result
+	Reply
+	Body []byte
 }
 
 // take takes room for a message of a pool, or says what it is declined with.
-func (s *Server) take(w *way, body int64) (room, *decline) {
+func (s *Server) take(w *Way, body int64) (room, *Refusal) {
 	r := room{nowhere, body}
 	retry := s.Lim.SpareAnswer
-	if w.pool != nil {
-		r.pool = int(w.pool.ID)
-		if w.pool.RetryAfter > 0 {
-			retry = w.pool.RetryAfter
+	if w.Pool != nil {
+		r.pool = int(w.Pool.ID)
+		if w.Pool.RetryAfter > 0 {
+			retry = w.Pool.RetryAfter
 		}
 	}
 	s.roomMu.Lock()
 	defer s.roomMu.Unlock()
-	if w.pool == nil || s.calls.Take(r.pool, 1) { // what leads nowhere is bounded by the connections
+	if w.Pool == nil || s.calls.Take(r.pool, 1) { // what leads nowhere is bounded by the connections
 		if s.bodies.Take(r.pool, body) {
 			return r, nil
 		}
 		s.calls.Give(r.pool, 1)
 	}
-	return room{}, &decline{status: http.StatusServiceUnavailable, reason: "no room", retry: retry, unread: true}
+	return room{}, &Refusal{Status: http.StatusServiceUnavailable, Reason: "no room", Retry: retry, unread: true}
 }
 
 // body reads the body of a message within the limits. What it holds is counted until release.
-func (s *Server) body(req *http.Request, w *way) (body []byte, held room, d *decline) {
+func (s *Server) body(req *http.Request, w *Way) (body []byte, held room, d *Refusal) {
 	most := int64(s.Lim.BodyBytes)
 	if req.ContentLength > most {
-		return nil, held, &decline{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", unread: true}
+		return nil, held, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large", unread: true}
 	}
 	size := req.ContentLength
 	if size < 0 {
@@ -358,10 +322,10 @@
 	switch {
 	case err != nil:
 		s.release(held)
-		return nil, held, &decline{status: http.StatusBadRequest, reason: "the body is malformed or cut off", unread: true}
+		return nil, held, &Refusal{Status: http.StatusBadRequest, Reason: "the body is malformed or cut off", unread: true}
 	case int64(len(body)) > most:
 		s.release(held)
-		return nil, held, &decline{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", unread: true}
+		return nil, held, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large", unread: true}
 	}
 	return body, held, nil
 }
--- a/internal/acquirer/acquirer_test.go
+++ b/internal/acquirer/acquirer_test.go
@@ -86,7 +86,7 @@
 				t.Fatal("nothing was taken")
 			}
 			open = e.From.(*authorisation)
-			o, q := open.order, e.Request
+			o, q := open.Message.Order, e.Request
 			got := fmt.Sprintf("%s %s %s %s %q class=%d session=%x prefix=%x prompt=%v shared=%v most=%v in=%v repeat=%v resumed=%v",
 				o.Method, o.Target, o.Host, o.CallID, o.Body, q.Class, q.Session, q.Prefix, q.PromptTokens, q.PrefixTokens,
 				q.MaxTokens, q.ExpiresIn, q.Repeat, q.Resumed)
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -13,28 +13,34 @@
 	"notchhinge/internal/issuer"
 	"notchhinge/internal/pool"
 	"notchhinge/internal/trace"
-	"notchhinge/policy"
 )
 
 // authorisation is one that is open, and the customer of the legs made for it.
 type authorisation struct {
-	conn    *conn
-	request policy.Request
-	at      time.Duration // of its last byte
-	order   issuer.Order
-	origin  *trace.Origin // nil where nothing is traced
-	pool    pool.ID
-	held    room // counted until the end
-	freed   sync.Once
-	last    bool // the acquirer wants the connection closed after it
-	begun   bool // the head of a stream is written
-	over    atomic.Bool
-	keep    bool // the connection goes on after it
-	done    chan struct{}
+	conn *conn
+	Message
+	at     time.Duration // of its last byte
+	reply  Reply         // the head of what is passed on
+	kept   *Kept         // the last answer that was not passed on
+	keptMu sync.Mutex
+	origin *trace.Origin // nil where nothing is traced
+	pool   pool.ID
+	held   room // counted until the end
+	freed  sync.Once
+	last   bool // the acquirer wants the connection closed after it
+	begun  bool // the head of a stream is written
+	over   atomic.Bool
+	keep   bool // the connection goes on after it
+	done   chan struct{}
 }
 
 // Order implements issuer.Customer.
-func (a *authorisation) Order() *issuer.Order { return &a.order }
+func (a *authorisation) Order() *issuer.Order { return &a.Message.Order }
+
+// Answer implements issuer.Answerer.
+func (a *authorisation) Answer(resp *http.Response) {
+	a.reply = a.conn.s.Dialect.Head(&a.Message, resp)
+}
 
 var errOver = errors.New("the authorisation is over")
 
@@ -47,16 +53,9 @@
 	if !a.begun {
 		a.begun = true
 		a.last = a.last || a.conn.s.closing()
-		b = append(b, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"...)
-		if a.last {
-			b = append(b, "Connection: close\r\n"...)
-		}
-		b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
+		b = a.head(b)
 	}
-	b = strconv.AppendInt(b, int64(len(events)), 16)
-	b = append(b, "\r\n"...)
-	b = append(b, events...)
-	b = append(b, "\r\n"...)
+	b = a.part(b, events)
 	err := a.conn.write(b)
 	if err != nil {
 		a.conn.Close() // so that the reader of the connection ends, too
@@ -64,12 +63,51 @@
 	return err
 }
 
+// head writes the head of the answer that is passed on.
+func (a *authorisation) head(b []byte) []byte {
+	if a.reply.Head == nil {
+		a.reply = a.conn.s.Dialect.Head(&a.Message, nil)
+	}
+	b = append(b, a.reply.Head...)
+	if a.last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	if a.reply.Length < 0 {
+		return append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
+	}
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, a.reply.Length, 10)
+	return append(b, "\r\n\r\n"...)
+}
+
+// part writes a part of the body, as a chunk where it has no length.
+func (a *authorisation) part(b, part []byte) []byte {
+	if a.reply.Length >= 0 {
+		return append(b, part...)
+	}
+	b = strconv.AppendInt(b, int64(len(part)), 16)
+	b = append(b, "\r\n"...)
+	b = append(b, part...)
+	return append(b, "\r\n"...)
+}
+
 // Finish implements issuer.Customer. A broken stream closes the connection without the last chunk.
 func (a *authorisation) Finish(whole bool) error {
 	var err error
 	if whole {
 		a.over.Store(true)
-		err = a.conn.write([]byte("0\r\n\r\n"))
+		var b []byte
+		if !a.begun { // it has no body
+			a.begun = true
+			a.last = a.last || a.conn.s.closing()
+			b = a.head(b)
+		}
+		if a.reply.Length < 0 {
+			b = append(b, "0\r\n\r\n"...)
+		}
+		if len(b) > 0 {
+			err = a.conn.write(b)
+		}
 	}
 	// A stream that began before a drain has no word of it in its head; its connection is closed all the same,
 	// lest the acquirer use it for ever.
@@ -77,17 +115,30 @@
 	return err
 }
 
-// Decline does broker.Decline.
+// Decline does broker.Decline where it makes no difference whether a leg may have run.
 func (a *authorisation) Decline(why broker.Verdict, retryAfter time.Duration) {
-	d := decline{status: http.StatusServiceUnavailable, reason: "try again", retry: retryAfter, close: a.last}
-	switch why {
-	case broker.Failed:
-		d.status, d.reason = http.StatusGatewayTimeout, "not served in time"
-	case broker.Taking:
-		d.status, d.reason = http.StatusConflict, "this id is that of an open request"
-	}
+	a.Close(why, retryAfter, false)
+}
+
+// Close does broker.Decline.
+func (a *authorisation) Close(why broker.Verdict, retryAfter time.Duration, mayHaveRun bool) {
+	a.keptMu.Lock()
+	kept := a.kept
+	a.keptMu.Unlock()
+	d, instead := a.conn.s.Dialect.Close(&a.Message, why, retryAfter, mayHaveRun, kept)
 	a.over.Store(true)
-	keep := a.conn.answer(&d)
+	var keep bool
+	if instead != nil {
+		a.reply, a.last = instead.Reply, a.last || a.conn.s.closing()
+		b := a.part(a.head(nil), instead.Body)
+		if a.reply.Length < 0 {
+			b = append(b, "0\r\n\r\n"...)
+		}
+		keep = a.conn.write(b) == nil && !a.last
+	} else {
+		d.Close = d.Close || a.last
+		keep = a.conn.answer(d)
+	}
 	if a.origin != nil {
 		a.conn.s.Post(broker.Answered{From: a, At: a.conn.s.Now()})
 	}
@@ -126,26 +177,26 @@
 }
 
 // answer writes a short answer and tells whether the connection goes on.
-func (c *conn) answer(d *decline) bool {
-	closing := d.close || d.unread || c.s.closing()
-	b := append([]byte("HTTP/1.1 "), strconv.Itoa(d.status)...)
+func (c *conn) answer(d *Refusal) bool {
+	closing := d.Close || d.unread || c.s.closing()
+	b := append([]byte("HTTP/1.1 "), strconv.Itoa(d.Status)...)
 	b = append(b, ' ')
-	b = append(b, http.StatusText(d.status)...)
-	if d.retry > 0 {
+	b = append(b, http.StatusText(d.Status)...)
+	if d.Retry > 0 {
 		b = append(b, "\r\nRetry-After: "...)
-		b = strconv.AppendFloat(b, d.retry.Seconds(), 'f', 3, 64)
+		b = strconv.AppendFloat(b, d.Retry.Seconds(), 'f', 3, 64)
 	}
-	if d.allow != "" {
+	if d.Allow != "" {
 		b = append(b, "\r\nAllow: "...)
-		b = append(b, d.allow...)
+		b = append(b, d.Allow...)
 	}
 	if closing {
 		b = append(b, "\r\nConnection: close"...)
 	}
 	b = append(b, "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(d.reason)+1), 10)
+	b = strconv.AppendInt(b, int64(len(d.Reason)+1), 10)
 	b = append(b, "\r\n\r\n"...)
-	b = append(b, d.reason...)
+	b = append(b, d.Reason...)
 	b = append(b, '\n')
 	if err := c.write(b); err != nil {
 		return false
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -10,11 +10,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
 	"notchhinge/internal/broker"
 	"notchhinge/internal/framing"
-	"notchhinge/internal/issuer"
 	"notchhinge/internal/trace"
 )
 
@@ -90,7 +87,7 @@
 			return
 		}
 		c.setBusy(true)
-		var d *decline
+		var d *Refusal
 		from := time.Now()
 		var begun time.Duration
 		if c.s.Trace {
@@ -105,7 +102,8 @@
 				open.origin.Begun = begun
 			}
 			c.s.Post(broker.Taken{
-				From: open, Pool: open.pool, Name: open.order.CallID, At: open.at, Request: open.request, Origin: open.origin,
+				From: open, Pool: open.pool, Name: open.Name, At: open.at, Request: open.Request, Attempts: open.Attempts,
+				Origin: open.origin,
 			})
 			continue
 		}
@@ -120,7 +118,7 @@
 }
 
 // read reads one message: an authorisation, or what to decline it with, or neither.
-func (c *conn) read(until time.Time) (*authorisation, *decline) {
+func (c *conn) read(until time.Time) (*authorisation, *Refusal) {
 	defer c.SetReadDeadline(time.Time{})
 	c.SetReadDeadline(until)
 	head, err := framing.Head(c.br)
@@ -149,7 +147,7 @@
 			return nil, nil
 		}
 	}
-	w, misled := c.s.route(req)
+	w, misled := c.s.Dialect.Lead(req)
 	body, held, d := c.s.body(req, &w)
 	if d != nil {
 		c.s.Post(broker.Declined{})
@@ -159,7 +157,7 @@
 	a, d := c.accept(req, &w, misled, body)
 	if a == nil {
 		c.s.release(held)
-		d.close = d.close || req.Close
+		d.Close = d.Close || req.Close
 		return nil, d
 	}
 	a.held, a.last, a.at = held, req.Close, at
@@ -172,47 +170,36 @@
 }
 
 // bad declines a message after which the connection cannot go on.
-func (c *conn) bad(status int, reason string) *decline {
+func (c *conn) bad(status int, reason string) *Refusal {
 	c.s.Post(broker.Declined{})
-	return &decline{status: status, reason: reason, unread: true}
+	return &Refusal{Status: status, Reason: reason, unread: true}
 }
 
 // accept checks a whole message.
-func (c *conn) accept(req *http.Request, w *way, d *decline, body []byte) (*authorisation, *decline) {
+func (c *conn) accept(req *http.Request, w *Way, d *Refusal, body []byte) (*authorisation, *Refusal) {
 	if d != nil {
-		if d.status != http.StatusOK && req.URL.Path != readyPath {
+		if !d.quiet {
 			c.s.Post(broker.Declined{})
 		}
 		return nil, d
 	}
 	if !req.ProtoAtLeast(1, 1) {
 		c.s.Post(broker.Declined{}) // it could not take an answer in chunks
-		return nil, &decline{status: http.StatusHTTPVersionNotSupported, reason: "HTTP/1.1 is wanted", close: true}
+		return nil, &Refusal{Status: http.StatusHTTPVersionNotSupported, Reason: "HTTP/1.1 is wanted", Close: true}
 	}
 	if c.spare {
 		c.s.Post(broker.Declined{})
-		return nil, &decline{
-			status: http.StatusServiceUnavailable, reason: "too many connections", retry: c.s.Lim.SpareAnswer, close: true,
+		return nil, &Refusal{
+			Status: http.StatusServiceUnavailable, Reason: "too many connections", Retry: c.s.Lim.SpareAnswer, Close: true,
 		}
 	}
-	q, reason := parseRequest(req.Header, w.pool.Class, w.pool.MaxBudget)
-	switch {
-	case reason != "":
-	case !httpguts.ValidHostHeader(w.host), !httpguts.ValidHeaderFieldValue(req.Header.Get("Content-Type")):
-		reason = "Host or Content-Type is bad" // they are passed on
-	}
-	if reason != "" {
+	m, d := c.s.Dialect.Accept(req, w, body)
+	if d != nil {
 		c.s.Post(broker.Declined{})
-		return nil, &decline{status: http.StatusBadRequest, reason: reason}
+		return nil, d
 	}
 	a, origin := c.s.authorisation(req.Header)
-	*a = authorisation{
-		conn: c, pool: w.pool.ID, request: q, done: make(chan struct{}), origin: origin,
-		order: issuer.Order{
-			Method: req.Method, Target: w.target, Host: w.host,
-			CallID: req.Header.Get(idHeader), ContentType: req.Header.Get("Content-Type"), Body: body,
-		},
-	}
+	*a = authorisation{conn: c, pool: w.Pool.ID, Message: m, done: make(chan struct{}), origin: origin}
 	return a, nil
 }
 
--- a/internal/acquirer/services_test.go
+++ b/internal/acquirer/services_test.go
@@ -54,7 +54,7 @@
 			"led": func(want string) {
 				e := (<-events).(broker.Taken)
 				a := e.From.(*authorisation)
-				if got := fmt.Sprintf("pool %d class %d as %s %s", e.Pool, e.Request.Class, a.order.Host, a.order.Target); got != want {
+				if got := fmt.Sprintf("pool %d class %d as %s %s", e.Pool, e.Request.Class, a.Message.Order.Host, a.Message.Order.Target); got != want {
 					t.Errorf("%s, want %s", got, want)
 				}
 				go a.Decline(broker.Refused, 0)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -43,10 +43,12 @@
 	name     string
 	deadline time.Duration
 	key      deadline.Key
+	attempts int // legs that it may have
 	legs     []*leg
 	bound    *leg
 	over     bool  // has its final answer, or the acquirer left
 	gone     bool  // the acquirer left
+	mayRun   bool  // a leg has ended otherwise than by never having run
 	running  int32 // legs that have not been told to the module as ended
 	journey  *trace.Journey
 }
@@ -162,7 +164,7 @@
 			p.leaving, b.leaving = true, true
 		}
 	case Parked:
-		b.due.Add(b.now+b.lim.IssuerIdle, due{line: e.Line})
+		b.due.Add(b.now+e.Idle, due{line: e.Line})
 	case Remind:
 		b.due.Add(e.At, due{of: e.Of})
 	case Answered:
@@ -222,7 +224,10 @@
 	p.counts.Taken++
 	p.held++
 	b.lastID++
-	a := &auth{id: b.lastID, pool: p, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn}
+	a := &auth{id: b.lastID, pool: p, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn, attempts: p.attempts}
+	if e.Attempts > 0 {
+		a.attempts = min(a.attempts, e.Attempts)
+	}
 	a.key = b.due.Add(a.deadline, due{auth: a})
 	b.auths[a.id], b.byParty[a.from] = a, a
 	if a.name = e.Name; a.name != "" {
@@ -340,6 +345,7 @@
 func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, report policy.Report) {
 	p := a.pool
 	a.running--
+	a.mayRun = a.mayRun || r != policy.Full && r != policy.ConnectFailed && r != policy.Moot
 	p.counts.Outcomes[r]++
 	if b.journal != nil {
 		b.journal.Told(b.now, a.id, a.journey, l.id.N, r, kept)
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -226,7 +226,7 @@
 
 func TestParkedLineIsHungUp(t *testing.T) {
 	r := newRig(t, 0, nil)
-	r.expect(0, Parked{3})
+	r.expect(0, Parked{3, 4 * sec})
 	r.expect(4*sec-1, Tick{})
 	r.expect(4*sec, Tick{}, "hang up 3") // a second before the host would
 }
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -54,7 +54,9 @@
 		Name    string        // under which it is passed on, one open authorisation each; "" = none
 		At      time.Duration // of its last byte; its time runs from there
 		Request policy.Request
-		Origin  *trace.Origin // nil where nothing is traced
+		// Attempts is how many legs it may have at the most; 0 = as many as the pool allows.
+		Attempts int
+		Origin   *trace.Origin // nil where nothing is traced
 	}
 	// Answered: a declining answer has been written, or could not be. Fronts tell it where journeys are recorded and
 	// their Origin says that they will.
@@ -96,7 +98,10 @@
 		Hosts []Host
 	}
 	// Parked: a line to an issuer host is idle, and is to be hung up before the host closes it.
-	Parked struct{ Line uint64 }
+	Parked struct {
+		Line uint64
+		Idle time.Duration
+	}
 	// Remind: a front wants to be told of something at a time.
 	Remind struct {
 		At time.Duration
@@ -162,6 +167,7 @@
 		Leg  LegID
 		From Acquirer
 		Host policy.ReplicaID
+		Name string // the host's
 		Dial string
 		Wait time.Duration
 	}
@@ -181,6 +187,7 @@
 		To         Acquirer
 		Why        Verdict
 		RetryAfter time.Duration // 0 = no advice
+		MayHaveRun bool          // a leg of it has not been shown never to have run
 	}
 	// Probe asks an issuer host for a sign of life.
 	Probe struct {
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -269,7 +269,7 @@
 	if timeout != 0 {
 		until = min(until, b.now+timeout)
 	}
-	if h == nil || a.over || a.bound != nil || len(a.legs) > p.attempts || until <= b.now {
+	if h == nil || a.over || a.bound != nil || len(a.legs) > a.attempts || until <= b.now {
 		if b.journal != nil { // it is never out, so that no word of its line will come
 			b.journal.Ended(b.now, a.id, a.journey, l.id.N, policy.Moot, false, nil)
 		}
@@ -287,7 +287,7 @@
 	if until < a.deadline {
 		l.key = b.due.Add(until, due{auth: a, leg: l})
 	}
-	send := SendLeg{Pool: p.id, Leg: l.id, From: a.from, Host: to, Dial: h.Dial, Wait: until - b.now}
+	send := SendLeg{Pool: p.id, Leg: l.id, From: a.from, Host: to, Name: h.Name, Dial: h.Dial, Wait: until - b.now}
 	if b.journal != nil {
 		b.do(SendTraced{send, span})
 		return
@@ -323,7 +323,7 @@
 	} else {
 		p.counts.Refused++
 	}
-	b.do(Decline{To: a.from, Why: why, RetryAfter: retryAfter})
+	b.do(Decline{To: a.from, Why: why, RetryAfter: retryAfter, MayHaveRun: a.mayRun || a.running > 0})
 	b.close(a)
 	if why == Failed {
 		b.closed(a, trace.Failed, 0)
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -41,9 +41,27 @@
 	Finish(whole bool) error
 }
 
+// Answerer is a customer that wants to see the head of the answer that is passed on, before its first part.
+type Answerer interface{ Answer(resp *http.Response) }
+
+// Dialect is what messages to and from issuer hosts look like. A Client without one speaks the platform's.
+type Dialect interface {
+	// Head writes an order out, body and all, with the time that is left of its budget and the span that it belongs to.
+	Head(o *Order, e *broker.SendLeg, left time.Duration, span *trace.Context) []byte
+	// Judge says what an answer's head makes of the leg; what it calls OK is passed on.
+	Judge(resp *http.Response) policy.Result
+	// Streams tells whether an answer that is passed on is a series of events.
+	Streams(resp *http.Response) bool
+	// Idle is how long the line of an answer may wait for its next order; 0 = as the limits say, below that not at all.
+	Idle(resp *http.Response) time.Duration
+	// Probe is the path that a probe asks for.
+	Probe(r *Reports) string
+}
+
 // Config is what a Client is made of.
 type Config struct {
-	Lim limits.Limits
+	Lim     limits.Limits
+	Dialect Dialect
 	Reports
 	Post func(broker.Event)
 	Now  broker.Clock // for the times of traced legs
@@ -68,6 +86,9 @@
 
 // New returns a client.
 func New(c Config) *Client {
+	if c.Dialect == nil {
+		c.Dialect = platform{}
+	}
 	return &Client{
 		Config: c, legs: map[broker.LegID]*leg{}, pools: map[pool.ID]*Reports{},
 		lines: lines{
@@ -241,7 +262,7 @@
 		return
 	}
 	ln.SetWriteDeadline(l.began.Add(e.Wait))
-	if _, err := ln.Write(head(customer.Order(), e.Wait-lined.Sub(l.began), l.span)); err != nil {
+	if _, err := ln.Write(c.Dialect.Head(customer.Order(), &e, e.Wait-lined.Sub(l.began), l.span)); err != nil {
 		end.Result = policy.ConnectFailed // not written to its last byte, so that it cannot have run
 		end.Stale = c.stale(ln)
 		return
@@ -261,14 +282,23 @@
 	if l.reports.Piggyback {
 		end.Report = ParseReport(resp.Header.Get(loadHeader), l.reports.Columns)
 	}
-	if resp.StatusCode != http.StatusOK {
-		end.Result = refusal(resp)
-		if drained(ln, resp) {
+	ln.idle = c.Dialect.Idle(resp)
+	if result := c.Dialect.Judge(resp); result != policy.OK {
+		end.Result = result
+		if k, ok := customer.(Keeper); ok {
+			if k.Keep(result, resp, ln) && !resp.Close {
+				keep = ln
+			}
+		} else if drained(ln, resp) {
 			keep = ln
 		}
 		return
 	}
-	if c.stream(ctx, ln, resp, l, e, customer, &end) {
+	pass := c.stream
+	if !c.Dialect.Streams(resp) {
+		pass = c.plain
+	}
+	if pass(ctx, ln, resp, l, e, customer, &end) {
 		keep = ln
 	}
 }
@@ -283,20 +313,10 @@
 	return true
 }
 
-const (
-	loadHeader     = "X-Load-Report"
-	rejectedHeader = "X-Rejected"
-)
-
-// refusal is the outcome of an answer that is not 200.
-func refusal(resp *http.Response) policy.Result {
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get(rejectedHeader) == "1" {
-			return policy.Full
-		}
-	}
-	return policy.Error
+// Keeper is a customer that wants to see answers that are not passed on: should nothing better come, one of them may be
+// all that there is to tell. It reads the body, and tells whether it has come to its end.
+type Keeper interface {
+	Keep(r policy.Result, resp *http.Response, line net.Conn) (whole bool)
 }
 
 // drained reads the rest of a small answer, so that its line can serve again.
@@ -328,6 +348,7 @@
 		end.Result = policy.Cancelled
 		return false
 	}
+	tell(to, resp)
 	var relay time.Time // of the write under way
 	if l.times != nil {
 		relay = time.Now()
@@ -356,6 +377,11 @@
 			relay = time.Now()
 		}
 	}
+	return c.finish(resp, e, to, err, end)
+}
+
+// finish ends an answer whose parts have been passed on until err, and tells whether the line can serve again.
+func (c *Client) finish(resp *http.Response, e broker.SendLeg, to Customer, err error, end *broker.LegEnded) bool {
 	// Only a framed answer shows its end; one that lasts as long as its connection may have been cut off.
 	whole := errors.Is(err, io.EOF) && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	if werr := to.Finish(whole); !whole {
@@ -372,6 +398,61 @@
 	return whole && !resp.Close
 }
 
+// plain passes an answer on that is no series of events, and tells whether the line can serve again. What fits into the
+// buffer is read whole before the leg begins: should it break off, another host may be asked.
+func (c *Client) plain(ctx context.Context, ln *line, resp *http.Response, l *leg, e broker.SendLeg, to Customer,
+	end *broker.LegEnded) bool {
+	ln.SetReadDeadline(time.Now().Add(c.Lim.AnswerWait))
+	buf := make([]byte, c.Lim.EventBytes)
+	if resp.ContentLength >= 0 {
+		buf = make([]byte, min(resp.ContentLength+1, int64(c.Lim.EventBytes)))
+	}
+	n, err := io.ReadFull(resp.Body, buf)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.ErrUnexpectedEOF) && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		end.Result = policy.Reset // it shows no end of its own, so that it may have been cut off
+		return false
+	case errors.Is(err, io.ErrUnexpectedEOF) && (resp.ContentLength < 0 || int64(n) == resp.ContentLength):
+		// What net/http says of a chunked answer that ends early is the same error; it is told apart by asking again.
+		if _, again := resp.Body.Read(make([]byte, 1)); !errors.Is(again, io.EOF) {
+			end.Result = policy.Reset
+			return false
+		}
+		err = io.EOF
+	case errors.Is(err, io.EOF) && n == 0: // an answer without a body
+	default:
+		end.Result = ended(err)
+		return false
+	}
+	c.Post(broker.LegBegan{Leg: e.Leg})
+	if !l.bound(ctx) {
+		end.Result = policy.Cancelled
+		return err != nil && !resp.Close // it is read to its end
+	}
+	tell(to, resp)
+	for part := buf[:n]; ; part = buf[:n] {
+		if n > 0 {
+			if werr := to.Relay(part); werr != nil {
+				c.Post(broker.Departed{From: e.From})
+				end.Result = policy.Cancelled
+				return false
+			}
+		}
+		if err != nil {
+			return c.finish(resp, e, to, err, end)
+		}
+		ln.SetReadDeadline(time.Now().Add(c.Lim.StreamWait))
+		n, err = resp.Body.Read(buf)
+	}
+}
+
+func tell(to Customer, resp *http.Response) {
+	if a, ok := to.(Answerer); ok {
+		a.Answer(resp)
+	}
+}
+
 // bound waits until the broker has said whether the leg is the acquirer's.
 func (l *leg) bound(ctx context.Context) bool {
 	select {
@@ -448,10 +529,7 @@
 	if err != nil {
 		return policy.ConnectFailed, policy.Report{}
 	}
-	path := "/health/live"
-	if r.Stats {
-		path = "/stats"
-	}
+	path := c.Dialect.Probe(r)
 	until := time.Now().Add(c.Lim.ProbeWait)
 	ln.SetDeadline(until)
 	if _, err := io.WriteString(ln, "GET "+path+" HTTP/1.1\r\nHost: "+to.addr+"\r\n\r\n"); err != nil {
@@ -543,32 +621,3 @@
 		}
 	}
 }
-
-// head writes an order out, with the time that is left as its budget and the span that it belongs to, if any.
-func head(o *Order, left time.Duration, span *trace.Context) []byte {
-	b := make([]byte, 0, 512+len(o.Body))
-	b = append(b, o.Method...)
-	b = append(b, ' ')
-	b = append(b, o.Target...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, o.Host...)
-	b = append(b, "\r\nX-Call-Id: "...)
-	b = append(b, o.CallID...)
-	b = append(b, "\r\nX-Budget: "...)
-	b = strconv.AppendInt(b, max(left.Microseconds(), 1), 10)
-	b = append(b, 'u')
-	if span != nil {
-		b = span.AppendParent(append(b, "\r\nTraceparent: "...))
-		if span.State != "" {
-			b = append(append(b, "\r\nTracestate: "...), span.State...)
-		}
-	}
-	if o.ContentType != "" {
-		b = append(b, "\r\nContent-Type: "...)
-		b = append(b, o.ContentType...)
-	}
-	b = append(b, "\r\nContent-Length: "...)
-	b = strconv.AppendInt(b, int64(len(o.Body)), 10)
-	b = append(b, "\r\n\r\n"...)
-	return append(b, o.Body...)
-}
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -189,7 +189,8 @@
 			play(t, conn, "served")
 			synctest.Wait()
 		}
-		want := []broker.Event{broker.Parked{Line: 1}, broker.Parked{Line: 2}}
+		idle := d.Lim.IssuerIdle
+		want := []broker.Event{broker.Parked{Line: 1, Idle: idle}, broker.Parked{Line: 2, Idle: idle}}
 		if diff := cmp.Diff(want, d.events); diff != "" || len(far) != 0 {
 			t.Errorf("parked, %d more connections (-want +got):\n%s", len(far), diff)
 		}
--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -23,6 +23,7 @@
 	to     dest
 	number uint64 // under which it is parked
 	since  time.Time
+	idle   time.Duration // so long it may wait for its next order; 0 = as the limits say
 	once   sync.Once
 	closed func()
 }
@@ -68,7 +69,7 @@
 		if l == nil {
 			break
 		}
-		if time.Since(l.since) < p.lim.IssuerIdle && alive(l.Conn) {
+		if time.Since(l.since) < p.idleOf(l) && alive(l.Conn) {
 			return l, l.SetDeadline(time.Time{})
 		}
 		l.Close()
@@ -158,10 +159,18 @@
 	p.mu.Unlock()
 }
 
+// idleOf is how long a line may wait for its next order.
+func (p *lines) idleOf(l *line) time.Duration {
+	if l.idle == 0 {
+		return p.lim.IssuerIdle
+	}
+	return min(l.idle, p.lim.IssuerIdle)
+}
+
 // put parks a line that can serve again; the broker has it hung up before the host would.
 func (p *lines) put(l *line) {
 	p.mu.Lock()
-	if l.br.Buffered() > 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
+	if l.br.Buffered() > 0 || l.idle < 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
 		p.mu.Unlock()
 		l.Close()
 		return
@@ -171,7 +180,7 @@
 	l.number, l.since = number, time.Now()
 	p.idle[l.to] = append(p.idle[l.to], l)
 	p.mu.Unlock()
-	p.post(broker.Parked{Line: number})
+	p.post(broker.Parked{Line: number, Idle: p.idleOf(l)})
 }
 
 // hangUp closes the line that is parked under a number, if it still is.
