--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -15,8 +15,10 @@
 
 	"notchhinge/deploy"
 	"notchhinge/internal/batch"
+	"notchhinge/internal/boot"
 	"notchhinge/internal/broker"
 	"notchhinge/internal/config"
+	"notchhinge/internal/node"
 	"notchhinge/internal/plan"
 	"notchhinge/internal/router"
 	"notchhinge/internal/settings"
@@ -29,6 +31,7 @@
 	Pools       pools       `cmd:"" help:"Print what each pool of a running router holds."`
 	Routes      routesCmd   `cmd:"" help:"Say how requests are led to services."`
 	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
+	Node        nodeCmd     `cmd:"" help:"Run a process of the fleet, as the file says that NOTCHHINGE_BOOT names."`
 	Version     version     `cmd:"" help:"Print the version."`
 
 	LogFormat string `help:"Form of the log: ${enum}." enum:"text,json" default:"text"`
@@ -183,6 +186,20 @@
 	return nil
 }
 
+type nodeCmd struct{}
+
+// Run runs a process of the fleet until SIGTERM; SIGHUP has its settings read again.
+func (nodeCmd) Run(c *cli) error {
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	err := node.Run(os.Getenv(boot.Variable), c.logger(), node.Signals{Stop: stop, Reload: reload})
+	if faults := (boot.Faults{}); errors.As(err, &faults) {
+		return badConfig{err}
+	}
+	return err
+}
+
 type schema struct{}
 
 // Run prints the schema that stands beside the settings.
--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -263,12 +263,15 @@
 	Head(m *Message, resp *http.Response) Reply
 	// Close says how an authorisation ends that nothing served; kept is the last answer that was not passed on, if any.
 	Close(m *Message, why broker.Verdict, retryAfter time.Duration, mayHaveRun bool, kept *Kept) (*Refusal, *Kept)
+	// Keep makes what is kept of an answer that is not passed on.
+	Keep(m *Message, result policy.Result, resp *http.Response, body []byte) *Kept
 }
 
 // Reply is the head of an answer that is passed on.
 type Reply struct {
 	Head   []byte // status line and headers, each with its end of line
 	Length int64  // of the body; -1 = in chunks
+	Bare   bool   // it has no body, whatever its length
 }
 
 // Kept is a whole small answer of an issuer host that was not passed on.
@@ -307,7 +310,7 @@
 	}
 	size := req.ContentLength
 	if size < 0 {
-		size = most // its length shows only at its end
+		size = min(most, unsized) // its length shows only at its end
 	}
 	if held, d = s.take(w, size); d != nil {
 		return nil, held, d
@@ -317,7 +320,18 @@
 		body = make([]byte, req.ContentLength)
 		_, err = io.ReadFull(req.Body, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(req.Body, most+1))
+		for {
+			var part []byte
+			part, err = io.ReadAll(io.LimitReader(req.Body, held.body+1-int64(len(body))))
+			body = append(body, part...)
+			if err != nil || int64(len(body)) <= held.body || int64(len(body)) > most {
+				break
+			}
+			if !s.more(&held, min(held.body, most-held.body)) {
+				s.release(held)
+				return nil, held, &Refusal{Status: http.StatusServiceUnavailable, Reason: "no room", Retry: s.Lim.SpareAnswer, unread: true}
+			}
+		}
 	}
 	switch {
 	case err != nil:
@@ -330,6 +344,20 @@
 	return body, held, nil
 }
 
+// unsized is the room that a body takes at first that does not tell its length, in bytes; it takes more as it grows.
+const unsized = 256 << 10
+
+// more takes more room for a body that is coming in.
+func (s *Server) more(r *room, bytes int64) bool {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	if bytes <= 0 || !s.bodies.Take(r.pool, bytes) {
+		return false
+	}
+	r.body += bytes
+	return true
+}
+
 func (s *Server) release(r room) {
 	s.roomMu.Lock()
 	defer s.roomMu.Unlock()
--- a/internal/acquirer/answer.go
+++ b/internal/acquirer/answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,6 +14,7 @@
 	"notchhinge/internal/issuer"
 	"notchhinge/internal/pool"
 	"notchhinge/internal/trace"
+	"notchhinge/policy"
 )
 
 // authorisation is one that is open, and the customer of the legs made for it.
@@ -63,6 +65,22 @@
 	return err
 }
 
+// Keep implements issuer.Keeper: a small answer that is not passed on is kept, for it may be all there is to tell.
+func (a *authorisation) Keep(result policy.Result, resp *http.Response, line net.Conn) (whole bool) {
+	const small, soon = 16 << 10, 500 * time.Millisecond
+	line.SetReadDeadline(time.Now().Add(soon))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, small+1))
+	if err != nil || len(body) > small {
+		return false
+	}
+	if k := a.conn.s.Dialect.Keep(&a.Message, result, resp, body); k != nil {
+		a.keptMu.Lock()
+		a.kept = k
+		a.keptMu.Unlock()
+	}
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // head writes the head of the answer that is passed on.
 func (a *authorisation) head(b []byte) []byte {
 	if a.reply.Head == nil {
@@ -72,7 +90,10 @@
 	if a.last {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	if a.reply.Length < 0 {
+	switch {
+	case a.reply.Bare && a.reply.Length < 0:
+		return append(b, "\r\n"...)
+	case a.reply.Length < 0:
 		return append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
 	}
 	b = append(b, "Content-Length: "...)
@@ -82,7 +103,7 @@
 
 // part writes a part of the body, as a chunk where it has no length.
 func (a *authorisation) part(b, part []byte) []byte {
-	if a.reply.Length >= 0 {
+	if a.reply.Length >= 0 || a.reply.Bare {
 		return append(b, part...)
 	}
 	b = strconv.AppendInt(b, int64(len(part)), 16)
@@ -102,7 +123,7 @@
 			a.last = a.last || a.conn.s.closing()
 			b = a.head(b)
 		}
-		if a.reply.Length < 0 {
+		if a.reply.Length < 0 && !a.reply.Bare {
 			b = append(b, "0\r\n\r\n"...)
 		}
 		if len(b) > 0 {
@@ -131,9 +152,6 @@
 	if instead != nil {
 		a.reply, a.last = instead.Reply, a.last || a.conn.s.closing()
 		b := a.part(a.head(nil), instead.Body)
-		if a.reply.Length < 0 {
-			b = append(b, "0\r\n\r\n"...)
-		}
 		keep = a.conn.write(b) == nil && !a.last
 	} else {
 		d.Close = d.Close || a.last
--- a/internal/acquirer/platform.go
+++ b/internal/acquirer/platform.go
@@ -10,6 +10,7 @@
 	"notchhinge/internal/broker"
 	"notchhinge/internal/issuer"
 	"notchhinge/internal/route"
+	"notchhinge/policy"
 )
 
 // platform is the dialect of the platform that notchhinge serve runs on.
@@ -118,6 +119,9 @@
 	return Reply{Head: []byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"), Length: -1}
 }
 
+// Keep implements Dialect: nothing is kept.
+func (platform) Keep(*Message, policy.Result, *http.Response, []byte) *Kept { return nil }
+
 // Close implements Dialect.
 func (platform) Close(_ *Message, why broker.Verdict, retryAfter time.Duration, _ bool, _ *Kept) (*Refusal, *Kept) {
 	switch why {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -159,6 +159,12 @@
 		}
 	case PoolSet:
 		b.poolSet(e)
+	case Classes:
+		if p := b.pools[e.Pool]; p != nil {
+			if err := p.module.SetClasses(e.Classes); err != nil {
+				b.do(Log{p.name, err.Error()})
+			}
+		}
 	case PoolEnd:
 		if p := b.pools[e.Pool]; p != nil {
 			p.leaving, b.leaving = true, true
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -122,6 +122,11 @@
 		Attempts   int           // legs of one authorisation; 0 = as the limits say
 		RetryAfter time.Duration // with what is declined for want of a place; 0 = as the limits say
 	}
+	// Classes gives a pool's module further classes; those it has stay.
+	Classes struct {
+		Pool    pool.ID
+		Classes []policy.Class
+	}
 	// PoolEnd: nothing more is routed to a pool. PoolGone follows once nothing of its is open.
 	PoolEnd struct{ Pool pool.ID }
 	// Recall asks for what the modules have learnt.
@@ -152,6 +157,7 @@
 func (Tick) event()     {}
 func (PoolSet) event()  {}
 func (PoolEnd) event()  {}
+func (Classes) event()  {}
 func (Recall) event()   {}
 func (Taught) event()   {}
 func (Audit) event()    {}
--- /dev/null
+++ b/internal/control/api/api.go
@@ -0,0 +1,205 @@
+// Package api answers the calls of engines and of the operator: HTTP/1.1 with CBOR bodies. It owns their form and their
+// bounds. What a call means is its Handler's: here nothing is decided and nothing is kept.
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/net/netutil"
+
+	"notchhinge/internal/control/declared"
+)
+
+// Bounds of calls.
+const (
+	mostBeat  = 4 << 10
+	mostConns = 256
+	headWait  = 5 * time.Second
+	bodyWait  = 10 * time.Second
+	idleWait  = 30 * time.Second
+)
+
+// Beat is an engine's report.
+type Beat struct {
+	ID       string  `cbor:"-"`
+	Service  string  `cbor:"target_service"`
+	Addr     string  `cbor:"address"`
+	Zone     string  `cbor:"zone"`
+	Revision string  `cbor:"revision"`
+	Slots    float64 `cbor:"capacity_slots"`
+	Status   string  `cbor:"status"`
+	ColdMS   float64 `cbor:"warmup_remaining_ms"`
+	Calls    uint64  `cbor:"call_count"`
+}
+
+// Result is an answer to the operator.
+type Result struct {
+	Status int
+	Says   string // with an error
+	Body   []byte // a configuration
+	Rev    uint64 // its number
+}
+
+// Handler does what calls ask for. Each method may wait for as long as its context lasts.
+type Handler interface {
+	Beat(ctx context.Context, b *Beat) error
+	SignOff(ctx context.Context, id string) error
+	Replace(ctx context.Context, on uint64, text []byte) Result
+	Describe(ctx context.Context) Result
+	// Status is for the staff: the state of this process as JSON.
+	Status() any
+}
+
+type server struct {
+	h Handler
+}
+
+// Serve answers calls at a listener until that is closed.
+func Serve(ln net.Listener, h Handler) error {
+	s := &server{h: h}
+	web := &http.Server{
+		Handler: s.mux(), ReadHeaderTimeout: headWait, ReadTimeout: headWait + bodyWait, IdleTimeout: idleWait, MaxHeaderBytes: 16 << 10,
+	}
+	err := web.Serve(netutil.LimitListener(ln, mostConns))
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Handle is the handler of calls, without a listener.
+func Handle(h Handler) http.Handler { return (&server{h: h}).mux() }
+
+func (s *server) mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /Instances.Heartbeat/{id}", s.beat)
+	mux.HandleFunc("POST /Instances.Deregister/{id}", s.signOff)
+	mux.HandleFunc("POST /Configuration.Replace", s.replace)
+	mux.HandleFunc("GET /Configuration.Describe", s.describe)
+	mux.HandleFunc("GET /fleet/status", s.status)
+	return mux
+}
+
+// answer writes a CBOR body.
+func answer(w http.ResponseWriter, status int, v any) {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		status, b = http.StatusInternalServerError, nil
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+func refuse(w http.ResponseWriter, status int, says string) {
+	answer(w, status, map[string]string{"error_message": says})
+}
+
+// body reads a body of most bytes.
+func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		refuse(w, http.StatusRequestEntityTooLarge, "body: too large")
+	case err != nil:
+		refuse(w, http.StatusBadRequest, "body: "+err.Error())
+	}
+	return b, err == nil
+}
+
+func (s *server) beat(w http.ResponseWriter, r *http.Request) {
+	b, ok := body(w, r, mostBeat)
+	if !ok {
+		return
+	}
+	beat := &Beat{}
+	if err := cbor.Unmarshal(b, beat); err != nil {
+		refuse(w, http.StatusBadRequest, "body: "+err.Error())
+		return
+	}
+	beat.ID = r.PathValue("id")
+	switch {
+	case beat.ID == "" || len(beat.ID) > 200:
+		refuse(w, http.StatusBadRequest, "instance_id: 1 to 200 bytes are wanted")
+		return
+	case beat.Service == "" || len(beat.Service) > 200 || len(beat.Zone) > 200 || len(beat.Revision) > 200:
+		refuse(w, http.StatusBadRequest, "target_service, zone, revision: they are too long, or the first is missing")
+		return
+	case beat.Status != "ready" && beat.Status != "draining":
+		refuse(w, http.StatusBadRequest, "status: ready or draining is wanted")
+		return
+	}
+	if _, _, err := net.SplitHostPort(beat.Addr); err != nil || len(beat.Addr) > 200 {
+		refuse(w, http.StatusBadRequest, "address: an address with a port is wanted")
+		return
+	}
+	if err := s.h.Beat(r.Context(), beat); err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	answer(w, http.StatusOK, map[string]string{})
+}
+
+func (s *server) signOff(w http.ResponseWriter, r *http.Request) {
+	if _, ok := body(w, r, mostBeat); !ok {
+		return
+	}
+	id := r.PathValue("id")
+	if id == "" || len(id) > 200 {
+		refuse(w, http.StatusBadRequest, "instance_id: 1 to 200 bytes are wanted")
+		return
+	}
+	if err := s.h.SignOff(r.Context(), id); err != nil {
+		refuse(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	answer(w, http.StatusOK, map[string]string{})
+}
+
+func (s *server) replace(w http.ResponseWriter, r *http.Request) {
+	on, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get("X-Revision-Match")), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "X-Revision-Match: the number of a version is wanted")
+		return
+	}
+	b, ok := body(w, r, declared.MostBytes)
+	if !ok {
+		return
+	}
+	s.result(w, s.h.Replace(r.Context(), on, b))
+}
+
+func (s *server) describe(w http.ResponseWriter, r *http.Request) {
+	s.result(w, s.h.Describe(r.Context()))
+}
+
+func (s *server) result(w http.ResponseWriter, x Result) {
+	switch {
+	case x.Body != nil:
+		w.Header().Set("Content-Type", "application/cbor")
+		w.Header().Set("X-Revision", strconv.FormatUint(x.Rev, 10))
+		w.Header().Set("Content-Length", strconv.Itoa(len(x.Body)))
+		w.WriteHeader(x.Status)
+		w.Write(x.Body)
+	case x.Status >= 300:
+		refuse(w, x.Status, x.Says)
+	default:
+		answer(w, x.Status, map[string]uint64{"revision": x.Rev})
+	}
+}
+
+func (s *server) status(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s.h.Status())
+}
--- /dev/null
+++ b/internal/control/chain/chain.go
@@ -0,0 +1,284 @@
+// Package chain owns what the fleet agrees on: entries, one a place, and the State that they add up to. It is pure. Place 0
+// holds the founders; every later place is a change of members, a configuration, a holder of the duties, a usage window's
+// figures, or nothing at all (which a reader proposes to find out what was chosen).
+package chain
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/form"
+)
+
+// Kind is what an entry is.
+type Kind uint8
+
+// The kinds of entries.
+const (
+	Nothing Kind = iota
+	Members
+	Config
+	Holder
+	Usage
+)
+
+// Member holds the state. Its ID is of its name and of its disk, so that a machine with another disk is another member.
+type Member struct {
+	ID   uint64
+	Name string
+	Addr string // of its calls
+}
+
+// Entry is the value of a place.
+type Entry struct {
+	Kind    Kind
+	Nonce   uint64 // so that no two proposals are alike by chance
+	Members []Member
+	On      uint64 // Config: the revision that it builds on
+	Text    []byte // Config: as it came
+	Node    uint64 // Holder
+	Name    string // Holder
+	Window  uint64 // Usage
+	Counts  []Count
+}
+
+// Count is a tenant's requests in a window.
+type Count struct {
+	Tenant string
+	N      uint64
+}
+
+// Bounds of what is read.
+const (
+	mostMembers = 64
+	mostName    = 256
+	mostCounts  = 4096
+	version     = 1
+)
+
+// Encode writes an entry.
+func (e *Entry) Encode() []byte {
+	w := form.Writer{}
+	w.Byte(version)
+	w.Byte(byte(e.Kind))
+	w.Word(e.Nonce)
+	switch e.Kind {
+	case Members:
+		writeMembers(&w, e.Members)
+	case Config:
+		w.Uint(e.On)
+		w.Bytes(e.Text)
+	case Holder:
+		w.Word(e.Node)
+		w.String(e.Name)
+	case Usage:
+		w.Uint(e.Window)
+		w.Uint(uint64(len(e.Counts)))
+		for _, c := range e.Counts {
+			w.String(c.Tenant)
+			w.Uint(c.N)
+		}
+	}
+	return w.B
+}
+
+func writeMembers(w *form.Writer, all []Member) {
+	w.Uint(uint64(len(all)))
+	for _, m := range all {
+		w.Word(m.ID)
+		w.String(m.Name)
+		w.String(m.Addr)
+	}
+}
+
+func readMembers(r *form.Reader) (all []Member) {
+	for range r.Count(mostMembers, 10) {
+		all = append(all, Member{ID: r.Word(), Name: r.String(mostName), Addr: r.String(mostName)})
+	}
+	return all
+}
+
+// ErrVersion is a text of another version of the format, or of a kind that is not known.
+var ErrVersion = errors.New("chain: another version of the format")
+
+// Decode reads an entry.
+func Decode(b []byte) (*Entry, error) {
+	r := form.Reader{B: b}
+	if v := r.Byte(); v != version && r.Err == nil {
+		return nil, ErrVersion
+	}
+	e := &Entry{Kind: Kind(r.Byte()), Nonce: r.Word()}
+	switch e.Kind {
+	case Nothing:
+	case Members:
+		e.Members = readMembers(&r)
+	case Config:
+		e.On = r.Uint()
+		e.Text = r.Bytes(declared.MostBytes)
+	case Holder:
+		e.Node, e.Name = r.Word(), r.String(mostName)
+	case Usage:
+		e.Window = r.Uint()
+		for range r.Count(mostCounts, 2) {
+			e.Counts = append(e.Counts, Count{r.String(mostName), r.Uint()})
+		}
+	default:
+		return nil, ErrVersion
+	}
+	return e, r.End()
+}
+
+// Taken is a configuration that was taken once.
+type Taken struct {
+	Revision uint64
+	Digest   declared.Digest
+}
+
+// State is what the entries up to Next add up to.
+type State struct {
+	Next        uint64 // the first place that is not in it
+	Members     []Member
+	Text        []byte // of the newest configuration; nil before the first
+	Revision    uint64
+	Digest      declared.Digest
+	ConfigPlace uint64
+	History     []Taken // oldest first
+	Holder      uint64  // 0 = there was none yet
+	HolderName  string
+	HolderPlace uint64 // its fence
+	Windows     []Window
+}
+
+// Window is a usage window whose figures are agreed.
+type Window struct {
+	Number uint64
+	Counts []Count
+}
+
+const (
+	keptHistory = 64 // configurations that a late repeat of an operator may name
+	keptWindows = 24 // agreed usage windows, so that a holder sends again what an earlier one could not
+)
+
+// Apply adds the entry of place Next. An entry that cannot be read, or that does not fit, changes nothing: every member
+// reads it alike.
+func (s *State) Apply(value []byte) {
+	s.Next++
+	e, err := Decode(value)
+	if err != nil {
+		return
+	}
+	switch e.Kind {
+	case Members:
+		if len(e.Members) > 0 {
+			s.Members = e.Members
+		}
+	case Config:
+		c, digest, err := declared.Decode(e.Text)
+		if err != nil || c.Check() != nil || e.On != s.Revision || c.Revision <= s.Revision {
+			return
+		}
+		s.Text, s.Revision, s.Digest, s.ConfigPlace = e.Text, c.Revision, digest, s.Next-1
+		s.History = append(s.History, Taken{c.Revision, digest})
+		if len(s.History) > keptHistory {
+			s.History = slices.Clone(s.History[len(s.History)-keptHistory:])
+		}
+	case Holder:
+		s.Holder, s.HolderName, s.HolderPlace = e.Node, e.Name, s.Next-1
+	case Usage:
+		if s.Agreed(e.Window) != nil || len(s.Windows) > 0 && e.Window < s.Windows[0].Number {
+			return // the first figure stands
+		}
+		s.Windows = append(s.Windows, Window{e.Window, e.Counts})
+		slices.SortFunc(s.Windows, func(x, y Window) int { return cmp.Compare(x.Number, y.Number) })
+		if len(s.Windows) > keptWindows {
+			s.Windows = slices.Clone(s.Windows[len(s.Windows)-keptWindows:])
+		}
+	}
+}
+
+// Agreed returns a usage window, if its figures are agreed and still kept.
+func (s *State) Agreed(number uint64) *Window {
+	for i := range s.Windows {
+		if s.Windows[i].Number == number {
+			return &s.Windows[i]
+		}
+	}
+	return nil
+}
+
+// Was tells whether a configuration was taken under this revision.
+func (s *State) Was(revision uint64, d declared.Digest) bool {
+	return slices.Contains(s.History, Taken{revision, d})
+}
+
+// Member finds a member.
+func (s *State) Member(id uint64) *Member {
+	for i := range s.Members {
+		if s.Members[i].ID == id {
+			return &s.Members[i]
+		}
+	}
+	return nil
+}
+
+// Encode writes a state.
+func (s *State) Encode() []byte {
+	w := form.Writer{}
+	w.Byte(version)
+	w.Uint(s.Next)
+	writeMembers(&w, s.Members)
+	w.Uint(s.Revision)
+	w.Uint(s.ConfigPlace)
+	w.Bytes(s.Digest[:])
+	w.Bytes(s.Text)
+	w.Uint(uint64(len(s.History)))
+	for _, h := range s.History {
+		w.Uint(h.Revision)
+		w.Bytes(h.Digest[:])
+	}
+	w.Word(s.Holder)
+	w.String(s.HolderName)
+	w.Uint(s.HolderPlace)
+	w.Uint(uint64(len(s.Windows)))
+	for _, x := range s.Windows {
+		w.Uint(x.Number)
+		w.Uint(uint64(len(x.Counts)))
+		for _, c := range x.Counts {
+			w.String(c.Tenant)
+			w.Uint(c.N)
+		}
+	}
+	return w.B
+}
+
+// DecodeState reads a state.
+func DecodeState(b []byte) (*State, error) {
+	r := form.Reader{B: b}
+	if v := r.Byte(); v != version && r.Err == nil {
+		return nil, ErrVersion
+	}
+	s := &State{Next: r.Uint()}
+	s.Members = readMembers(&r)
+	s.Revision, s.ConfigPlace = r.Uint(), r.Uint()
+	copy(s.Digest[:], r.Bytes(len(s.Digest)))
+	if s.Text = r.Bytes(declared.MostBytes); len(s.Text) == 0 {
+		s.Text = nil
+	}
+	for range r.Count(keptHistory, 2) {
+		h := Taken{Revision: r.Uint()}
+		copy(h.Digest[:], r.Bytes(len(h.Digest)))
+		s.History = append(s.History, h)
+	}
+	s.Holder, s.HolderName, s.HolderPlace = r.Word(), r.String(mostName), r.Uint()
+	for range r.Count(keptWindows, 2) {
+		x := Window{Number: r.Uint()}
+		for range r.Count(mostCounts, 2) {
+			x.Counts = append(x.Counts, Count{r.String(mostName), r.Uint()})
+		}
+		s.Windows = append(s.Windows, x)
+	}
+	return s, r.End()
+}
--- /dev/null
+++ b/internal/control/gossip/gossip.go
@@ -0,0 +1,594 @@
+// Package gossip brings news to every process without anybody knowing all of them. It owns a partial view of the others,
+// shuffled between neighbours; the items of news that are kept, passed on to a few others when they are new and compared by
+// digests so that gaps are mended; and signs of life, which are passed on once and not compared. It is a reducer: pure,
+// given clock and seed. What an item means is its kind's owner's.
+package gossip
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The figures. All are per node, whatever the size of the fleet.
+const (
+	Fanout     = 3  // others that a piece of news is passed on to
+	viewSize   = 16 // peers in the view
+	shuffled   = 6  // of them in one shuffle
+	Every      = 400 * time.Millisecond
+	compare    = time.Second            // between two digests
+	shuffleGap = 2 * time.Second        // between two shuffles
+	deaf       = 4 * time.Second        // a peer that was asked and has said nothing for so long leaves the view
+	confirmFor = 300 * time.Millisecond // urgent news waits so long for words back
+	mostQueue  = 4096
+)
+
+// Event is something that happened.
+type Event interface{ event() }
+
+type (
+	// Packet has come.
+	Packet struct{ Bytes []byte }
+	// Tick: something may be due.
+	Tick struct{}
+	// Publish brings news of this node's. Urgent news goes out at once.
+	Publish struct {
+		Items  []Item
+		Urgent bool
+		Of     any // with Urgent: Confirmed comes back with it
+		Need   int // words wanted before that
+	}
+	// Heard is a sign of life that this node has heard itself.
+	Heard struct{ Sign Sign }
+	// Seeds are addresses where others may be found.
+	Seeds struct{ Addrs []netip.AddrPort }
+)
+
+func (Packet) event()  {}
+func (Tick) event()    {}
+func (Publish) event() {}
+func (Heard) event()   {}
+func (Seeds) event()   {}
+
+// Effect is something to be done.
+type Effect interface{ effect() }
+
+type (
+	// Send a datagram.
+	Send struct {
+		To    netip.AddrPort
+		Bytes []byte
+	}
+	// Learnt: an item that is new here, from elsewhere.
+	Learnt struct {
+		Item Item
+		From Peer
+	}
+	// Alive: a sign of life from elsewhere. Its owner answers with Heard if it is new.
+	Alive struct{ Sign Sign }
+	// Confirmed: urgent news has reached as many as were wanted, or nobody has answered in time.
+	Confirmed struct {
+		Of any
+		N  int
+	}
+)
+
+func (Send) effect()      {}
+func (Learnt) effect()    {}
+func (Alive) effect()     {}
+func (Confirmed) effect() {}
+
+// entry is a peer in the view.
+type entry struct {
+	Peer
+	heard time.Duration // last packet from it
+	asked time.Duration // the first unanswered question; 0 = none
+	known time.Duration // since when it is here
+}
+
+// pending is urgent news that waits for words back.
+type pending struct {
+	of    any
+	need  int
+	got   map[uint64]bool
+	until time.Duration
+}
+
+// Node is one process's part. It is not safe for concurrent use.
+type Node struct {
+	self    Peer
+	rnd     *rand.Rand
+	view    map[uint64]*entry
+	keepers map[uint64]*entry // the few that hold the state are known beside the view
+	seeds   []netip.AddrPort
+	items   map[string]*Item
+	hashes  [buckets]uint64 // of the items in each
+	members [buckets]map[string]bool
+	fresh   []Item           // to be passed on
+	signs   map[uint64]*Sign // to be passed on; AgeMS is the time of the call then
+	now     time.Duration
+	nextNew time.Duration
+	nextCmp time.Duration
+	nextShf time.Duration
+	confirm uint64
+	waiting map[uint64]*pending
+	out     []Effect
+	// SentBytes and SentPackets count what has left.
+	SentBytes, SentPackets uint64
+}
+
+// New returns a node that knows nobody.
+func New(self Peer, seed uint64) *Node {
+	n := &Node{
+		self: self, rnd: rand.New(rand.NewPCG(seed, self.ID)), view: map[uint64]*entry{}, keepers: map[uint64]*entry{},
+		items: map[string]*Item{}, signs: map[uint64]*Sign{}, waiting: map[uint64]*pending{},
+	}
+	for i := range n.members {
+		n.members[i] = map[string]bool{}
+	}
+	return n
+}
+
+// Hash names a key in digests and signs of life.
+func Hash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// Reduce takes an event in. The effects are valid until the next call.
+func (n *Node) Reduce(now time.Duration, e Event) []Effect {
+	n.now = max(n.now, now)
+	clear(n.out)
+	n.out = n.out[:0]
+	switch e := e.(type) {
+	case Packet:
+		if p, err := decode(e.Bytes); err == nil && p.from.ID != n.self.ID && p.from.Addr.IsValid() {
+			n.packet(p)
+		}
+	case Publish:
+		n.publish(e)
+	case Heard:
+		n.sign(e.Sign)
+	case Seeds:
+		n.seeds = e.Addrs
+		n.join()
+	}
+	n.due()
+	return n.out
+}
+
+// Next tells when the node wants a Tick.
+func (n *Node) Next() time.Duration {
+	next := min(n.nextCmp, n.nextShf)
+	if len(n.fresh) > 0 || len(n.signs) > 0 {
+		next = min(next, n.nextNew)
+	}
+	for _, p := range n.waiting {
+		next = min(next, p.until)
+	}
+	return next
+}
+
+func (n *Node) due() {
+	for id, p := range n.waiting {
+		if n.now >= p.until {
+			delete(n.waiting, id)
+			n.out = append(n.out, Confirmed{p.of, len(p.got)})
+		}
+	}
+	if n.now >= n.nextNew && (len(n.fresh) > 0 || len(n.signs) > 0) {
+		n.nextNew = n.now + Every
+		n.spread()
+	}
+	if n.now >= n.nextCmp {
+		n.nextCmp = n.now + compare/2 + time.Duration(n.rnd.Int64N(int64(compare)))
+		if p := n.pick(1); len(p) > 0 {
+			n.ask(p[0])
+			n.send(p[0].Peer, &packet{kind: kindDigest, buckets: n.hashes[:]})
+		} else {
+			n.join()
+		}
+	}
+	if n.now >= n.nextShf {
+		n.nextShf = n.now + shuffleGap/2 + time.Duration(n.rnd.Int64N(int64(shuffleGap)))
+		n.forget()
+		n.shuffle()
+	}
+}
+
+// join asks the seeds for peers.
+func (n *Node) join() {
+	for _, addr := range n.seeds {
+		n.sendTo(addr, &packet{kind: kindShuffle, peers: n.sample(shuffled)})
+	}
+}
+
+// forget drops peers that do not answer.
+func (n *Node) forget() {
+	for id, p := range n.view {
+		if p.asked != 0 && n.now-p.asked > deaf {
+			delete(n.view, id)
+		}
+	}
+	if len(n.view) < 2 {
+		n.join()
+	}
+}
+
+// shuffle exchanges a part of the view with the peer that was heard from longest ago.
+func (n *Node) shuffle() {
+	var oldest *entry
+	for _, p := range n.view {
+		if oldest == nil || p.heard < oldest.heard || p.heard == oldest.heard && p.ID < oldest.ID {
+			oldest = p
+		}
+	}
+	if oldest == nil {
+		n.join()
+		return
+	}
+	n.ask(oldest)
+	n.send(oldest.Peer, &packet{kind: kindShuffle, peers: n.sample(shuffled)})
+}
+
+func (n *Node) ask(p *entry) {
+	if p.asked == 0 {
+		p.asked = n.now
+	}
+}
+
+// sample draws peers to tell another of.
+func (n *Node) sample(k int) (all []Peer) {
+	for _, p := range n.pick(k) {
+		all = append(all, p.Peer)
+	}
+	for _, id := range sorted(n.keepers) { // few, and wanted by all
+		if k := n.keepers[id]; !slices.ContainsFunc(all, func(p Peer) bool { return p.ID == k.ID }) && len(all) < mostPeers {
+			all = append(all, k.Peer)
+		}
+	}
+	return all
+}
+
+func sorted(m map[uint64]*entry) []uint64 {
+	ids := make([]uint64, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// pick draws k different peers of the view.
+func (n *Node) pick(k int) (all []*entry) {
+	ids := sorted(n.view)
+	n.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids[:min(k, len(ids))] {
+		all = append(all, n.view[id])
+	}
+	return all
+}
+
+func (n *Node) send(to Peer, p *packet) { n.sendTo(to.Addr, p) }
+
+func (n *Node) sendTo(to netip.AddrPort, p *packet) {
+	if to == n.self.Addr {
+		return
+	}
+	p.from = n.self
+	b := p.encode()
+	n.SentBytes += uint64(len(b)) + 28
+	n.SentPackets++
+	n.out = append(n.out, Send{to, b})
+}
+
+// met notes that a peer is there.
+func (n *Node) met(p Peer, direct bool) {
+	if p.ID == n.self.ID || !p.Addr.IsValid() || p.Addr.Port() == 0 {
+		return
+	}
+	if p.Flags&Keeper != 0 {
+		if k := n.keepers[p.ID]; k != nil {
+			k.Peer = p
+		} else if len(n.keepers) < mostPeers {
+			n.keepers[p.ID] = &entry{Peer: p, known: n.now}
+		}
+		if k := n.keepers[p.ID]; k != nil && direct {
+			k.heard = n.now
+		}
+	}
+	e := n.view[p.ID]
+	if e == nil {
+		if len(n.view) >= viewSize {
+			if !direct && n.rnd.IntN(2) == 0 {
+				return
+			}
+			ids := sorted(n.view)
+			delete(n.view, ids[n.rnd.IntN(len(ids))])
+		}
+		e = &entry{Peer: p, heard: n.now, known: n.now}
+		if !direct {
+			e.heard = n.now - 1
+		}
+		n.view[p.ID] = e
+	}
+	if direct {
+		e.Peer, e.heard, e.asked = p, n.now, 0
+	}
+}
+
+func (n *Node) packet(p *packet) {
+	n.met(p.from, true)
+	switch p.kind {
+	case kindNews, kindUrgent:
+		for _, i := range p.items {
+			if n.take(i) {
+				n.out = append(n.out, Learnt{i, p.from})
+				n.pass(i)
+			}
+		}
+		for _, s := range p.signs {
+			n.out = append(n.out, Alive{s})
+		}
+		if p.kind == kindUrgent {
+			n.send(p.from, &packet{kind: kindConfirm, confirm: p.confirm})
+			n.spreadItems(p.from.ID) // urgent news is passed on at once
+		}
+	case kindConfirm:
+		if w := n.waiting[p.confirm]; w != nil {
+			if w.got[p.from.ID] = true; len(w.got) >= w.need {
+				delete(n.waiting, p.confirm)
+				n.out = append(n.out, Confirmed{w.of, len(w.got)})
+			}
+		}
+	case kindDigest:
+		var wants []want
+		size := 0
+		for b, h := range p.buckets {
+			if h == n.hashes[b] {
+				continue
+			}
+			x := want{bucket: b}
+			for _, k := range n.keysOf(b) {
+				if len(x.have) < mostHaves {
+					x.have = append(x.have, have{Hash(k), n.items[k].Version})
+				}
+			}
+			if size += 4 + 13*len(x.have); size > MostPacket-64 && len(wants) > 0 {
+				break // the rest at another time
+			}
+			wants = append(wants, x)
+		}
+		if len(wants) > 0 {
+			n.send(p.from, &packet{kind: kindWant, wants: wants})
+		} else {
+			n.send(p.from, &packet{kind: kindConfirm}) // a sign that it was heard
+		}
+	case kindWant:
+		n.answer(p)
+	case kindShuffle:
+		n.send(p.from, &packet{kind: kindShuffled, peers: n.sample(shuffled)})
+		for _, q := range p.peers {
+			n.met(q, false)
+		}
+	case kindShuffled:
+		for _, q := range p.peers {
+			n.met(q, false)
+		}
+	}
+}
+
+// answer sends what the other lacks, and asks for what this node lacks by saying what it has.
+func (n *Node) answer(p *packet) {
+	var items []Item
+	var back []want
+	for _, x := range p.wants {
+		theirs := map[uint64]uint64{}
+		for _, h := range x.have {
+			theirs[h.key] = h.version
+		}
+		x2 := want{bucket: x.bucket}
+		lacks := false
+		for _, k := range n.keysOf(x.bucket) {
+			i, h := n.items[k], Hash(k)
+			v, ok := theirs[h]
+			if !ok || v < i.Version {
+				items = append(items, *i)
+			}
+			lacks = lacks || ok && v > i.Version
+			x2.have = append(x2.have, have{h, i.Version})
+			delete(theirs, h)
+		}
+		if lacks || len(theirs) > 0 {
+			back = append(back, x2)
+		}
+	}
+	n.sendItems(p.from.Addr, items, kindNews, 0)
+	if len(back) > 0 {
+		n.send(p.from, &packet{kind: kindWant, wants: back[:min(len(back), 4)]})
+	}
+}
+
+// sendItems sends items in as many datagrams as they take.
+func (n *Node) sendItems(to netip.AddrPort, items []Item, kind uint8, confirm uint64) {
+	for len(items) > 0 {
+		size, k := 64, 0
+		for k < len(items) && k < mostItems && (k == 0 || size+items[k].size() <= MostPacket) {
+			size += items[k].size()
+			k++
+		}
+		n.sendTo(to, &packet{kind: kind, items: items[:k], confirm: confirm})
+		items = items[k:]
+	}
+}
+
+func (n *Node) keysOf(bucket int) []string {
+	keys := make([]string, 0, len(n.members[bucket]))
+	for k := range n.members[bucket] {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// take takes an item in, and tells whether it is new.
+func (n *Node) take(i Item) bool {
+	b := int(Hash(i.Key) % buckets)
+	old := n.items[i.Key]
+	if old != nil && (old.Version > i.Version || old.Version == i.Version && bytes.Compare(old.Body, i.Body) >= 0) {
+		return false
+	}
+	if old != nil {
+		n.hashes[b] ^= old.hash()
+	}
+	n.items[i.Key] = &i
+	n.members[b][i.Key] = true
+	n.hashes[b] ^= i.hash()
+	return true
+}
+
+func (i *Item) hash() uint64 {
+	d := xxhash.New()
+	d.WriteString(i.Key)
+	d.Write([]byte{0, i.Kind, byte(i.Version), byte(i.Version >> 8), byte(i.Version >> 16), byte(i.Version >> 24),
+		byte(i.Version >> 32), byte(i.Version >> 40), byte(i.Version >> 48), byte(i.Version >> 56)})
+	return d.Sum64()
+}
+
+// Forget drops an item that is over everywhere. Its owner does so at a time of its own; who still has it may bring it back,
+// and it must do no harm then.
+func (n *Node) Forget(key string) {
+	if i := n.items[key]; i != nil {
+		b := int(Hash(key) % buckets)
+		n.hashes[b] ^= i.hash()
+		delete(n.items, key)
+		delete(n.members[b], key)
+	}
+}
+
+func (n *Node) publish(e Publish) {
+	var fresh []Item
+	for _, i := range e.Items {
+		if n.take(i) {
+			fresh = append(fresh, i)
+		}
+	}
+	if !e.Urgent {
+		n.fresh = append(n.fresh, fresh...)
+		return
+	}
+	to := n.pick(Fanout + 1)
+	if len(to) == 0 {
+		n.fresh = append(n.fresh, fresh...)
+		n.out = append(n.out, Confirmed{e.Of, 0})
+		return
+	}
+	n.confirm++
+	n.waiting[n.confirm] = &pending{of: e.Of, need: min(e.Need, len(to)), got: map[uint64]bool{}, until: n.now + confirmFor}
+	for _, p := range to {
+		n.ask(p)
+		n.sendItems(p.Addr, fresh, kindUrgent, n.confirm)
+	}
+}
+
+// pass keeps an item to be passed on.
+func (n *Node) pass(i Item) {
+	if len(n.fresh) < mostQueue {
+		n.fresh = append(n.fresh, i)
+	}
+}
+
+// spreadItems passes the items that are waiting on at once.
+func (n *Node) spreadItems(but uint64) {
+	if len(n.fresh) == 0 {
+		return
+	}
+	for _, p := range n.pick(Fanout) {
+		if p.ID != but {
+			n.sendItems(p.Addr, n.fresh, kindNews, 0)
+		}
+	}
+	n.fresh = nil
+}
+
+// sign keeps a sign of life to be passed on.
+func (n *Node) sign(s Sign) {
+	at := uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))
+	if old := n.signs[s.Key]; old != nil && old.Count >= s.Count {
+		return
+	}
+	if len(n.signs) < mostQueue {
+		n.signs[s.Key] = &Sign{s.Key, s.Count, at}
+	}
+}
+
+// spread passes on what has come since the last time.
+func (n *Node) spread() {
+	keys := make([]uint64, 0, len(n.signs))
+	for k := range n.signs {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	signs := make([]Sign, 0, len(keys))
+	for _, k := range keys {
+		s := *n.signs[k]
+		s.AgeMS = uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))
+		signs = append(signs, s)
+	}
+	to := n.pick(Fanout)
+	if len(to) == 0 {
+		return // kept for when there is somebody
+	}
+	for _, p := range to {
+		n.sendItems(p.Addr, n.fresh, kindNews, 0)
+		for rest := signs; len(rest) > 0; {
+			k := min(len(rest), 80)
+			n.send(p.Peer, &packet{kind: kindNews, signs: rest[:k]})
+			rest = rest[k:]
+		}
+	}
+	n.fresh = nil
+	clear(n.signs)
+}
+
+// Keepers lists those that hold the state, the ones heard from lately first, those of one's own zone before others.
+func (n *Node) Keepers() (all []Peer) {
+	ids := sorted(n.keepers)
+	slices.SortStableFunc(ids, func(x, y uint64) int {
+		a, b := n.keepers[x], n.keepers[y]
+		score := func(e *entry) int {
+			s := 0
+			if e.Zone != n.self.Zone {
+				s++
+			}
+			if e.heard != 0 && n.now-e.heard > 2*deaf {
+				s += 2
+			}
+			return s
+		}
+		return score(a) - score(b)
+	})
+	for _, id := range ids {
+		all = append(all, n.keepers[id].Peer)
+	}
+	return all
+}
+
+// Peers lists the view.
+func (n *Node) Peers() (all []Peer) {
+	for _, id := range sorted(n.view) {
+		all = append(all, n.view[id].Peer)
+	}
+	return all
+}
+
+// Items tells how many items are kept.
+func (n *Node) Items() int { return len(n.items) }
+
+// Each calls f with every item.
+func (n *Node) Each(f func(Item)) {
+	for _, i := range n.items {
+		f(*i)
+	}
+}
--- /dev/null
+++ b/internal/control/peer/peer.go
@@ -0,0 +1,301 @@
+// Package peer carries bytes between the fleet's processes: datagrams for news, and calls with an answer over TCP. It owns
+// sockets, frames, their bounds and the connections kept for further calls. What the bytes mean it does not know. A call
+// gets one answer or an error; an error says nothing of whether the other has done what was asked.
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The bounds.
+const (
+	MostFrame  = 9 << 20          // a configuration with what goes around it
+	mostConns  = 128              // from others at once
+	idle       = 20 * time.Second // a connection on which nothing is asked
+	keptIdle   = 15 * time.Second // the same at the caller's, who must be first
+	dialWait   = 600 * time.Millisecond
+	userWait   = 1500 * time.Millisecond // bytes that are not acknowledged: the other is cut off
+	frameBytes = 8
+	version    = 1
+)
+
+// ErrRefused is an answer that is none: the other could not do what was asked, and says why.
+var ErrRefused = errors.New("refused")
+
+// Handler answers calls. It may wait; each call has a goroutine.
+type Handler func(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error)
+
+// Net is a process's sockets.
+type Net struct {
+	udp    *net.UDPConn
+	ln     *net.TCPListener
+	handle Handler
+
+	mu    sync.Mutex
+	idle  map[netip.AddrPort][]*kept
+	conns int
+}
+
+// kept is a connection that can be asked again.
+type kept struct {
+	net.Conn
+	since time.Time
+}
+
+// Open opens the sockets at an address.
+func Open(addr netip.AddrPort, h Handler) (*Net, error) {
+	ln, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	if addr.Port() == 0 {
+		addr = netip.AddrPortFrom(addr.Addr(), uint16(ln.Addr().(*net.TCPAddr).Port))
+	}
+	udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		ln.Close()
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	return &Net{udp: udp, ln: ln, handle: h, idle: map[netip.AddrPort][]*kept{}}, nil
+}
+
+// Addr is where the sockets are.
+func (n *Net) Addr() netip.AddrPort { return n.ln.Addr().(*net.TCPAddr).AddrPort() }
+
+// Close closes the sockets.
+func (n *Net) Close() {
+	n.udp.Close()
+	n.ln.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, all := range n.idle {
+		for _, c := range all {
+			c.Close()
+		}
+	}
+	clear(n.idle)
+}
+
+// Send sends a datagram. It may get lost.
+func (n *Net) Send(to netip.AddrPort, b []byte) { n.udp.WriteToUDPAddrPort(b, to) }
+
+// Datagrams hands datagrams to take until the socket is closed. The bytes are take's own.
+func (n *Net) Datagrams(take func([]byte)) {
+	buf := make([]byte, 64<<10)
+	for {
+		k, _, err := n.udp.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond) // what another's closed port sends back
+			continue
+		}
+		take(append([]byte(nil), buf[:k]...))
+	}
+}
+
+// Serve answers calls until the socket is closed.
+func (n *Net) Serve(ctx context.Context) {
+	for {
+		c, err := n.ln.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		n.mu.Lock()
+		full := n.conns >= mostConns
+		if !full {
+			n.conns++
+		}
+		n.mu.Unlock()
+		if full {
+			c.Close()
+			continue
+		}
+		go func() {
+			defer func() {
+				c.Close()
+				n.mu.Lock()
+				n.conns--
+				n.mu.Unlock()
+			}()
+			n.answer(ctx, c)
+		}()
+	}
+}
+
+// answer answers the calls of a connection.
+func (n *Net) answer(ctx context.Context, c *net.TCPConn) {
+	tune(c)
+	from := c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
+	for {
+		c.SetReadDeadline(time.Now().Add(idle))
+		kind, body, err := read(c)
+		if err != nil {
+			return
+		}
+		out, err := n.handle(ctx, kind, from, body)
+		if err != nil {
+			kind, out = 0, []byte(err.Error())
+		}
+		c.SetWriteDeadline(time.Now().Add(idle))
+		if write(c, kind, out) != nil {
+			return
+		}
+	}
+}
+
+// tune has a connection notice that the other is cut off.
+func tune(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) {
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userWait.Milliseconds()))
+	})
+}
+
+func read(r io.Reader) (kind uint8, body []byte, err error) {
+	var h [frameBytes]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return 0, nil, err
+	}
+	size := binary.BigEndian.Uint32(h[4:])
+	if h[0] != 'n' || h[1] != 'h' || h[2] != version || size > MostFrame {
+		return 0, nil, errors.New("peer: not of this format")
+	}
+	// Memory is taken as bytes come, lest a head that lies have much of it.
+	body = make([]byte, 0, min(size, 64<<10))
+	for uint32(len(body)) < size {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, min(2*cap(body), int(size))), body...)
+		}
+		k, err := r.Read(body[len(body):min(cap(body), int(size))])
+		body = body[:len(body)+k]
+		if err != nil && uint32(len(body)) < size {
+			return 0, nil, err
+		}
+	}
+	return h[3], body, nil
+}
+
+func write(w io.Writer, kind uint8, body []byte) error {
+	if len(body) > MostFrame {
+		return errors.New("peer: too long")
+	}
+	b := make([]byte, frameBytes, frameBytes+len(body))
+	b[0], b[1], b[2], b[3] = 'n', 'h', version, kind
+	binary.BigEndian.PutUint32(b[4:], uint32(len(body)))
+	_, err := w.Write(append(b, body...))
+	return err
+}
+
+// Call asks another and waits for its answer, within the context's time.
+func (n *Net) Call(ctx context.Context, to netip.AddrPort, kind uint8, body []byte) ([]byte, error) {
+	c, again, err := n.get(ctx, to)
+	if err != nil {
+		return nil, fmt.Errorf("peer: %v: %w", to, err)
+	}
+	out, err := n.ask(ctx, c, kind, body)
+	if err != nil && again && !errors.Is(err, ErrRefused) && ctx.Err() == nil && !errors.Is(err, errTime) {
+		// A connection that was kept may have ended long ago.
+		if c, err = n.dial(ctx, to); err == nil {
+			out, err = n.ask(ctx, c, kind, body)
+		}
+	}
+	if err != nil && !errors.Is(err, ErrRefused) {
+		return nil, fmt.Errorf("peer: %v: %w", to, err)
+	}
+	if err == nil || errors.Is(err, ErrRefused) {
+		n.put(to, c)
+	}
+	return out, err
+}
+
+var errTime = errors.New("no answer in time")
+
+func (n *Net) ask(ctx context.Context, c net.Conn, kind uint8, body []byte) ([]byte, error) {
+	until, ok := ctx.Deadline()
+	if !ok {
+		until = time.Now().Add(idle)
+	}
+	c.SetDeadline(until)
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	err := write(c, kind, body)
+	var got uint8
+	var out []byte
+	if err == nil {
+		got, out, err = read(c)
+	}
+	if err != nil {
+		c.Close()
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			return nil, errTime
+		}
+		return nil, err
+	}
+	if got == 0 {
+		return nil, fmt.Errorf("%w: %s", ErrRefused, out)
+	}
+	return out, nil
+}
+
+// get returns a connection; again says that it was kept from before.
+func (n *Net) get(ctx context.Context, to netip.AddrPort) (c net.Conn, again bool, err error) {
+	for {
+		n.mu.Lock()
+		all := n.idle[to]
+		var k *kept
+		if len(all) > 0 {
+			k = all[len(all)-1]
+			n.idle[to] = all[:len(all)-1]
+		}
+		n.mu.Unlock()
+		if k == nil {
+			c, err = n.dial(ctx, to)
+			return c, false, err
+		}
+		if time.Since(k.since) < keptIdle {
+			return k.Conn, true, nil
+		}
+		k.Close()
+	}
+}
+
+func (n *Net) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialWait, KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userWait.Milliseconds()))
+		})
+	}}
+	return d.DialContext(ctx, "tcp4", to.String())
+}
+
+func (n *Net) put(to netip.AddrPort, c net.Conn) {
+	const few = 2
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.idle[to]) >= few {
+		c.Close()
+		return
+	}
+	n.idle[to] = append(n.idle[to], &kept{c, time.Now()})
+}
--- /dev/null
+++ b/internal/control/store/store.go
@@ -0,0 +1,236 @@
+// Package store keeps a member's state on its disk: who it is, what it has voted, what was chosen. Every write is synced
+// before it returns, so that what a member says is on its disk. It decides nothing. Its errors are the disk's; after one
+// the store must not be used to vote.
+package store
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/syndtr/goleveldb/leveldb"
+	lerrors "github.com/syndtr/goleveldb/leveldb/errors"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
+
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/form"
+)
+
+// Identity is who a disk belongs to.
+type Identity struct {
+	ID      uint64 // never 0; drawn when the disk was first used
+	Founder bool   // the disk was empty at the system's very first start
+}
+
+// Store is an open one. It is not safe for concurrent use.
+type Store struct {
+	db    *leveldb.DB
+	since int // places written since the state was
+	kept  uint64
+}
+
+// Kept is what a store holds.
+type Kept struct {
+	Identity
+	State chain.State
+	Vote  ballot.Vote
+}
+
+// The keys. Places follow theirs in big-endian order.
+var (
+	keyIdentity = []byte("identity")
+	keyVote     = []byte("vote")
+	keyState    = []byte("state")
+	keyPlace    = []byte("place/")
+)
+
+const (
+	stateEvery = 32 // places after which the state is written anew and the places in it go
+	version    = 1
+)
+
+// memory is what the database may hold: the state is small, and so is a keeper's machine.
+var memory = opt.Options{
+	WriteBuffer: 512 << 10, BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 16, CompactionTableSize: 1 << 20,
+	DisableSeeksCompaction: true, NoSync: false,
+}
+
+// Open opens the store in a folder, or makes one there; fresh tells of who it is to belong to then.
+func Open(dir string, fresh Identity) (*Store, *Kept, error) {
+	path := filepath.Join(dir, "state")
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("store: %w", err)
+	}
+	if err := syncDir(dir); err != nil {
+		return nil, nil, fmt.Errorf("store: %w", err)
+	}
+	o := memory
+	db, err := leveldb.OpenFile(path, &o)
+	if lerrors.IsCorrupted(err) { // a manifest torn by a power loss; synced journals are read again
+		db, err = leveldb.RecoverFile(path, &o)
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("store: %w", err)
+	}
+	s := &Store{db: db}
+	k, err := s.load(fresh)
+	if err != nil {
+		db.Close()
+		return nil, nil, err
+	}
+	return s, k, nil
+}
+
+func syncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// get reads a value; nil is none.
+func (s *Store) get(key []byte) ([]byte, error) {
+	b, err := s.db.Get(key, nil)
+	if err == leveldb.ErrNotFound {
+		return nil, nil
+	}
+	return b, err
+}
+
+func (s *Store) load(fresh Identity) (*Kept, error) {
+	k := &Kept{}
+	b, err := s.get(keyIdentity)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if b == nil {
+		w := form.Writer{}
+		w.Byte(version)
+		w.Word(fresh.ID)
+		if w.Byte(0); fresh.Founder {
+			w.B[len(w.B)-1] = 1
+		}
+		k.Identity = fresh
+		return k, s.put(keyIdentity, w.B)
+	}
+	r := form.Reader{B: b}
+	if v := r.Byte(); v != version {
+		return nil, fmt.Errorf("store: %w", chain.ErrVersion)
+	}
+	k.ID, k.Founder = r.Word(), r.Byte() == 1
+	if err := r.End(); err != nil {
+		return nil, fmt.Errorf("store: identity: %w", err)
+	}
+	if b, err = s.get(keyState); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if b != nil {
+		state, err := chain.DecodeState(b)
+		if err != nil {
+			return nil, fmt.Errorf("store: state: %w", err)
+		}
+		k.State = *state
+	}
+	s.kept = k.State.Next
+	for {
+		v, err := s.get(place(k.State.Next))
+		if err != nil {
+			return nil, fmt.Errorf("store: %w", err)
+		}
+		if v == nil {
+			break
+		}
+		k.State.Apply(v)
+		s.since++
+	}
+	if b, err = s.get(keyVote); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if b != nil {
+		if k.Vote, err = decodeVote(b); err != nil {
+			return nil, fmt.Errorf("store: vote: %w", err)
+		}
+	}
+	return k, nil
+}
+
+func place(n uint64) []byte { return binary.BigEndian.AppendUint64(append([]byte{}, keyPlace...), n) }
+
+func (s *Store) put(key, value []byte) error {
+	if err := s.db.Put(key, value, &opt.WriteOptions{Sync: true}); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
+// Vote writes what was promised or accepted.
+func (s *Store) Vote(v ballot.Vote) error {
+	w := form.Writer{}
+	w.Byte(version)
+	w.Uint(v.Place)
+	for _, n := range []ballot.Number{v.Promised, v.Accepted} {
+		w.Uint(n.Round)
+		w.Word(n.Node)
+	}
+	w.Bytes(v.Value)
+	return s.put(keyVote, w.B)
+}
+
+func decodeVote(b []byte) (v ballot.Vote, err error) {
+	r := form.Reader{B: b}
+	if r.Byte() != version {
+		return v, chain.ErrVersion
+	}
+	v.Place = r.Uint()
+	v.Promised = ballot.Number{Round: r.Uint(), Node: r.Word()}
+	v.Accepted = ballot.Number{Round: r.Uint(), Node: r.Word()}
+	if v.Value = r.Bytes(1 << 30); len(v.Value) == 0 {
+		v.Value = nil
+	}
+	return v, r.End()
+}
+
+// Chose writes what was chosen for the place before state.Next; state is what it has led to.
+func (s *Store) Chose(value []byte, state *chain.State) error {
+	s.since++
+	if s.since < stateEvery {
+		return s.put(place(state.Next-1), value)
+	}
+	return s.Whole(state)
+}
+
+// Whole writes a state in place of all places in it.
+func (s *Store) Whole(state *chain.State) error {
+	b := new(leveldb.Batch)
+	b.Put(keyState, state.Encode())
+	it := s.db.NewIterator(util.BytesPrefix(keyPlace), nil)
+	for it.Next() {
+		b.Delete(append([]byte{}, it.Key()...))
+	}
+	it.Release()
+	if err := it.Error(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	if err := s.db.Write(b, &opt.WriteOptions{Sync: true}); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	s.since, s.kept = 0, state.Next
+	return nil
+}
+
+// Place returns the value that was chosen for a place, if it is still kept.
+func (s *Store) Place(n uint64) ([]byte, bool) {
+	if n < s.kept {
+		return nil, false
+	}
+	b, err := s.get(place(n))
+	return b, err == nil && b != nil
+}
+
+// Close closes the store.
+func (s *Store) Close() error { return s.db.Close() }
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,452 @@
+// Package edge is the data plane's view of the fleet's platform: what requests and answers look like there, which route,
+// tenant and service a request has under one configuration, and what stands for a session. It owns no connection and
+// decides nothing that the module decides. The front and the legs ask it as their Dialect.
+package edge
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"notchhinge/internal/acquirer"
+	"notchhinge/internal/broker"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/issuer"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/route"
+	"notchhinge/internal/service"
+	"notchhinge/internal/trace"
+	"notchhinge/policy"
+)
+
+// Headers of the platform, in their canonical form.
+const (
+	deadlineHeader = "X-Deadline-Remaining-Ms"
+	prefixHeader   = "X-Prompt-Prefix"
+	keyHeader      = "X-Credential"
+	tenantHeader   = "X-Tenant"
+	expectHeader   = "X-Expect-Instance"
+	notRunHeader   = "X-Not-Executed"
+)
+
+// Compiled is a configuration as requests are led by it. It does not change; a request keeps the one it began with.
+type Compiled struct {
+	Place    uint64
+	Revision uint64
+	Config   *declared.Config
+	table    *route.Table
+	routes   []leads
+	keys     map[uint64][]*key // by hash
+	tenants  bool
+	services map[string]*Service
+}
+
+// leads is a route with what is worked out ahead.
+type leads struct {
+	*declared.Route
+	class   map[pool.ID]int
+	timeout time.Duration
+	silence time.Duration // so long a client waits for the first sign of an answer
+}
+
+type key struct {
+	text   string
+	tenant *declared.Tenant
+}
+
+// Service is a pool of engines: one module instance, for as long as configurations name it.
+type Service struct {
+	Name    string
+	ID      pool.ID
+	Classes []policy.Class // it only ever grows
+	// View is the service as the front sees it.
+	View *service.Pool
+}
+
+// class finds or adds the class of a route. Classes only grow, since requests of earlier configurations may still run.
+func (s *Service) class(r *declared.Route) int {
+	c := Class(r)
+	if i := slices.IndexFunc(s.Classes, func(o policy.Class) bool { return o == c }); i >= 0 {
+		return i
+	}
+	s.Classes = append(s.Classes, c)
+	return len(s.Classes) - 1
+}
+
+// Class is what the module knows of a route.
+func Class(r *declared.Route) policy.Class {
+	c := policy.Class{
+		Name: fmt.Sprintf("%s/%v/%d/%d", r.Type, r.Target, r.Priority, r.Attempts), Aim: declared.Millis(cmp.Or(r.Target, r.Timeout)),
+		Deadline: declared.Millis(r.Timeout), Worth: math.Exp2(-float64(min(max(r.Priority, 0), 8))), LateWorth: 0.3,
+		Effect: policy.Unsafe, Streaming: r.Type == declared.Streaming, MaxAttempts: max(r.Attempts, 1),
+	}
+	if r.Type == declared.Idempotent {
+		c.Effect = policy.Safe
+	}
+	return c
+}
+
+// silent is how long clients of the platform wait for the next sign of a stream: two seconds, or four times the aim.
+func silent(r *declared.Route) time.Duration {
+	if r.Type != declared.Streaming {
+		return math.MaxInt64
+	}
+	return max(2*time.Second, 4*declared.Millis(r.Target))
+}
+
+// Compile works a configuration out. Services that it names and before has not are made with numbers from next on.
+func Compile(c *declared.Config, place uint64, before map[string]*Service, next *pool.ID) (*Compiled, error) {
+	out := &Compiled{
+		Place: place, Revision: c.Revision, Config: c, keys: map[uint64][]*key{}, tenants: len(c.Tenants) > 0,
+		services: map[string]*Service{},
+	}
+	for _, s := range c.Services {
+		old := before[s.Name]
+		if old == nil {
+			old = &Service{Name: s.Name, ID: *next, View: &service.Pool{ID: *next, Name: s.Name}}
+			*next++
+		}
+		out.services[s.Name] = &Service{Name: old.Name, ID: old.ID, Classes: slices.Clone(old.Classes), View: old.View}
+	}
+	var services []route.Service
+	var routes []route.Route
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		l := leads{Route: r, class: map[pool.ID]int{}, timeout: declared.Millis(r.Timeout), silence: silent(r)}
+		name := strconv.Itoa(i)
+		s := route.Service{Name: name}
+		for _, share := range r.Shares() {
+			to := out.services[share.Service]
+			if to == nil {
+				return nil, fmt.Errorf("route %s: there is no service %q", r.Name, share.Service)
+			}
+			l.class[to.ID] = to.class(r)
+			s.Shares = append(s.Shares, route.Share{Pool: share.Service, Weight: share.Weight})
+		}
+		host, err := route.Host(r.Host)
+		if err != nil {
+			return nil, fmt.Errorf("route %s: %w", r.Name, err)
+		}
+		services = append(services, s)
+		routes = append(routes, route.Route{Service: name, Host: host, Prefix: r.Prefix})
+		out.routes = append(out.routes, l)
+	}
+	table, faults := route.New(services, routes, func(name string) (int, bool) {
+		s := out.services[name]
+		if s == nil {
+			return 0, false
+		}
+		return int(s.ID), true
+	})
+	if len(faults) > 0 {
+		return nil, faults[0]
+	}
+	out.table = table
+	for i := range c.Tenants {
+		t := &c.Tenants[i]
+		for _, k := range t.Keys {
+			h := xxhash.Sum64String(k)
+			out.keys[h] = append(out.keys[h], &key{k, t})
+		}
+	}
+	return out, nil
+}
+
+// Services lists the services by name.
+func (c *Compiled) Services() map[string]*Service { return c.services }
+
+// tenant finds whose a key is.
+func (c *Compiled) tenant(text string) *declared.Tenant {
+	for _, k := range c.keys[xxhash.Sum64String(text)] {
+		if k.text == text {
+			return k.tenant
+		}
+	}
+	return nil
+}
+
+// Lead finds the route of a host and a path: the longest prefix that begins the path.
+func (c *Compiled) Lead(host, path string) *route.Target {
+	h, err := route.Host(host)
+	if err != nil || !strings.HasPrefix(path, "/") {
+		return nil
+	}
+	// A table's prefixes are of whole segments, and take a path that is one without its slash; the platform's do not.
+	if at := strings.LastIndexByte(path, '/'); at >= 0 {
+		path = path[:at+1]
+	}
+	return c.table.Lookup(&route.Query{Host: h, Path: path})
+}
+
+// request is what the dialect keeps of a message.
+type request struct {
+	under  *Compiled
+	route  *leads
+	tenant *declared.Tenant
+	until  time.Time // when its client gives up
+}
+
+// Dialect is the platform's, for the front.
+type Dialect struct {
+	Now func() *Compiled // the present configuration; nil = none yet
+	// Salt makes a session's number this router's own, so that routers draw by themselves.
+	Salt uint64
+	// Began is told of every answer that is passed on, by its tenant.
+	Began func(tenant string)
+	// Conversation spreads requests over a split; it is asked for each request.
+	Conversation func() uint64
+	// KeepAlive is told to clients: how long a connection may idle.
+	KeepAlive time.Duration
+	// Lag is what a client's wait is shortened by, for the way back to it.
+	Lag time.Duration
+
+	Refused atomic.Uint64 // by this dialect
+}
+
+var _ acquirer.Dialect = (*Dialect)(nil)
+
+// Lead implements acquirer.Dialect.
+func (d *Dialect) Lead(req *http.Request) (w acquirer.Way, no *acquirer.Refusal) {
+	now := time.Now()
+	at := d.Now()
+	if at == nil {
+		return w, &acquirer.Refusal{Status: http.StatusServiceUnavailable, Reason: "no_configuration: there is none yet", Retry: time.Second}
+	}
+	path, _, _ := strings.Cut(req.RequestURI, "?")
+	to := at.Lead(req.Host, path)
+	if to == nil {
+		return w, &acquirer.Refusal{Status: http.StatusNotFound, Reason: "no_route: no route takes this host and path"}
+	}
+	r := &request{under: at, route: &at.routes[to.Route]}
+	if at.tenants && !r.route.Public {
+		if keys := req.Header[keyHeader]; len(keys) == 1 {
+			r.tenant = at.tenant(keys[0])
+		}
+		if r.tenant == nil {
+			return w, &acquirer.Refusal{Status: http.StatusUnauthorized, Reason: "unknown_key: " + keyHeader + " names no tenant"}
+		}
+	}
+	left := r.route.timeout
+	if ms := req.Header[deadlineHeader]; len(ms) == 1 {
+		v, err := strconv.ParseFloat(ms[0], 64)
+		if err != nil || !(v > 0) {
+			return w, &acquirer.Refusal{Status: http.StatusBadRequest, Reason: "bad_deadline: " + deadlineHeader + " is no number above 0"}
+		}
+		left = min(left, declared.Millis(v))
+	}
+	r.until = now.Add(left)
+	number := to.Pool(d.Conversation())
+	for _, s := range at.services {
+		if int(s.ID) == number {
+			w.Pool = s.View
+		}
+	}
+	w.Target, w.Host, w.Of = req.RequestURI, req.Host, r
+	return w, nil
+}
+
+// Accept implements acquirer.Dialect.
+func (d *Dialect) Accept(req *http.Request, w *acquirer.Way, body []byte) (acquirer.Message, *acquirer.Refusal) {
+	r := w.Of.(*request)
+	left := time.Until(r.until)
+	if left <= 0 {
+		return acquirer.Message{}, &acquirer.Refusal{Status: http.StatusServiceUnavailable, Reason: "too_late: its time was over before it was read"}
+	}
+	m := acquirer.Message{Of: r, Attempts: r.route.Attempts}
+	m.Request = policy.Request{Class: r.route.class[w.Pool.ID], ExpiresIn: min(left, r.route.silence)}
+	prefix := ""
+	if p := req.Header[prefixHeader]; len(p) == 1 {
+		prefix = p[0]
+	}
+	if r.route.Affinity && prefix != "" {
+		m.Request.Session = d.session(r, w.Pool.Name, prefix)
+	}
+	m.Order = issuer.Order{
+		Method: req.Method, Target: w.Target, Host: w.Host, Body: body, Until: r.until, Header: passedOn(req.Header, r.tenant),
+		Counted: req.ContentLength != 0 || len(req.TransferEncoding) > 0,
+	}
+	return m, nil
+}
+
+// session is what stands for one: requests of a route, service and tenant that share the beginning of their prompt.
+func (d *Dialect) session(r *request, service, prefix string) uint64 {
+	h := xxhash.NewWithSeed(d.Salt)
+	for _, s := range []string{r.route.Host, r.route.Prefix, service, "", prefix} {
+		h.WriteString(s)
+		h.Write([]byte{0})
+	}
+	if r.tenant != nil {
+		h.WriteString(r.tenant.Name)
+	}
+	return max(h.Sum64(), 1)
+}
+
+// hop lists the headers that concern one connection only.
+var hop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+}
+
+// named lists what a Connection header names: these concern the connection too.
+func named(h http.Header) map[string]bool {
+	var all map[string]bool
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			if all == nil {
+				all = map[string]bool{}
+			}
+			all[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return all
+}
+
+// passedOn writes the headers that an engine is shown.
+func passedOn(h http.Header, tenant *declared.Tenant) []byte {
+	b := make([]byte, 0, 512)
+	also := named(h)
+	for name, values := range h {
+		switch {
+		case hop[name], also[name], name == "Host", name == keyHeader, name == tenantHeader, name == expectHeader, name == deadlineHeader:
+			continue
+		}
+		for _, v := range values {
+			b = field(b, name, v)
+		}
+	}
+	if tenant != nil {
+		b = field(b, tenantHeader, tenant.Name)
+	}
+	return b
+}
+
+func field(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// Head implements acquirer.Dialect: status and headers go back as they came.
+func (d *Dialect) Head(m *acquirer.Message, resp *http.Response) acquirer.Reply {
+	if resp == nil {
+		return acquirer.Reply{Head: []byte("HTTP/1.1 200 OK\r\n"), Length: -1}
+	}
+	if r, ok := m.Of.(*request); ok && d.Began != nil && r.tenant != nil {
+		d.Began(r.tenant.Name)
+	}
+	return d.head(m, resp)
+}
+
+func (d *Dialect) head(m *acquirer.Message, resp *http.Response) acquirer.Reply {
+	b := make([]byte, 0, 512)
+	b = append(b, "HTTP/1.1 "...)
+	b = append(b, resp.Status...)
+	b = append(b, "\r\n"...)
+	also := named(resp.Header)
+	for name, values := range resp.Header {
+		if hop[name] || also[name] {
+			continue
+		}
+		for _, v := range values {
+			b = field(b, name, v)
+		}
+	}
+	reply := acquirer.Reply{Head: b, Length: resp.ContentLength}
+	switch {
+	case m.Order.Method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		reply.Bare = true
+	}
+	return reply
+}
+
+// Keep makes what is kept of an answer that is not passed on.
+func (d *Dialect) Keep(m *acquirer.Message, result policy.Result, resp *http.Response, body []byte) *acquirer.Kept {
+	reply := d.head(m, resp)
+	reply.Length = int64(len(body))
+	return &acquirer.Kept{Result: result, Reply: reply, Body: body}
+}
+
+// Close implements acquirer.Dialect. 429 and 503 promise that the request has not run and never will.
+func (d *Dialect) Close(m *acquirer.Message, why broker.Verdict, retryAfter time.Duration, mayHaveRun bool, kept *acquirer.Kept) (
+	*acquirer.Refusal, *acquirer.Kept) {
+	const least = 200 * time.Millisecond
+	switch {
+	case !mayHaveRun:
+		return &acquirer.Refusal{Status: http.StatusServiceUnavailable, Reason: "not_run: no engine could take it", Retry: max(retryAfter, least)}, nil
+	case kept != nil && kept.Result == policy.Error:
+		return nil, kept
+	case why == broker.Failed:
+		return &acquirer.Refusal{Status: http.StatusGatewayTimeout, Reason: "no_answer: an engine has it and has not answered"}, nil
+	}
+	return &acquirer.Refusal{Status: http.StatusBadGateway, Reason: "no_answer: an engine has had it"}, nil
+}
+
+// Legs is the platform's dialect for legs.
+type Legs struct{ HealthPath string }
+
+var _ issuer.Dialect = Legs{}
+
+// Head implements issuer.Dialect. The time that is left is the client's, whatever a leg may take for its first sign.
+func (Legs) Head(o *issuer.Order, e *broker.SendLeg, _ time.Duration, _ *trace.Context) []byte {
+	b := make([]byte, 0, 512+len(o.Header)+len(o.Body))
+	b = append(b, o.Method...)
+	b = append(b, ' ')
+	b = append(b, o.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, o.Host...)
+	b = append(b, "\r\n"...)
+	b = append(b, o.Header...)
+	b = append(b, deadlineHeader+": "...)
+	b = strconv.AppendInt(b, max(time.Until(o.Until).Milliseconds(), 1), 10)
+	b = append(b, "\r\n"+expectHeader+": "...)
+	b = append(b, e.Name...)
+	if o.Counted {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(o.Body)), 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	return append(b, o.Body...)
+}
+
+// Judge implements issuer.Dialect.
+func (Legs) Judge(resp *http.Response) policy.Result {
+	switch {
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		return policy.ConnectFailed // another engine is at the address
+	case resp.Header.Get(notRunHeader) != "" && resp.StatusCode != http.StatusBadRequest:
+		return policy.Full
+	case resp.StatusCode >= 500, resp.StatusCode == http.StatusTooManyRequests:
+		return policy.Error
+	}
+	return policy.OK
+}
+
+// Streams implements issuer.Dialect.
+func (Legs) Streams(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// Idle implements issuer.Dialect: as long as the engine says, less what a request takes to get there.
+func (Legs) Idle(resp *http.Response) time.Duration {
+	const slack, unsaid = 600 * time.Millisecond, 300 * time.Millisecond
+	for part := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if s, err := strconv.Atoi(v); err == nil && s > 0 && s < 86400 {
+				return time.Duration(s)*time.Second - slack
+			}
+		}
+	}
+	return unsaid
+}
+
+// Probe implements issuer.Dialect.
+func (l Legs) Probe(*issuer.Reports) string { return l.HealthPath }
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -29,6 +29,10 @@
 	Method, Target, Host string
 	CallID, ContentType  string
 	Body                 []byte
+	// Of other dialects than the platform's: headers as they are sent, whether a length is, and when its client gives up.
+	Header  []byte
+	Counted bool
+	Until   time.Time
 }
 
 // Customer is the acquirer as a leg sees it.
@@ -285,7 +289,7 @@
 	ln.idle = c.Dialect.Idle(resp)
 	if result := c.Dialect.Judge(resp); result != policy.OK {
 		end.Result = result
-		if k, ok := customer.(Keeper); ok {
+		if k, ok := customer.(Keeper); ok && c.Dialect != (platform{}) {
 			if k.Keep(result, resp, ln) && !resp.Close {
 				keep = ln
 			}
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -10,7 +10,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -181,17 +180,41 @@
 
 var filler = strings.Repeat("detector run log ", 4096)
 
+// timed is a body that tells when the last of it has been taken to be written.
+type timed struct {
+	*bytes.Reader
+	wrote func()
+}
+
+func (t *timed) Read(b []byte) (int, error) {
+	n, err := t.Reader.Read(b)
+	if t.Len() == 0 {
+		t.wrote()
+	}
+	return n, err
+}
+
+// WriteTo keeps the reader's own from being used, which Read would not see.
+func (t *timed) WriteTo(w io.Writer) (int64, error) {
+	n, err := t.Reader.WriteTo(w)
+	t.wrote()
+	return n, err
+}
+
+// Close implements io.Closer.
+func (t *timed) Close() error { return nil }
+
 // ask makes one try, and returns how long the router wants the client to stay away.
 func (c *Client) ask(ctx context.Context, call *Call, t *Try, patience time.Duration, from int, again string) (wait time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var sent time.Time
 	var stamp sync.Mutex
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) {
+	wrote := func() {
 		stamp.Lock()
 		sent = time.Now()
 		stamp.Unlock()
-	}})
+	}
 	defer func() {
 		t.End = time.Now()
 		stamp.Lock()
@@ -211,6 +234,8 @@
 		t.Outcome, t.Detail = Failed, err.Error()
 		return 0
 	}
+	req.Body = &timed{bytes.NewReader(body), wrote}
+	req.GetBody = func() (io.ReadCloser, error) { return &timed{bytes.NewReader(body), wrote}, nil }
 	if c.Host != "" {
 		req.Host = c.Host
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -214,3 +214,51 @@
 	l.Open = min(l.Open, l.IssuerConns)
 	return l
 }
+
+// Node are the figures of a machine of the fleet.
+type Node struct {
+	Machine
+	HeadBytes int           // of a message of a client
+	BodyBytes int           // likewise
+	HeadWait  time.Duration // for a whole message
+	IdleWait  time.Duration // of a client's connection
+}
+
+// reserved is what a machine of the fleet keeps of its descriptors for files, other processes' calls and control.
+const reserved = 200 + 200
+
+// NewNode returns the limits of a process that carries the fleet's traffic.
+func NewNode(n Node) Limits {
+	n.Sockets = max(n.Sockets-reserved, 128)
+	l := New(n.Machine, Site{
+		ConnectTimeout:  500 * time.Millisecond, // an engine that lives takes milliseconds; a second one is to have its chance
+		IdleClose:       time.Minute,            // engines say themselves how long they wait
+		MaxAttempts:     8,                      // routes say how many of these
+		LongestDeadline: 2 * time.Minute,
+	})
+	l.HeadBytes, l.BodyBytes = n.HeadBytes, n.BodyBytes
+	l.MessageWait, l.IdleWait = n.HeadWait, n.IdleWait
+	// Silence of an engine is no reason to end what it has begun: its client says how long it waits.
+	l.AnswerWait, l.StreamWait = l.MaxBudget, l.MaxBudget
+	l.WriteWait = 10 * time.Second
+	return l
+}
+
+// The fleet's times. What adds up to a promise is checked by a test.
+const (
+	NodeSilence  = 3                      // beats that may be missed, and a half, before an engine is held for crashed
+	NodeSweep    = 500 * time.Millisecond // between two looks for silent engines
+	NodeAsk      = 400 * time.Millisecond // one member's answer in a ballot
+	NodeSettle   = 900 * time.Millisecond // a call of the operator; a second is what it waits
+	NodePass     = 450 * time.Millisecond // before a call that is passed on goes to the next keeper
+	NodeSpread   = 1200 * time.Millisecond
+	NodeFront    = 2300 * time.Millisecond // the platform's entry asks once a second and needs two misses
+	NodeLeast    = 500 * time.Millisecond  // kept of grace_period_s for the end itself
+	NodeCatchUp  = 2 * time.Second         // between two looks whether another keeper has come further
+	NodeFounding = 150 * time.Millisecond  // between two tries to found the core
+	NodeStable   = 500 * time.Millisecond  // no further keeper has come for so long
+)
+
+// DrainGrace is how long a known session may still go to an engine that drains: what is left of the platform's time is for
+// the news to reach every router, and for a request to reach its engine.
+func DrainGrace(drain time.Duration) time.Duration { return drain / 4 }
--- /dev/null
+++ b/internal/node/data.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"notchhinge/internal/acquirer"
+	"notchhinge/internal/broker"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/edge"
+	"notchhinge/internal/issuer"
+	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/internal/service"
+	"notchhinge/internal/share"
+	"notchhinge/policy"
+)
+
+// data is the data plane of a node: the front, the legs, and a module for each service.
+type data struct {
+	log     *slog.Logger
+	lim     limits.Limits
+	grace   time.Duration
+	loop    *broker.Loop
+	issuer  *issuer.Client
+	front   *acquirer.Server
+	dialect *edge.Dialect
+	list    func(service string) []roster.Engine
+	seed    uint64
+
+	at      atomic.Pointer[edge.Compiled]
+	mu      sync.Mutex // one change of configuration or engines at a time
+	next    pool.ID
+	modules map[pool.ID]*policy.Balancer
+	classes map[pool.ID]int
+	poke    chan struct{}
+}
+
+// warmUp is how long an engine may take to be as fast as others; what a beat says beyond that counts as that.
+const (
+	warmUp   = 4 * time.Second
+	coldFrom = 0.4
+)
+
+func newData(log *slog.Logger, lim limits.Limits, grace time.Duration, seed uint64, list func(string) []roster.Engine) *data {
+	d := &data{
+		log: log, lim: lim, grace: grace, seed: seed, list: list, next: 1, modules: map[pool.ID]*policy.Balancer{},
+		classes: map[pool.ID]int{}, poke: make(chan struct{}, 1),
+	}
+	d.loop = broker.NewLoop(broker.New(lim), broker.UnixClock(), d.perform)
+	d.issuer = issuer.New(issuer.Config{
+		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Dialect: edge.Legs{},
+	})
+	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64, KeepAlive: lim.IdleWait}
+	d.front = acquirer.New(acquirer.Options{
+		Lim: lim, Dialect: d.dialect, Routes: func() *service.Directory { return nil }, Post: d.loop.Post, Now: d.loop.Now,
+		Ready: func() bool { return true },
+	})
+	return d
+}
+
+// closer is what every authorisation of this front is.
+type closer interface {
+	Close(why broker.Verdict, retryAfter time.Duration, mayHaveRun bool)
+}
+
+// perform has an effect done by its owner. It does not wait.
+func (d *data) perform(e broker.Effect) {
+	switch e := e.(type) {
+	case broker.SendLeg:
+		d.issuer.Send(e)
+	case broker.Bind:
+		d.issuer.Bind(e.Leg)
+	case broker.DropLeg:
+		d.issuer.Drop(e.Leg)
+	case broker.HangUp:
+		d.issuer.HangUp(e.Line)
+	case broker.Probe:
+		d.issuer.Probe(e)
+	case broker.Decline:
+		go e.To.(closer).Close(e.Why, e.RetryAfter, e.MayHaveRun)
+	case broker.PoolGone:
+		go d.ended(e.Pool)
+	case broker.Log:
+		d.log.Info(e.Line, "service", e.Pool)
+	case broker.Counted:
+		if to, ok := e.Of.(chan broker.Counted); ok {
+			to <- e // it has room
+		}
+	}
+}
+
+func (d *data) ended(id pool.ID) {
+	d.issuer.End(id)
+	d.front.End(id)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.modules, id)
+	delete(d.classes, id)
+}
+
+// settings of the module of a service.
+func (d *data) settings(classes []policy.Class) policy.Settings {
+	return policy.Settings{
+		Gateways: 1, Zones: 1, Classes: classes, Weights: policy.NoWeights, DrainGrace: d.grace, ColdFrom: coldFrom, WarmUp: warmUp,
+		Limits: policy.Limits{Cancel: true, RetryAfter: true, MaxAttempts: d.lim.Attempts, MaxRetryAfter: time.Second},
+	}
+}
+
+// apply takes a configuration over, if it is newer than the present one. Requests that have begun keep theirs.
+func (d *data) apply(place uint64, c *declared.Config) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.at.Load()
+	if old != nil && old.Place >= place {
+		return nil
+	}
+	var before map[string]*edge.Service
+	if old != nil {
+		before = old.Services()
+	}
+	next, err := edge.Compile(c, place, before, &d.next)
+	if err != nil {
+		return err
+	}
+	for _, s := range next.Services() {
+		if err := d.set(s); err != nil {
+			return err
+		}
+	}
+	d.at.Store(next)
+	for name, s := range before {
+		if next.Services()[name] == nil {
+			d.loop.Post(broker.PoolEnd{Pool: s.ID})
+		}
+	}
+	d.feed(next)
+	d.log.Info("configuration in force", "revision", c.Revision, "place", place, "routes", len(c.Routes), "services", len(c.Services))
+	return nil
+}
+
+// set makes a service's module, or gives it the classes that it lacks.
+func (d *data) set(s *edge.Service) error {
+	m := d.modules[s.ID]
+	if m != nil && d.classes[s.ID] == len(s.Classes) {
+		return nil
+	}
+	classes := s.Classes
+	if len(classes) == 0 { // no route leads to it yet
+		classes = []policy.Class{{Name: "none", Aim: time.Second, Deadline: time.Second, Worth: 1}}
+	}
+	if m != nil && d.classes[s.ID] > 0 {
+		d.loop.Post(broker.Classes{Pool: s.ID, Classes: classes})
+		d.classes[s.ID] = len(s.Classes)
+		return nil
+	}
+	m, err := policy.New(d.settings(classes), d.seed^uint64(s.ID))
+	if err != nil {
+		return err
+	}
+	d.modules[s.ID], d.classes[s.ID] = m, len(s.Classes)
+	d.issuer.Set(s.ID, issuer.Reports{}, share.Claim{})
+	d.front.Set(s.ID, share.Claim{}, share.Claim{})
+	d.loop.Post(broker.PoolSet{
+		Pool: s.ID, Name: s.Name, Module: m, WarmUp: warmUp, ColdFrom: coldFrom, Attempts: d.lim.Attempts, RetryAfter: d.lim.SpareAnswer,
+	})
+	return nil
+}
+
+// feed tells the modules which engines there are. The lock is held.
+func (d *data) feed(at *edge.Compiled) {
+	now, clock := time.Now().UnixMilli(), d.loop.Now()
+	for name, s := range at.Services() {
+		l := broker.Listed{Pool: s.ID, Kind: policy.ListFull}
+		for _, e := range d.list(name) {
+			h := broker.Host{Name: e.ID, Dial: e.Addr, Weight: 1}
+			if e.State == roster.Draining {
+				h.State = policy.Draining
+			}
+			if left := time.Duration(e.WarmAt-now) * time.Millisecond; left > 0 {
+				h.BornAt = clock + min(left, warmUp) - warmUp
+			}
+			l.Hosts = append(l.Hosts, h)
+		}
+		d.loop.Post(l)
+	}
+}
+
+// engines says that engines have changed. It does not wait.
+func (d *data) engines() {
+	select {
+	case d.poke <- struct{}{}:
+	default:
+	}
+}
+
+// run turns the loop, and feeds the modules as engines change, until the context is over.
+func (d *data) run(ctx context.Context) {
+	go d.loop.Run(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.poke:
+		}
+		if at := d.at.Load(); at != nil {
+			d.mu.Lock()
+			d.feed(at)
+			d.mu.Unlock()
+		}
+	}
+}
+
+// known tells whether any engine is known that a request could go to.
+func (d *data) known() bool {
+	at := d.at.Load()
+	if at == nil {
+		return false
+	}
+	for name := range at.Services() {
+		if len(d.list(name)) > 0 {
+			return true
+		}
+	}
+	return len(at.Services()) == 0
+}
--- /dev/null
+++ b/internal/node/keeper.go
@@ -0,0 +1,524 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/store"
+	"notchhinge/internal/limits"
+)
+
+// keeper holds the state on its disk, votes and proposes.
+type keeper struct {
+	log     *slog.Logger
+	self    chain.Member
+	founder bool
+	least   int // founders at the least
+	call    func(ctx context.Context, to netip.AddrPort, kind uint8, body []byte) ([]byte, error)
+	others  func() []netip.AddrPort // keepers that are known, oneself not among them
+	changed func(*chain.State)      // told of every state that follows; it must not wait
+
+	mu    sync.Mutex
+	disk  *store.Store
+	acc   ballot.Acceptor
+	state chain.State
+	dirty bool   // the vote, or the state, is not on the disk as it stands here
+	round uint64 // the highest seen
+	life  uint64 // of this process, among proposers
+
+	proposing chan struct{} // holds one token: whoever has it proposes
+}
+
+// openKeeper opens the disk.
+func openKeeper(log *slog.Logger, dir, name, addr string, bootstrap bool, tolerate int) (*keeper, error) {
+	var id uint64
+	for id == 0 {
+		id = rand.Uint64()
+	}
+	disk, kept, err := store.Open(dir, store.Identity{ID: id, Founder: bootstrap})
+	if err != nil {
+		return nil, err
+	}
+	k := &keeper{
+		log: log, self: chain.Member{ID: kept.ID, Name: name, Addr: addr}, founder: kept.Founder, least: 2*tolerate + 1,
+		disk: disk, state: kept.State, proposing: make(chan struct{}, 1), life: rand.Uint64(), changed: func(*chain.State) {},
+	}
+	k.proposing <- struct{}{}
+	k.acc = ballot.Acceptor{Vote: kept.Vote, Chosen: disk.Place}
+	k.follow()
+	k.round = kept.Vote.Promised.Round
+	log.Info("state read", "member", fmt.Sprintf("%016x", kept.ID), "founder", kept.Founder, "next_place", k.state.Next,
+		"revision", k.state.Revision, "members", len(k.state.Members))
+	return k, nil
+}
+
+// follow brings the acceptor up to the state. The lock is held, or nobody else is there yet.
+func (k *keeper) follow() {
+	k.acc.Next = k.state.Next
+	if k.state.Next == 0 {
+		k.acc.Voter = k.founder
+	} else {
+		k.acc.Voter = k.state.Member(k.self.ID) != nil
+	}
+}
+
+// vote answers an Ask. An error is no answer: the disk did not take what it would have said.
+func (k *keeper) vote(a ballot.Ask) (ballot.Answer, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.round = max(k.round, a.Number.Round)
+	ans, write := k.acc.Handle(a)
+	if write || k.dirty && ans.Verdict == ballot.Granted {
+		k.dirty = true
+		if err := k.disk.Vote(k.acc.Vote); err != nil {
+			k.log.Error("the disk refuses a vote", "err", err)
+			return ballot.Answer{}, err
+		}
+		k.dirty = false
+	}
+	return ans, nil
+}
+
+// learn takes the value that was chosen for a place, if that is the next.
+func (k *keeper) learn(place uint64, value []byte) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if place != k.state.Next {
+		return place < k.state.Next
+	}
+	k.state.Apply(value)
+	k.follow()
+	if err := k.disk.Chose(value, &k.state); err != nil {
+		k.log.Error("the disk refuses what was chosen", "place", place, "err", err)
+		if err := k.disk.Whole(&k.state); err != nil {
+			k.log.Error("the disk refuses the state", "err", err)
+		}
+	}
+	s := k.state
+	k.changed(&s)
+	return true
+}
+
+// replace takes another's state, if it has come further.
+func (k *keeper) replace(s *chain.State) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if s.Next <= k.state.Next {
+		return false
+	}
+	if err := k.disk.Whole(s); err != nil {
+		k.log.Error("the disk refuses the state", "err", err)
+		return false
+	}
+	k.state = *s
+	k.follow()
+	c := k.state
+	k.changed(&c)
+	return true
+}
+
+// at returns the state as it is.
+func (k *keeper) at() chain.State {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.state
+}
+
+func (k *keeper) identity() identity {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return identity{k.self, k.state.Next, k.founder}
+}
+
+// catchUp takes the state of another that has come further.
+func (k *keeper) catchUp(ctx context.Context, from netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*limits.NodeAsk)
+	defer cancel()
+	b, err := k.call(ctx, from, callState, encodePlace(k.at().Next, nil))
+	if err != nil || len(b) == 0 {
+		return err
+	}
+	s, err := chain.DecodeState(b)
+	if err != nil {
+		return err
+	}
+	if k.replace(s) {
+		k.log.Info("caught up", "from", from.String(), "next_place", s.Next, "revision", s.Revision)
+	}
+	return nil
+}
+
+var (
+	errNoCore = errors.New("no core has been founded yet")
+	errTime   = errors.New("it could not be settled in time")
+)
+
+// propose has entries chosen until next says that it is done. next is given the newest state that is known here and
+// returns the value that it wants for the next place, or nil.
+func (k *keeper) propose(ctx context.Context, next func(*chain.State) []byte) error {
+	select {
+	case <-k.proposing:
+		defer func() { k.proposing <- struct{}{} }()
+	case <-ctx.Done():
+		return errTime
+	}
+	for try := 0; ctx.Err() == nil; try++ {
+		s := k.at()
+		if s.Next == 0 {
+			return errNoCore
+		}
+		own := next(&s)
+		if own == nil {
+			return nil
+		}
+		r := &ballot.Round{Place: s.Next, Own: own, Need: ballot.Majority(len(s.Members))}
+		for _, m := range s.Members {
+			r.Members = append(r.Members, m.ID)
+		}
+		k.attempt(ctx, r, s.Members, try) // next sees in the state what has come of it
+	}
+	return errTime
+}
+
+// attempt makes one attempt at a place, and does what follows from how it went.
+func (k *keeper) attempt(ctx context.Context, r *ballot.Round, members []chain.Member, try int) ballot.Outcome {
+	k.mu.Lock()
+	k.round++
+	r.Number = ballot.Number{Round: k.round, Node: k.life}
+	k.mu.Unlock()
+	out, from := k.run(ctx, r, members)
+	switch out {
+	case ballot.Chosen:
+		k.learn(r.Place, r.Value)
+		k.tell(r.Place, r.Value, members)
+	case ballot.Past:
+		if r.Value == nil || !k.learn(r.Place, r.Value) || r.Next > r.Place+1 {
+			k.catchUp(ctx, from)
+		}
+	case ballot.Overtaken:
+		k.mu.Lock()
+		k.round = max(k.round, r.Higher.Round)
+		k.mu.Unlock()
+		pause(ctx, time.Duration(rand.Int64N(int64(10*time.Millisecond)<<min(try, 4))))
+	case ballot.Lost:
+		for _, id := range r.BehindAt { // they lack what was chosen before: it was told, and did not reach them
+			k.bring(id, members)
+		}
+		pause(ctx, 20*time.Millisecond+time.Duration(rand.Int64N(int64(40*time.Millisecond))))
+	}
+	return out
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// reply is a member's answer, or that there is none.
+type reply struct {
+	from      chain.Member
+	accepting bool
+	answer    ballot.Answer
+	err       error
+}
+
+// run turns a round until its outcome; from is who said that the place is past.
+func (k *keeper) run(ctx context.Context, r *ballot.Round, members []chain.Member) (ballot.Outcome, netip.AddrPort) {
+	replies := make(chan reply, 2*len(members)) // each member answers each phase once at the most
+	send := func(a ballot.Ask) {
+		accepting := a.Kind == ballot.Accept
+		for _, m := range members {
+			go func() {
+				ans, err := k.ask(ctx, m, a)
+				replies <- reply{m, accepting, ans, err}
+			}()
+		}
+	}
+	send(r.Begin())
+	for {
+		var x reply
+		select {
+		case x = <-replies:
+		case <-ctx.Done():
+			return ballot.Lost, netip.AddrPort{}
+		}
+		var next *ballot.Ask
+		var out ballot.Outcome
+		if x.err != nil {
+			out = r.Fail(x.from.ID, x.accepting)
+		} else {
+			next, out = r.Take(x.from.ID, x.accepting, x.answer)
+		}
+		if next != nil {
+			send(*next)
+		}
+		if out != ballot.Pending {
+			from, _ := netip.ParseAddrPort(x.from.Addr)
+			return out, from
+		}
+	}
+}
+
+// ask asks one member.
+func (k *keeper) ask(ctx context.Context, m chain.Member, a ballot.Ask) (ballot.Answer, error) {
+	if m.ID == k.self.ID {
+		return k.vote(a)
+	}
+	to, err := netip.ParseAddrPort(m.Addr)
+	if err != nil {
+		return ballot.Answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
+	defer cancel()
+	b, err := k.call(ctx, to, callAsk, encodeAsk(&a))
+	if err != nil {
+		return ballot.Answer{}, err
+	}
+	return decodeAnswer(b)
+}
+
+// tell tells the members what was chosen. Who does not hear it finds out.
+func (k *keeper) tell(place uint64, value []byte, members []chain.Member) {
+	b := encodePlace(place, value)
+	for _, m := range members {
+		to, err := netip.ParseAddrPort(m.Addr)
+		if m.ID == k.self.ID || err != nil {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), limits.NodeAsk)
+			defer cancel()
+			k.call(ctx, to, callLearn, b)
+		}()
+	}
+}
+
+// bring brings a member up that is behind: it is told where the state is, and takes it.
+func (k *keeper) bring(id uint64, members []chain.Member) {
+	for _, m := range members {
+		if to, err := netip.ParseAddrPort(m.Addr); err == nil && m.ID == id && id != k.self.ID {
+			s := k.at()
+			ctx, cancel := context.WithTimeout(context.Background(), limits.NodeAsk)
+			k.call(ctx, to, callLearn, encodePlace(s.Next, nil))
+			cancel()
+		}
+	}
+}
+
+// told does callLearn: a value for the next place, or only word that there is more.
+func (k *keeper) told(from netip.Addr, place uint64, value []byte) {
+	if len(value) > 0 && k.learn(place, value) {
+		return
+	}
+	for _, to := range k.others() {
+		if to.Addr() == from {
+			k.catchUp(context.Background(), to)
+			return
+		}
+	}
+}
+
+// settle makes sure that the state here is no older than anything that was acknowledged before it was called.
+func (k *keeper) settle(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s := k.at()
+		if s.Next == 0 {
+			return errNoCore
+		}
+		type known struct {
+			reply
+			addr netip.AddrPort
+		}
+		replies := make(chan known, len(s.Members))
+		for _, m := range s.Members {
+			go func() {
+				ans, err := k.ask(ctx, m, ballot.Ask{Kind: ballot.Query})
+				to, _ := netip.ParseAddrPort(m.Addr)
+				replies <- known{reply{from: m, answer: ans, err: err}, to}
+			}()
+		}
+		good, open := 0, false
+		next := s.Next
+		var best netip.AddrPort
+		for n := 0; n < len(s.Members) && good < ballot.Majority(len(s.Members)); n++ {
+			x := <-replies // every ask ends in its time
+			if x.err != nil {
+				continue
+			}
+			good++
+			if x.answer.Next > next {
+				next, best, open = x.answer.Next, x.addr, false
+			}
+			open = open || x.answer.Next == next && x.answer.Accepted != (ballot.Number{})
+		}
+		switch {
+		case good < ballot.Majority(len(s.Members)):
+			pause(ctx, 50*time.Millisecond)
+		case next > s.Next:
+			if k.catchUp(ctx, best) != nil {
+				pause(ctx, 20*time.Millisecond)
+			}
+		case open:
+			// Something was accepted for the place that is open, and may have been chosen: it is brought to its end.
+			nothing := (&chain.Entry{Kind: chain.Nothing, Nonce: rand.Uint64()}).Encode()
+			return k.propose(ctx, func(now *chain.State) []byte {
+				if now.Next > s.Next {
+					return nil
+				}
+				return nothing
+			})
+		default:
+			return nil
+		}
+	}
+	return errTime
+}
+
+// put does the operator's Replace.
+func (k *keeper) put(ctx context.Context, on uint64, text []byte) (res api.Result) {
+	c, digest, err := declared.Decode(text)
+	if err == nil {
+		err = c.Check()
+	}
+	if err != nil {
+		return api.Result{Status: http.StatusBadRequest, Says: err.Error()}
+	}
+	entry := chain.Entry{Kind: chain.Config, Nonce: rand.Uint64(), On: on, Text: text}
+	value := entry.Encode()
+	if s := k.at(); s.Next > 0 && s.Revision < on && !s.Was(c.Revision, digest) {
+		if err := k.settle(ctx); err != nil { // the operator knows more than is known here
+			return api.Result{Status: http.StatusServiceUnavailable, Says: err.Error()}
+		}
+	}
+	err = k.propose(ctx, func(s *chain.State) []byte {
+		switch {
+		case s.Was(c.Revision, digest):
+			res = api.Result{Status: http.StatusOK, Rev: c.Revision}
+		case s.Revision != on:
+			res = api.Result{Status: http.StatusPreconditionFailed, Rev: s.Revision,
+				Says: fmt.Sprintf("X-Revision-Match: version %d is current, not %d", s.Revision, on)}
+		case c.Revision <= s.Revision:
+			res = api.Result{Status: http.StatusBadRequest,
+				Says: fmt.Sprintf("revision: %d is not above the current one, %d", c.Revision, s.Revision)}
+		default:
+			return value
+		}
+		return nil
+	})
+	if err != nil {
+		return api.Result{Status: http.StatusServiceUnavailable, Says: err.Error()}
+	}
+	return res
+}
+
+// get does the operator's Describe.
+func (k *keeper) get(ctx context.Context) api.Result {
+	if err := k.settle(ctx); err != nil {
+		return api.Result{Status: http.StatusServiceUnavailable, Says: err.Error()}
+	}
+	s := k.at()
+	if s.Text == nil {
+		return api.Result{Status: http.StatusNotFound, Says: "there is no configuration yet"}
+	}
+	return api.Result{Status: http.StatusOK, Rev: s.Revision, Body: s.Text}
+}
+
+// tend founds the core at the first start, and looks now and then whether others have come further.
+func (k *keeper) tend(ctx context.Context) {
+	var stable time.Time
+	known := 0
+	began := time.Now()
+	for ctx.Err() == nil {
+		if k.at().Next > 0 || !k.founder {
+			wait := limits.NodeCatchUp
+			if k.at().Next == 0 {
+				wait = limits.NodeFounding
+			}
+			pause(ctx, wait)
+			if all := k.others(); len(all) > 0 {
+				to := all[rand.IntN(len(all))]
+				if i, err := k.who(ctx, to); err == nil && i.next > k.at().Next {
+					k.catchUp(ctx, to)
+				}
+			}
+			continue
+		}
+		pause(ctx, limits.NodeFounding)
+		founders := []chain.Member{k.self}
+		for _, to := range k.others() {
+			i, err := k.who(ctx, to)
+			switch {
+			case err != nil:
+			case i.next > 0:
+				k.catchUp(ctx, to)
+			case i.founder:
+				founders = append(founders, i.Member)
+			}
+		}
+		if len(founders) != known {
+			known, stable = len(founders), time.Now()
+		}
+		slices.SortFunc(founders, func(x, y chain.Member) int { return bytes.Compare([]byte(x.Name), []byte(y.Name)) })
+		first := founders[0].ID == k.self.ID || time.Since(began) > 3*time.Second
+		if len(founders) < k.least || time.Since(stable) < limits.NodeStable || !first || k.at().Next > 0 {
+			continue
+		}
+		k.found(ctx, founders)
+	}
+}
+
+// found has the founders agree that they are. All of them must accept, so that no other set can be founded: two sets of
+// 2f+1 share a founder as long as there are fewer than 4f+2.
+func (k *keeper) found(ctx context.Context, founders []chain.Member) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	for try := 0; ctx.Err() == nil && k.at().Next == 0; try++ {
+		own := (&chain.Entry{Kind: chain.Members, Nonce: rand.Uint64(), Members: founders}).Encode()
+		r := &ballot.Round{Place: 0, Own: own, Need: len(founders)}
+		for _, m := range founders {
+			r.Members = append(r.Members, m.ID)
+		}
+		// What one of them has accepted before may be of another set, whose members must then all accept it.
+		r.Fits = func(value []byte) bool {
+			e, err := chain.Decode(value)
+			return err == nil && slices.Equal(e.Members, founders)
+		}
+		out := k.attempt(ctx, r, founders, try)
+		if out == ballot.Chosen {
+			k.log.Info("the core is founded", "members", len(founders))
+			return
+		}
+		if out != ballot.Unfit {
+			continue
+		}
+		if e, err := chain.Decode(r.Value); err == nil && e.Kind == chain.Members && !slices.Equal(e.Members, founders) {
+			founders = e.Members
+		}
+	}
+}
+
+// who asks a keeper who it is.
+func (k *keeper) who(ctx context.Context, to netip.AddrPort) (identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
+	defer cancel()
+	b, err := k.call(ctx, to, callIdentity, nil)
+	if err != nil {
+		return identity{}, err
+	}
+	return decodeIdentity(b)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,500 @@
+// Package node is one process of the fleet: it puts the parts together as the settings say, starts them, says when it is
+// ready, and ends in order. Decisions are the parts'.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"notchhinge/internal/boot"
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/gossip"
+	"notchhinge/internal/control/peer"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/limits"
+)
+
+// Node is a process.
+type Node struct {
+	cfg    *boot.Settings
+	log    *slog.Logger
+	net    *peer.Net
+	news   *news
+	keeper *keeper // nil where there is no disk
+	data   *data   // nil where no traffic is carried
+	began  time.Time
+
+	holding  sync.Mutex    // one configuration is taken over at a time
+	place    atomic.Uint64 // of the newest configuration that is held here
+	text     atomic.Pointer[fetched]
+	wanted   atomic.Uint64 // of the newest that is known of
+	asked    atomic.Bool   // a keeper has said what the newest is
+	fetching chan gossip.Peer
+	stopping atomic.Bool
+}
+
+// Signals are what the outside asks of a running process.
+type Signals struct {
+	Stop   <-chan os.Signal
+	Reload <-chan os.Signal
+}
+
+// Run runs a process until it is stopped.
+func Run(path string, log *slog.Logger, sig Signals) error {
+	cfg, err := boot.Load(path)
+	if err != nil {
+		return err
+	}
+	log = log.With("node", cfg.Node)
+	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.5)))
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
+	n := &Node{cfg: cfg, log: log, began: time.Now(), fetching: make(chan gossip.Peer, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := n.open(ctx); err != nil {
+		return err
+	}
+	defer n.net.Close()
+	return n.serve(ctx, path, sig)
+}
+
+// open opens the sockets and the disk.
+func (n *Node) open(ctx context.Context) error {
+	ip := netip.MustParseAddr(n.cfg.IP) // boot has checked it
+	var err error
+	for port := n.cfg.Ports[0]; port <= n.cfg.Ports[1]; port++ {
+		if n.net, err = peer.Open(netip.AddrPortFrom(ip, uint16(port)), n.handle); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	self := gossip.Peer{ID: gossip.Hash(n.cfg.Node), Addr: n.net.Addr(), Zone: hash32(n.cfg.Zone)}
+	if n.cfg.Keeper() {
+		self.Flags |= gossip.Keeper
+		if n.keeper, err = openKeeper(n.log, n.cfg.Data, n.cfg.Node, n.net.Addr().String(), n.cfg.Bootstrap, n.cfg.Tolerance.Machines); err != nil {
+			return err
+		}
+		n.keeper.call = n.net.Call
+		n.keeper.others = func() (all []netip.AddrPort) {
+			for _, p := range n.news.keepers() {
+				all = append(all, p.Addr)
+			}
+			return all
+		}
+	}
+	if n.cfg.Listeners.Frontend != "" {
+		self.Flags |= gossip.Edge
+	}
+	silence := n.cfg.Beat()*limits.NodeSilence + n.cfg.Beat()/2
+	n.news = newNews(n.net, self, rand.Uint64(), silence)
+	n.news.config = n.heardOf
+	return nil
+}
+
+// seeds are where others may be found at their own ports: on all machines these are alike.
+func (n *Node) seeds() (all []netip.AddrPort) {
+	for _, s := range n.cfg.Seeds {
+		if a, err := netip.ParseAddrPort(s); err == nil {
+			all = append(all, netip.AddrPortFrom(a.Addr(), uint16(n.cfg.Ports[0])))
+		}
+	}
+	return all
+}
+
+// serve runs the parts.
+func (n *Node) serve(ctx context.Context, path string, sig Signals) error {
+	failed := make(chan error, 4)
+	go n.net.Serve(ctx)
+	if n.cfg.Listeners.Frontend != "" {
+		lim := limits.NewNode(limits.Node{
+			Machine:   limits.Machine{Cores: n.cfg.Limits.Cores, MemoryMB: n.cfg.Limits.MemoryMB, Sockets: n.cfg.Limits.Files},
+			HeadBytes: 16<<10 + 512, BodyBytes: 8 << 20, HeadWait: 3 * time.Second, IdleWait: 15 * time.Second,
+		})
+		drain := time.Duration(n.cfg.Bounds.DrainMS) * time.Millisecond
+		n.data = newData(n.log, lim, limits.DrainGrace(drain), rand.Uint64(), n.news.list)
+		n.news.engines = n.data.engines
+		go n.data.run(ctx)
+	}
+	go n.fetch(ctx)
+	if n.keeper != nil {
+		n.keeper.changed = n.changed
+		s := n.keeper.at()
+		n.changed(&s)
+		go n.keeper.tend(ctx)
+	}
+	go n.news.run(ctx, n.seeds())
+	go n.start(ctx)
+	if addr := n.cfg.Listeners.Control; addr != "" {
+		ln, err := net.Listen("tcp4", addr)
+		if err != nil {
+			return err
+		}
+		defer ln.Close()
+		go func() { failed <- api.Serve(ln, n) }()
+	}
+	var front net.Listener
+	if n.data != nil {
+		ready, err := net.Listen("tcp4", n.cfg.Listeners.Readiness)
+		if err != nil {
+			return err
+		}
+		defer ready.Close()
+		web := &http.Server{Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
+		go func() { failed <- web.Serve(ready) }()
+		if front, err = net.Listen("tcp4", n.cfg.Listeners.Frontend); err != nil {
+			return err
+		}
+		defer front.Close()
+		go func() { n.data.front.Serve(front) }()
+	}
+	n.log.Info("started", "class", n.cfg.Class, "zone", n.cfg.Zone, "bootstrap", n.cfg.Bootstrap)
+	for {
+		select {
+		case err := <-failed:
+			if err != nil {
+				return err
+			}
+		case <-sig.Reload:
+			if cfg, err := boot.Load(path); err != nil {
+				n.log.Error("settings not read again", "err", err)
+			} else {
+				n.cfg.Seeds = cfg.Seeds
+				n.news.turn(gossip.Seeds{Addrs: n.seeds()})
+				n.log.Info("settings read again")
+			}
+		case <-sig.Stop:
+			n.stop(ctx, front)
+			return nil
+		}
+	}
+}
+
+// readiness says whether clients are wanted here.
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	if why := n.unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+// unready says why a router is not ready; "" = it is.
+func (n *Node) unready() string {
+	switch {
+	case n.stopping.Load():
+		return "stopping"
+	case n.data == nil:
+		return "no traffic here"
+	case n.data.at.Load() == nil:
+		return "no configuration yet"
+	case !n.asked.Load() && time.Since(n.began) < 10*time.Second:
+		return "no keeper has said yet which configuration is the newest"
+	case n.place.Load() < n.wanted.Load():
+		return "a newer configuration is on its way"
+	case !n.data.known():
+		return "no engine is known yet"
+	}
+	return ""
+}
+
+// stop ends a process in order: the platform's entry is told first, and what comes until it has noticed is served.
+func (n *Node) stop(ctx context.Context, front net.Listener) {
+	n.stopping.Store(true)
+	n.log.Info("stopping")
+	if n.data == nil {
+		return
+	}
+	began := time.Now()
+	end := began.Add(time.Duration(n.cfg.Bounds.GraceS*float64(time.Second)) - limits.NodeLeast)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	n.data.front.Drain()
+	time.Sleep(limits.NodeFront)
+	n.data.front.CloseIdle()
+	time.Sleep(100 * time.Millisecond)
+	front.Close()
+	n.data.front.CloseIdle()
+	n.data.loop.Idle(ctx)
+	n.data.front.CloseIdle()
+	n.data.front.Wait(ctx)
+	n.log.Info("stopped", "after", time.Since(began).Round(time.Millisecond).String(), "connections_left", n.data.front.Conns())
+}
+
+// changed follows the state of a keeper. It must not wait.
+func (n *Node) changed(s *chain.State) {
+	if s.Text != nil {
+		n.hold(s.ConfigPlace, s.Text)
+	}
+}
+
+// hold takes a configuration over, and tells others of it.
+func (n *Node) hold(place uint64, text []byte) {
+	n.holding.Lock()
+	defer n.holding.Unlock()
+	if place <= n.place.Load() {
+		return
+	}
+	if n.data != nil {
+		c, _, err := declared.Decode(text)
+		if err == nil {
+			err = n.data.apply(place, c)
+		}
+		if err != nil {
+			n.log.Error("configuration not taken over", "place", place, "err", err)
+			return
+		}
+	}
+	n.text.Store(&fetched{place, text})
+	n.place.Store(place)
+	for w := n.wanted.Load(); w < place && !n.wanted.CompareAndSwap(w, place); w = n.wanted.Load() {
+	}
+	go n.news.announce(place)
+}
+
+// heardOf is told that there is a configuration.
+func (n *Node) heardOf(place uint64, from gossip.Peer) {
+	for w := n.wanted.Load(); w < place && !n.wanted.CompareAndSwap(w, place); w = n.wanted.Load() {
+	}
+	if place <= n.place.Load() {
+		return
+	}
+	select {
+	case n.fetching <- from:
+	default:
+	}
+}
+
+// fetch gets configurations that are known of and not held.
+func (n *Node) fetch(ctx context.Context) {
+	for {
+		var from gossip.Peer
+		select {
+		case <-ctx.Done():
+			return
+		case from = <-n.fetching:
+		}
+		for try := 0; n.place.Load() < n.wanted.Load() && ctx.Err() == nil; try++ {
+			ask := []gossip.Peer{}
+			if from.Addr.IsValid() {
+				ask = append(ask, from)
+			}
+			for _, p := range append(ask, n.news.keepers()...) {
+				if n.get(ctx, p.Addr) && n.place.Load() >= n.wanted.Load() {
+					break
+				}
+			}
+			if n.place.Load() < n.wanted.Load() {
+				pause(ctx, 50*time.Millisecond)
+			}
+		}
+	}
+}
+
+// get asks another for a configuration that is newer than the one here. It tells whether it answered.
+func (n *Node) get(ctx context.Context, to netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodePass)
+	defer cancel()
+	b, err := n.net.Call(ctx, to, callFetch, encodePlace(n.place.Load(), nil))
+	if err != nil {
+		return false
+	}
+	place, text, err := decodePlace(b)
+	if err != nil {
+		return false
+	}
+	if len(text) > 0 {
+		n.hold(place, text)
+	}
+	return true
+}
+
+// start finds out at the start which configuration is the newest.
+func (n *Node) start(ctx context.Context) {
+	for !n.asked.Load() && ctx.Err() == nil {
+		for _, p := range n.news.keepers() {
+			if n.get(ctx, p.Addr) {
+				n.asked.Store(true)
+				break
+			}
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+}
+
+var errNotHere = errors.New("no state is held here")
+
+// handle answers another process.
+func (n *Node) handle(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error) {
+	if kind == callFetch {
+		place, _, err := decodePlace(body)
+		if err != nil {
+			return nil, err
+		}
+		if f := n.text.Load(); f != nil && f.place > place {
+			return f.encode(), nil
+		}
+		return (&fetched{}).encode(), nil
+	}
+	k := n.keeper
+	if k == nil {
+		return nil, errNotHere
+	}
+	switch kind {
+	case callAsk:
+		a, err := decodeAsk(body)
+		if err != nil {
+			return nil, err
+		}
+		ans, err := k.vote(a)
+		if err != nil {
+			return nil, err
+		}
+		return encodeAnswer(&ans), nil
+	case callLearn:
+		place, value, err := decodePlace(body)
+		if err != nil {
+			return nil, err
+		}
+		go k.told(from, place, append([]byte(nil), value...))
+		return nil, nil
+	case callState:
+		place, _, err := decodePlace(body)
+		if err != nil {
+			return nil, err
+		}
+		if s := k.at(); s.Next > place {
+			return s.Encode(), nil
+		}
+		return nil, nil
+	case callIdentity:
+		i := k.identity()
+		return i.encode(), nil
+	case callReplace:
+		on, text, err := decodePlace(body)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+		defer cancel()
+		r := k.put(ctx, on, append([]byte(nil), text...))
+		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
+	case callDescribe:
+		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+		defer cancel()
+		r := k.get(ctx)
+		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
+	}
+	return nil, fmt.Errorf("call %d is not known here", kind)
+}
+
+// Beat implements api.Handler.
+func (n *Node) Beat(ctx context.Context, b *api.Beat) error {
+	r := roster.Record{
+		ID: b.ID, Service: b.Service, Addr: b.Addr, Zone: b.Zone, Revision: b.Revision, Slots: uint64(max(b.Slots, 0)), Calls: b.Calls,
+	}
+	if b.Status == "draining" {
+		r.State = roster.Draining
+	}
+	if b.ColdMS > 0 {
+		r.WarmAt = time.Now().UnixMilli() + int64(min(b.ColdMS, 3.6e6))
+	}
+	n.news.beat(ctx, r)
+	return nil
+}
+
+// SignOff implements api.Handler.
+func (n *Node) SignOff(ctx context.Context, id string) error {
+	n.news.signOff(ctx, id)
+	return nil
+}
+
+// Replace implements api.Handler.
+func (n *Node) Replace(ctx context.Context, on uint64, text []byte) api.Result {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	if n.keeper != nil {
+		return n.keeper.put(ctx, on, text)
+	}
+	// What is invalid needs no keeper to say so.
+	c, _, err := declared.Decode(text)
+	if err == nil {
+		err = c.Check()
+	}
+	if err != nil {
+		return api.Result{Status: http.StatusBadRequest, Says: err.Error()}
+	}
+	return n.pass(ctx, callReplace, encodePlace(on, text))
+}
+
+// Describe implements api.Handler.
+func (n *Node) Describe(ctx context.Context) api.Result {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	if n.keeper != nil {
+		return n.keeper.get(ctx)
+	}
+	return n.pass(ctx, callDescribe, nil)
+}
+
+// pass passes a call of the operator on to a keeper, and to the next if that one does not answer.
+func (n *Node) pass(ctx context.Context, kind uint8, body []byte) api.Result {
+	for _, p := range n.news.keepers() {
+		one, cancel := context.WithTimeout(ctx, limits.NodePass)
+		b, err := n.net.Call(one, p.Addr, kind, body)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if status, says, rev, text, err := decodeResult(b); err == nil && status != http.StatusServiceUnavailable {
+			return api.Result{Status: status, Says: says, Rev: rev, Body: text}
+		}
+	}
+	return api.Result{Status: http.StatusServiceUnavailable, Says: "no keeper has settled it"}
+}
+
+// Status implements api.Handler.
+func (n *Node) Status() any {
+	type status struct {
+		Node     string `json:"node"`
+		Zone     string `json:"zone"`
+		Ready    string `json:"ready"`
+		Place    uint64 `json:"place"`
+		Wanted   uint64 `json:"newest_place"`
+		Peers    int    `json:"peers"`
+		Keepers  int    `json:"keepers"`
+		Engines  int    `json:"engines"`
+		Items    int    `json:"items"`
+		Revision uint64 `json:"revision"`
+	}
+	s := status{Node: n.cfg.Node, Zone: n.cfg.Zone, Ready: n.unready(), Place: n.place.Load(), Wanted: n.wanted.Load()}
+	if s.Ready == "" {
+		s.Ready = "yes"
+	}
+	if n.data != nil {
+		if at := n.data.at.Load(); at != nil {
+			s.Revision = at.Revision
+		}
+	}
+	n.news.mu.Lock()
+	defer n.news.mu.Unlock()
+	s.Peers, s.Keepers = len(n.news.gossip.Peers()), len(n.news.gossip.Keepers())
+	s.Engines, s.Items = n.news.roster.Len(), n.news.gossip.Items()
+	return s
+}
--- a/internal/trace/export/otlp.go
+++ b/internal/trace/export/otlp.go
@@ -5,12 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
-	"go.opentelemetry.io/otel/exporters/otlp/otlptrace"
-	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	commonpb "go.opentelemetry.io/proto/otlp/common/v1"
 	resourcepb "go.opentelemetry.io/proto/otlp/resource/v1"
 	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
@@ -29,13 +28,13 @@
 	Log      *slog.Logger
 }
 
-// OTLP sends records to a collector, over HTTP with protobuf and gzip, through OpenTelemetry's own client. That
-// tries again what the collector answers with 429, 502, 503 or 504, after its Retry-After where there is one; what it
-// rejects otherwise is given up; and a collector that is not reached is tried again with growing waits.
+// OTLP sends records to a collector, over HTTP with protobuf and gzip, as OpenTelemetry's
+// protocol has it. What the collector answers with 429, 502, 503 or 504 is tried again, after its Retry-After where there is
+// one; what it rejects otherwise is given up; and a collector that is not reached is tried again with growing waits.
 type OTLP struct {
 	*queue
 	o      OTLPOptions
-	client otlptrace.Client
+	client collector
 	stop   context.CancelFunc
 	halt   chan struct{}
 	done   chan struct{}
@@ -54,24 +53,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("collector: %w", err)
 	}
-	opts := []otlptracehttp.Option{
-		otlptracehttp.WithEndpointURL(o.Endpoint), otlptracehttp.WithHeaders(o.Headers),
-		otlptracehttp.WithCompression(otlptracehttp.GzipCompression), otlptracehttp.WithTimeout(o.Timeout),
-		otlptracehttp.WithRetry(otlptracehttp.RetryConfig{
-			Enabled: true, InitialInterval: firstWait, MaxInterval: mostWait, MaxElapsedTime: 10 * time.Minute,
-		}),
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return nil, fmt.Errorf("collector: %q is no http or https URL", o.Endpoint)
 	}
 	if u.Path == "" || u.Path == "/" {
-		opts = append(opts, otlptracehttp.WithURLPath("/v1/traces"))
+		u.Path = "/v1/traces"
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &OTLP{
-		queue: newQueue(o.Queue), o: o, client: otlptracehttp.NewClient(opts...), stop: cancel,
-		halt: make(chan struct{}), done: make(chan struct{}),
-	}
-	if err := e.client.Start(ctx); err != nil {
-		cancel()
-		return nil, fmt.Errorf("collector: %w", err)
+		queue: newQueue(o.Queue), o: o, stop: cancel, halt: make(chan struct{}), done: make(chan struct{}),
+		client: collector{url: u.String(), headers: o.Headers, client: http.Client{Timeout: o.Timeout}},
 	}
 	go e.run(ctx)
 	return e, nil
@@ -89,7 +80,7 @@
 	}
 	e.stop()
 	<-e.done
-	e.client.Stop(context.Background())
+	e.client.client.CloseIdleConnections()
 	left := e.take(1 << 30)
 	e.count(func(c *Counters) {
 		for _, t := range left {
@@ -132,8 +123,8 @@
 	batch := e.resource(some)
 	wait := firstWait
 	for {
-		err := e.client.UploadTraces(ctx, batch)
-		var lost *url.Error
+		err := e.client.upload(ctx, batch)
+		var busy errBusy
 		switch {
 		case err == nil:
 			e.count(func(c *Counters) { c.Sent += len(some); c.Spans += spans(some) })
@@ -145,15 +136,19 @@
 			}
 			e.mu.Unlock()
 			return
-		case !errors.As(err, &lost) && !errors.Is(err, context.DeadlineExceeded) && !strings.Contains(err.Error(), "max retry time"):
+		case errors.Is(err, errRejected):
 			e.o.Log.Warn("the collector rejects traces", "err", err, "records", len(some))
 			e.count(func(c *Counters) { c.Rejected += len(some) })
 			return
 		}
-		e.o.Log.Warn("the collector is not reached", "err", err, "again_in", wait)
+		pause := wait
+		if errors.As(err, &busy) && busy.after > 0 {
+			pause = busy.after
+		}
+		e.o.Log.Warn("the collector is not reached", "err", err, "again_in", pause)
 		e.count(func(c *Counters) { c.Retries++ })
 		select {
-		case <-time.After(wait):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 		wait = min(2*wait, mostWait)
--- a/policy/api.go
+++ b/policy/api.go
@@ -46,6 +46,7 @@
 	Effect        Effect
 	Group         Group
 	Streaming     bool
+	MaxAttempts   int // of one request, if fewer than the settings allow; 0 = as they say
 }
 
 // Tenant is one of those who share the fleet.
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -1,6 +1,9 @@
 package policy
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // What a balancer has learnt, for the process that follows it at the same address. This file holds no decisions: it
 // copies state out and in. Times are on the clock of the events, which both processes must share.
@@ -99,3 +102,22 @@
 		}
 	}
 }
+
+// SetClasses takes further classes in. Those there are stay as they are: requests may be of them.
+func (b *Balancer) SetClasses(all []Class) error {
+	s := b.set
+	s.Classes = all
+	if err := s.validate(); err != nil {
+		return err
+	}
+	for i, c := range b.set.Classes {
+		if i >= len(all) || all[i] != c {
+			return fmt.Errorf("policy: class %d, %q, cannot change or go", i, c.Name)
+		}
+	}
+	b.set.Classes = all
+	for _, c := range all {
+		b.leastWorth = min(b.leastWorth, c.Worth)
+	}
+	return nil
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -354,7 +354,7 @@
 		cost = 0 // it proved not to have run, or its connection was gone, and so cost no replica any work
 	}
 	switch {
-	case len(r.attempts) >= b.set.Limits.MaxAttempts:
+	case len(r.attempts) >= cmp.Or(r.class.MaxAttempts, b.set.Limits.MaxAttempts):
 		b.decline(now, a, r, NoAttempts)
 	case b.retries < cost:
 		b.decline(now, a, r, NoRetries)
