--- a/policy/handover.go
+++ b/policy/handover.go
@@ -5,8 +5,9 @@
 	"slices"
 )
 
-// What a balancer has learnt, for the process that follows it at the same address. This file holds no decisions: it
-// copies state out and in. Times are on the clock of the events, which both processes must share.
+// What a balancer has learnt, for the process that follows it at the same address, and classes that come
+// while it runs. This file holds no decisions: it copies state out and in. Times are on the clock of the
+// events, which both processes must share.
 
 // Learned is what a balancer knows beside the list and its requests.
 type Learned struct {
@@ -42,8 +43,8 @@
 // Learned copies out what the balancer has learnt.
 func (b *Balancer) Learned() *Learned {
 	l := &Learned{
-		Prefixes: b.prefixes.count, Loads: b.loads.mean, Retries: b.retries, Shed: b.shed, Lost: b.lost, Spill: b.spill,
-		ShedAt: b.shedAt, Arrived: b.arrived, Usual: b.fleet.usual, Tenants: slices.Clone(b.tenants.count),
+		Loads: b.loads.mean, Retries: b.retries, Shed: b.shed, Lost: b.lost, Spill: b.spill, ShedAt: b.shedAt,
+		Arrived: b.arrived, Usual: b.fleet.usual, Tenants: slices.Clone(b.tenants.count),
 	}
 	l.Prefixes = make(map[uint64]float64, len(b.prefixes.count))
 	for k, n := range b.prefixes.count {
@@ -55,16 +56,16 @@
 	}
 	for _, r := range b.fleet.byID {
 		l.Replicas = append(l.Replicas, LearnedReplica{
-			ID: r.ID, ReadyAt: r.ReadyAt, Until: r.until, Spell: r.spell, DrainAt: r.drainAt, Answered: r.answered,
-			ReportAt: r.reportAt, FullUntil: r.fullUntil, Size: r.size, Budget: r.budget, BudgetAt: r.budgetAt, Load: r.load,
-			Back: r.backlog,
+			ID: r.ID, ReadyAt: r.ReadyAt, Until: r.until, Spell: r.spell, DrainAt: r.drainAt,
+			Answered: r.answered, ReportAt: r.reportAt, FullUntil: r.fullUntil, Size: r.size, Budget: r.budget,
+			BudgetAt: r.budgetAt, Load: r.load, Back: r.backlog,
 		})
 	}
 	return l
 }
 
-// Learn takes over what another balancer with these settings has learnt, as far as it concerns replicas that are listed
-// here as the same process. It is called before the first request.
+// Learn takes over what another balancer with these settings has learnt, as far as it concerns replicas
+// that are listed here as the same process. It is called before the first request.
 func (b *Balancer) Learn(now Time, l *Learned) {
 	b.loads.mean, b.retries, b.spill = l.Loads, min(max(l.Retries, 0), retryBurst), min(max(l.Spill, 0), 1)
 	b.shed, b.lost, b.shedAt = min(max(l.Shed, 0), shedMost), min(max(l.Lost, 0), 1), min(l.ShedAt, now)
@@ -86,8 +87,10 @@
 		if r == nil || r.ReadyAt != k.ReadyAt {
 			continue
 		}
-		r.until, r.spell, r.fullUntil = min(k.Until, now+closedMost), min(max(k.Spell, 0), closedMost), min(k.FullUntil, now+fullSpell)
-		r.answered, r.reportAt, r.load, r.backlog = min(k.Answered, now), min(k.ReportAt, now), max(k.Load, 0), max(k.Back, 0)
+		r.until, r.spell = min(k.Until, now+closedMost), min(max(k.Spell, 0), closedMost)
+		r.fullUntil = min(k.FullUntil, now+fullSpell)
+		r.answered, r.reportAt = min(k.Answered, now), min(k.ReportAt, now)
+		r.load, r.backlog = max(k.Load, 0), max(k.Back, 0)
 		r.budget, r.budgetAt = min(k.Budget, 1), min(k.BudgetAt, b.arrived)
 		if k.Size > 0 {
 			r.size = k.Size
