Issuer: a parked line's idle time is read before another leg may have it

Cause: the race detector, in TestBatchProof: put read the line after its lock was given up. Two processes with an operators' address each came to 16 descriptors more than one router has (TestAdminTakesDescriptorsOfItsOwn).

--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -179,8 +179,9 @@
 	number := p.number
 	l.number, l.since = number, time.Now()
 	p.idle[l.to] = append(p.idle[l.to], l)
-	p.mu.Unlock()
-	p.post(broker.Parked{Line: number, Idle: p.idleOf(l)})
+	idle := p.idleOf(l)
+	p.mu.Unlock() // from here on it may be another leg's
+	p.post(broker.Parked{Line: number, Idle: idle})
 }
 
 // hangUp closes the line that is parked under a number, if it still is.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -200,7 +200,7 @@
 // Shared is the room of each of two processes that stand for one router: half of what is used. What both keep in
 // reserve comes off once more.
 func (l *Limits) Shared() Room {
-	return Room{max((l.AcquirerConns-reserve-l.SpareConns)/2, 1), max(l.IssuerConns/2, 1), l.MemoryBytes / 2}
+	return Room{max((l.AcquirerConns-reserve-l.SpareConns-AdminCallers-1)/2, 1), max(l.IssuerConns/2, 1), l.MemoryBytes / 2}
 }
 
 // ControlConns is how many may use the control socket at once.
