Duties: usage agreed before it is sent, a holder under a lease, engines ordered by load

internal/control/duty (pure), platform, node/duties.go: routers report counts and loads to keepers; a keeper agreed in the chain holds the duties while a majority extends its lease; figures of a window are a place of the chain before they are sent. Engines: requests running over 4 an engine, up at once, down after 5 s of calm, nothing before traffic has been seen.

Found: orders before traffic took all engines away (what is not known yet is no reason to have fewer).

--- /dev/null
+++ b/internal/control/duty/scale.go
@@ -0,0 +1,74 @@
+package duty
+
+import (
+	"math"
+	"time"
+
+	"notchhinge/internal/limits"
+)
+
+// Demand is what a service needs engines for.
+type Demand struct {
+	Running float64 // requests at engines, all routers
+	Arrived float64 // a second
+}
+
+// Bounds of a service's engines in each zone.
+type Bounds struct {
+	Min, Max int
+	Boot     time.Duration
+}
+
+// Scaler wants numbers of engines for one service. It goes up at once, and down once less has been enough for a while: an
+// engine too few costs worth for as long as another takes to boot.
+type Scaler struct {
+	limits.Scale
+	mean  float64
+	seen  time.Duration // since traffic was first seen
+	last  time.Duration
+	peaks []peak
+}
+
+type peak struct {
+	at    time.Duration
+	total int
+}
+
+// Want takes what there is and returns the wanted numbers by zone, or nil as long as too little is known: before there is
+// traffic nobody can say what it needs, and engines that are not known yet are no reason to have fewer. zones lists the zones
+// in which the service runs, in their order.
+func (s *Scaler) Want(now time.Duration, d Demand, b Bounds, zones []string) map[string]int {
+	if s.seen == 0 {
+		if d.Arrived <= 0 && d.Running <= 0 {
+			return nil
+		}
+		s.seen, s.last, s.mean = now, now, d.Running
+	}
+	if dt := now - s.last; dt > 0 {
+		s.mean += (d.Running - s.mean) * (1 - math.Exp(-float64(dt)/float64(s.Smooth)))
+		s.last = now
+	}
+	if len(zones) == 0 {
+		return nil
+	}
+	total := int(math.Ceil(s.mean / s.PerEngine))
+	s.peaks = append(s.peaks, peak{now, total})
+	for len(s.peaks) > 1 && now-s.peaks[0].at > s.Calm {
+		s.peaks = s.peaks[1:]
+	}
+	for _, p := range s.peaks {
+		total = max(total, p.total)
+	}
+	if now-s.seen < s.Settle {
+		return nil
+	}
+	wanted := map[string]int{}
+	for i, z := range zones {
+		n := total / len(zones)
+		if i < total%len(zones) {
+			n++
+		}
+		wanted[z] = min(max(n, b.Min, 1), max(b.Max, 1))
+	}
+	return wanted
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -246,19 +246,40 @@
 
 // The fleet's times. What adds up to a promise is checked by a test.
 const (
-	NodeSilence  = 3                      // beats that may be missed, and a half, before an engine is held for crashed
-	NodeSweep    = 500 * time.Millisecond // between two looks for silent engines
-	NodeAsk      = 400 * time.Millisecond // one member's answer in a ballot
-	NodeSettle   = 900 * time.Millisecond // a call of the operator; a second is what it waits
-	NodePass     = 450 * time.Millisecond // before a call that is passed on goes to the next keeper
-	NodeSpread   = 1200 * time.Millisecond
-	NodeFront    = 2300 * time.Millisecond // the platform's entry asks once a second and needs two misses
-	NodeLeast    = 500 * time.Millisecond  // kept of grace_period_s for the end itself
-	NodeCatchUp  = 2 * time.Second         // between two looks whether another keeper has come further
-	NodeFounding = 150 * time.Millisecond  // between two tries to found the core
-	NodeStable   = 500 * time.Millisecond  // no further keeper has come for so long
+	NodeSilence   = 3                      // beats that may be missed, and a half, before an engine is held for crashed
+	NodeSweep     = 500 * time.Millisecond // between two looks for silent engines
+	NodeAsk       = 400 * time.Millisecond // one member's answer in a ballot
+	NodeSettle    = 900 * time.Millisecond // a call of the operator; a second is what it waits
+	NodePass      = 450 * time.Millisecond // before a call that is passed on goes to the next keeper
+	NodeSpread    = 1200 * time.Millisecond
+	NodeFront     = 2300 * time.Millisecond // the platform's entry asks once a second and needs two misses
+	NodeLeast     = 500 * time.Millisecond  // kept of grace_period_s for the end itself
+	NodeCatchUp   = 2 * time.Second         // between two looks whether another keeper has come further
+	NodeReport    = time.Second             // between two reports of a router to the keepers
+	NodeDuty      = 500 * time.Millisecond
+	NodeScale     = time.Second
+	NodeUsageKept = 20 * time.Second // a router sends its counts of windows so long ago still
+	// The holder stops so long before a member would let another in, for timers that fire late; and begins no call that could
+	// arrive after that.
+	NodeLeaseMargin = 300 * time.Millisecond
+	NodeLeaseCall   = 300 * time.Millisecond
+	NodeFounding    = 150 * time.Millisecond // between two tries to found the core
+	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
 )
 
 // DrainGrace is how long a known session may still go to an engine that drains: what is left of the platform's time is for
 // the news to reach every router, and for a request to reach its engine.
 func DrainGrace(drain time.Duration) time.Duration { return drain / 4 }
+
+// Scale says how engines are counted. docs/design/scaling.md has what each figure costs.
+type Scale struct {
+	PerEngine float64       // requests running at an engine that are wanted
+	Settle    time.Duration // traffic that must have been seen before anything is ordered
+	Calm      time.Duration // a lower number must have been enough for so long
+	Smooth    time.Duration // time constant of the mean
+}
+
+// Scaling are the fleet's figures.
+func Scaling() Scale {
+	return Scale{PerEngine: 4, Settle: 3 * time.Second, Calm: 5 * time.Second, Smooth: 2 * time.Second}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,6 +16,9 @@
 	callFetch                     // the newest configuration, where it is newer than a place
 	callReplace                   // the operator's, passed on
 	callDescribe                  // likewise
+	callReport                    // a router's counts and loads: duty.Report
+	callBook                      // what a keeper has heard of these, from a window on
+	callRenew                     // the holder asks for more time: its fence and its member
 )
 
 func encodeAsk(a *ballot.Ask) []byte {
--- /dev/null
+++ b/internal/node/duties.go
@@ -0,0 +1,380 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"notchhinge/internal/boot"
+	"notchhinge/internal/broker"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/duty"
+	"notchhinge/internal/control/form"
+	"notchhinge/internal/control/platform"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/limits"
+)
+
+// counter counts what a router owes word of: which requests began, by tenant and window.
+type counter struct {
+	length time.Duration
+	source uint64 // this life
+	zone   string
+
+	mu    sync.Mutex
+	tally duty.Tally
+}
+
+// began counts a request.
+func (c *counter) began(tenant string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tally.Add(duty.Window(time.Now(), c.length), tenant, 1)
+}
+
+// reports tells keepers what this router has counted, and how much it has at engines, until the context is over.
+func (n *Node) reports(ctx context.Context, c *counter) {
+	tick := time.NewTicker(limits.NodeReport)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		n.report(ctx, c)
+	}
+}
+
+// report makes one report to every keeper.
+func (n *Node) report(ctx context.Context, c *counter) {
+	p := duty.Report{Source: c.source, Zone: c.zone}
+	counted := make(chan broker.Counted, 1)
+	n.data.loop.Post(broker.Audit{Of: counted})
+	select {
+	case x := <-counted:
+		for _, s := range x.Pools {
+			p.Loads = append(p.Loads, duty.Load{Service: s.Name, Running: uint64(s.Open) * 100, Arrived: uint64(s.Taken)})
+		}
+	case <-ctx.Done():
+		return
+	}
+	c.mu.Lock()
+	c.tally.Forget(duty.Window(time.Now().Add(-limits.NodeUsageKept), c.length))
+	p.Tally = c.tally
+	text := p.Encode()
+	c.mu.Unlock()
+	for _, k := range n.news.keepers() {
+		go func() {
+			one, cancel := context.WithTimeout(context.Background(), limits.NodePass)
+			defer cancel()
+			n.net.Call(one, k.Addr, callReport, text)
+		}()
+	}
+}
+
+// duties does, at a keeper, what one router at a time must do.
+type duties struct {
+	k      *keeper
+	log    *slog.Logger
+	cfg    *boot.Settings
+	cloud  *platform.Client
+	clock  func() time.Duration // steady
+	others func() []netip.AddrPort
+	list   func(service string) []roster.Engine
+	config func() *declared.Config
+
+	mu     sync.Mutex
+	book   duty.Book
+	grants duty.Grants
+
+	held    duty.Held
+	sent    map[uint64]bool // windows that this life has reported
+	scalers map[string]*duty.Scaler
+	before  map[string]duty.Load // of the last look
+	looked  time.Duration
+	ordered map[string]int // by service and zone, as the platform last took it
+	rank    time.Duration
+}
+
+func newDuties(n *Node) *duties {
+	lease := time.Duration(n.cfg.Bounds.LeaseMS) * time.Millisecond
+	d := &duties{
+		k: n.keeper, log: n.log, cfg: n.cfg, cloud: platform.New(n.cfg.Cloud.Address, n.cfg.Node), clock: n.news.clock,
+		others: n.keeper.others, list: n.news.list, config: n.config, sent: map[uint64]bool{}, scalers: map[string]*duty.Scaler{},
+		before: map[string]duty.Load{}, ordered: map[string]int{},
+		held: duty.Held{Lease: lease, Margin: limits.NodeLeaseMargin},
+		rank: time.Duration(n.keeper.self.ID%1000) * time.Millisecond,
+	}
+	d.grants = duty.Grants{Lease: lease, Started: d.clock(), Fresh: n.keeper.at().Holder == 0}
+	n.keeper.mu.Lock()
+	n.keeper.acc.Bars = d.bars
+	n.keeper.mu.Unlock()
+	return d
+}
+
+// bars keeps a new holder from being voted for while another's lease may run.
+func (d *duties) bars(value []byte) bool {
+	e, err := chain.Decode(value)
+	if err != nil || e.Kind != chain.Holder {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.grants.Bars(d.clock(), e.Node)
+}
+
+// renew does callRenew: the holder asks for more time.
+func (d *duties) renew(place, node uint64) bool {
+	s := d.k.at()
+	if s.HolderPlace != place || s.Holder != node || s.Member(d.k.self.ID) == nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.grants.Grant(d.clock(), node)
+	return true
+}
+
+// run does the duties until the context is over.
+func (d *duties) run(ctx context.Context) {
+	tick := time.NewTicker(limits.NodeDuty)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := d.k.at()
+		if s.Next == 0 || s.Member(d.k.self.ID) == nil {
+			continue
+		}
+		now := d.clock()
+		if s.Holder != d.k.self.ID {
+			d.stand(ctx, &s, now)
+			continue
+		}
+		d.extend(ctx, &s, now)
+		if d.left() > 0 {
+			if d.cfg.Cloud.Has("usage_reporting") {
+				d.usage(ctx)
+			}
+			if d.cfg.Cloud.Has("autoscaler") {
+				d.scale(ctx)
+			}
+		}
+	}
+}
+
+// left is how long calls may still be made: what is on its way must arrive before another may act.
+func (d *duties) left() time.Duration { return d.held.Left(d.clock()) - limits.NodeLeaseCall }
+
+// stand has this keeper agreed as the holder, if there is none any more.
+func (d *duties) stand(ctx context.Context, s *chain.State, now time.Duration) {
+	d.mu.Lock()
+	silent := d.grants.Silent(now)
+	barred := d.grants.Bars(now, d.k.self.ID)
+	d.mu.Unlock()
+	if barred || s.Holder != 0 && silent < d.grants.Lease+d.rank {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	place := s.HolderPlace
+	value := (&chain.Entry{Kind: chain.Holder, Nonce: rand.Uint64(), Node: d.k.self.ID, Name: d.k.self.Name}).Encode()
+	d.k.propose(ctx, func(s *chain.State) []byte {
+		if s.HolderPlace != place || s.Holder == d.k.self.ID {
+			return nil
+		}
+		return value
+	})
+	if s := d.k.at(); s.Holder == d.k.self.ID {
+		d.log.Info("holds the duties", "fence", s.HolderPlace)
+	}
+}
+
+// extend asks the members for more time.
+func (d *duties) extend(ctx context.Context, s *chain.State, asked time.Duration) {
+	w := form.Writer{}
+	w.Uint(s.HolderPlace)
+	w.Word(d.k.self.ID)
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
+	defer cancel()
+	granted := make(chan bool, len(s.Members))
+	for _, m := range s.Members {
+		go func() {
+			if m.ID == d.k.self.ID {
+				granted <- d.renew(s.HolderPlace, m.ID)
+				return
+			}
+			to, err := netip.ParseAddrPort(m.Addr)
+			if err != nil {
+				granted <- false
+				return
+			}
+			b, err := d.k.call(ctx, to, callRenew, w.B)
+			granted <- err == nil && len(b) == 1 && b[0] == 1
+		}()
+	}
+	good := 0
+	for range s.Members {
+		if <-granted {
+			if good++; good == ballot.Majority(len(s.Members)) {
+				d.held.Extended(asked)
+				return
+			}
+		}
+	}
+}
+
+// gather takes in what other keepers have heard of the windows from a number on.
+func (d *duties) gather(ctx context.Context, from uint64) {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, to := range d.others() {
+		wait.Go(func() {
+			b, err := d.k.call(ctx, to, callBook, encodePlace(from, nil))
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if err := d.book.Merge(d.clock(), b); err != nil {
+				d.log.Warn("a keeper's book cannot be read", "from", to.String(), "err", err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// usage has the figures of windows that are over agreed, and sends them until the platform has taken them.
+func (d *duties) usage(ctx context.Context) {
+	length := time.Duration(d.cfg.Bounds.UsageWindowS * float64(time.Second))
+	delay := time.Duration(d.cfg.Bounds.UsageDelayS * float64(time.Second))
+	now := time.Now()
+	newest := duty.Window(now.Add(-delay*3/10), length) // over for a while: what was counted last has come
+	oldest := duty.Window(now.Add(-delay-length), length)
+	for number := oldest; number < newest; number++ {
+		if d.sent[number] {
+			continue
+		}
+		s := d.k.at()
+		w := s.Agreed(number)
+		if w == nil {
+			d.gather(ctx, oldest)
+			d.mu.Lock()
+			counts := duty.Counts(d.book.Sum(number))
+			d.mu.Unlock()
+			if len(counts) == 0 {
+				continue // nothing began in it, as far as anybody knows
+			}
+			one, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+			value := (&chain.Entry{Kind: chain.Usage, Nonce: rand.Uint64(), Window: number, Counts: counts}).Encode()
+			err := d.k.propose(one, func(s *chain.State) []byte {
+				if w = s.Agreed(number); w != nil || s.Holder != d.k.self.ID {
+					return nil
+				}
+				return value
+			})
+			cancel()
+			if err != nil || w == nil {
+				return
+			}
+			s = d.k.at()
+		}
+		counts := map[string]uint64{}
+		for _, c := range w.Counts {
+			counts[c.Tenant] = c.N
+		}
+		if s.Holder != d.k.self.ID || d.left() <= 0 {
+			return
+		}
+		one, cancel := context.WithTimeout(ctx, d.left())
+		err := d.cloud.Usage(one, s.HolderPlace, number, counts)
+		cancel()
+		if err != nil {
+			d.log.Warn("usage not reported yet", "window", number, "err", err)
+			return
+		}
+		d.sent[number] = true
+		for k := range d.sent {
+			if k+100 < number {
+				delete(d.sent, k)
+			}
+		}
+	}
+	d.mu.Lock()
+	d.book.Forget(d.clock(), duty.Window(now.Add(-3*delay), length))
+	d.mu.Unlock()
+}
+
+// scale orders engines.
+func (d *duties) scale(ctx context.Context) {
+	now := d.clock()
+	if now-d.looked < limits.NodeScale {
+		return
+	}
+	c := d.config()
+	if c == nil {
+		return
+	}
+	d.mu.Lock()
+	loads := d.book.Loads(now)
+	d.mu.Unlock()
+	lapse := (now - d.looked).Seconds()
+	d.looked = now
+	for i := range c.Services {
+		svc := &c.Services[i]
+		if svc.Scale == nil {
+			continue
+		}
+		load, before := loads[svc.Name], d.before[svc.Name]
+		d.before[svc.Name] = load
+		have := map[string]int{}
+		for _, e := range d.list(svc.Name) {
+			if have[e.Zone] += 0; e.State == roster.Ready {
+				have[e.Zone]++
+			}
+		}
+		var zones []string
+		for z := range have {
+			zones = append(zones, z)
+		}
+		slices.Sort(zones)
+		sc := d.scalers[svc.Name]
+		if sc == nil {
+			sc = &duty.Scaler{Scale: limits.Scaling()}
+			d.scalers[svc.Name] = sc
+		}
+		demand := duty.Demand{Running: float64(load.Running) / 100, Arrived: max(float64(load.Arrived)-float64(before.Arrived), 0) / lapse}
+		wanted := sc.Want(now, demand, duty.Bounds{Min: svc.Scale.Min, Max: svc.Scale.Max, Boot: declared.Millis(svc.Scale.BootS * 1000)}, zones)
+		for _, z := range zones {
+			key := svc.Name + "/" + z
+			last, known := d.ordered[key]
+			if n, ok := wanted[z]; !ok || known && n == last || !known && n == have[z] {
+				continue
+			}
+			s := d.k.at()
+			if s.Holder != d.k.self.ID || d.left() <= 0 {
+				return
+			}
+			one, cancel := context.WithTimeout(ctx, d.left())
+			err := d.cloud.Scale(one, s.HolderPlace, svc.Name, z, wanted[z])
+			cancel()
+			if err != nil {
+				d.log.Warn("engines not ordered yet", "service", svc.Name, "zone", z, "err", err)
+				continue
+			}
+			d.ordered[key] = wanted[z]
+			d.log.Info("engines ordered", "service", svc.Name, "zone", z, "count", wanted[z], "running", int(demand.Running))
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,8 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/duty"
+	"notchhinge/internal/control/form"
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/peer"
 	"notchhinge/internal/control/roster"
@@ -37,6 +39,8 @@
 	news   *news
 	keeper *keeper // nil where there is no disk
 	data   *data   // nil where no traffic is carried
+	duties *duties // nil where there is no disk
+	conf   atomic.Pointer[declared.Config]
 	began  time.Time
 
 	holding  sync.Mutex    // one configuration is taken over at a time
@@ -108,6 +112,9 @@
 	return nil
 }
 
+// config is the newest configuration that is held here; nil = none yet.
+func (n *Node) config() *declared.Config { return n.conf.Load() }
+
 // seeds are where others may be found at their own ports: on all machines these are alike.
 func (n *Node) seeds() (all []netip.AddrPort) {
 	for _, s := range n.cfg.Seeds {
@@ -121,7 +128,6 @@
 // serve runs the parts.
 func (n *Node) serve(ctx context.Context, path string, sig Signals) error {
 	failed := make(chan error, 4)
-	go n.net.Serve(ctx)
 	if n.cfg.Listeners.Frontend != "" {
 		lim := limits.NewNode(limits.Node{
 			Machine:   limits.Machine{Cores: n.cfg.Limits.Cores, MemoryMB: n.cfg.Limits.MemoryMB, Sockets: n.cfg.Limits.Files},
@@ -131,6 +137,11 @@
 		n.data = newData(n.log, lim, limits.DrainGrace(drain), rand.Uint64(), n.news.list)
 		n.news.engines = n.data.engines
 		go n.data.run(ctx)
+		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone}
+		n.data.dialect.Began = c.began
+		if n.cfg.Cloud.Address != "" {
+			go n.reports(ctx, c)
+		}
 	}
 	go n.fetch(ctx)
 	if n.keeper != nil {
@@ -138,7 +149,12 @@
 		s := n.keeper.at()
 		n.changed(&s)
 		go n.keeper.tend(ctx)
+		if n.cfg.Cloud.Address != "" {
+			n.duties = newDuties(n)
+			go n.duties.run(ctx)
+		}
 	}
+	go n.net.Serve(ctx)
 	go n.news.run(ctx, n.seeds())
 	go n.start(ctx)
 	if addr := n.cfg.Listeners.Control; addr != "" {
@@ -251,16 +267,15 @@
 	if place <= n.place.Load() {
 		return
 	}
-	if n.data != nil {
-		c, _, err := declared.Decode(text)
-		if err == nil {
-			err = n.data.apply(place, c)
-		}
-		if err != nil {
-			n.log.Error("configuration not taken over", "place", place, "err", err)
-			return
-		}
+	c, _, err := declared.Decode(text)
+	if err == nil && n.data != nil {
+		err = n.data.apply(place, c)
 	}
+	if err != nil {
+		n.log.Error("configuration not taken over", "place", place, "err", err)
+		return
+	}
+	n.conf.Store(c)
 	n.text.Store(&fetched{place, text})
 	n.place.Store(place)
 	for w := n.wanted.Load(); w < place && !n.wanted.CompareAndSwap(w, place); w = n.wanted.Load() {
@@ -401,6 +416,37 @@
 		r := k.get(ctx)
 		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
 	}
+	if d := n.duties; d != nil {
+		switch kind {
+		case callReport:
+			p, err := duty.DecodeReport(body)
+			if err != nil {
+				return nil, err
+			}
+			d.mu.Lock()
+			d.book.Take(d.clock(), p, true)
+			d.mu.Unlock()
+			return nil, nil
+		case callBook:
+			window, _, err := decodePlace(body)
+			if err != nil {
+				return nil, err
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return d.book.Encode(window), nil
+		case callRenew:
+			r := form.Reader{B: body}
+			place, node := r.Uint(), r.Word()
+			if err := r.End(); err != nil {
+				return nil, err
+			}
+			if d.renew(place, node) {
+				return []byte{1}, nil
+			}
+			return []byte{0}, nil
+		}
+	}
 	return nil, fmt.Errorf("call %d is not known here", kind)
 }
 
