Duties: a member grants its lease to one at a time; tests of the pure parts

Cause: read again, a member that has not learnt of a new holder yet would have extended the old one's lease although it had granted the new one's: grants were not exclusive. Ask refuses now while another's may run; the property test lets everybody who was ever voted in go on asking.

--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -276,9 +276,14 @@
 	return !g.Fresh && !g.granted && now < g.Started+g.Lease
 }
 
-// Grant extends the lease of the holder that is agreed.
-func (g *Grants) Grant(now time.Duration, holder uint64) {
+// Ask extends the lease of who asks, unless another's may run. Two who both hold themselves for the holder (one has not
+// heard yet that another was agreed) can't both have a majority of grants: each member gives its own to one at a time.
+func (g *Grants) Ask(now time.Duration, holder uint64) bool {
+	if g.Bars(now, holder) {
+		return false
+	}
 	g.holder, g.at, g.granted = holder, now, true
+	return true
 }
 
 // Silent tells how long no holder has asked.
--- /dev/null
+++ b/internal/control/duty/duty_test.go
@@ -0,0 +1,170 @@
+package duty
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"notchhinge/internal/control/form"
+	"notchhinge/internal/limits"
+)
+
+const sec = time.Second
+
+func TestWindows(t *testing.T) {
+	at := time.Unix(1_000_004, 999_999_999)
+	if n := Window(at, 5*sec); n != 200_000 || !End(n, 5*sec).Equal(time.Unix(1_000_005, 0)) {
+		t.Errorf("window %d ends at %v", n, End(n, 5*sec))
+	}
+}
+
+// TestBooksMergeInAnyOrder: reports may be lost, late, repeated and passed on between keepers; the sum is that of the newest.
+func TestBooksMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		books := [2]Book{}
+		want := map[string]uint64{}
+		routers := [3]Tally{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			r := rapid.IntRange(0, 2).Draw(t, "router")
+			tenant := rapid.SampledFrom([]string{"k", "l"}).Draw(t, "tenant")
+			routers[r].Add(9, tenant, 1)
+			want[tenant]++
+			if rapid.Bool().Draw(t, "told") {
+				p := Report{Source: uint64(r + 1), Tally: routers[r]}
+				got, err := DecodeReport(p.Encode())
+				if err != nil {
+					t.Fatal(err)
+				}
+				books[rapid.IntRange(0, 1).Draw(t, "to")].Take(sec, got, true)
+			}
+		}
+		for r := range routers { // the last word of each reaches one
+			p := Report{Source: uint64(r + 1), Tally: routers[r]}
+			books[r%2].Take(sec, &p, true)
+		}
+		if err := books[0].Merge(sec, books[1].Encode(0)); err != nil {
+			t.Fatal(err)
+		}
+		if err := books[0].Merge(sec, books[1].Encode(0)); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, books[0].Sum(9)); diff != "" {
+			t.Fatalf("(-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestOneHolderAtATime plays members with leases and candidates: whoever counts on its lease, no other may be voted in by a
+// majority, whatever the members' starts.
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const lease = 3 * sec
+		now := time.Minute
+		members := make([]Grants, 3)
+		for i := range members {
+			members[i] = Grants{Lease: lease, Fresh: true}
+		}
+		held := map[uint64]*Held{}
+		var ever []uint64 // whoever was voted in; each may believe that it still is
+		for range rapid.IntRange(5, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
+			node := uint64(rapid.IntRange(1, 3).Draw(t, "node"))
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0: // a member starts again and has forgotten what it granted
+				members[node-1] = Grants{Lease: lease, Started: now}
+			case 1: // somebody stands
+				votes := 0
+				for i := range members {
+					if rapid.Bool().Draw(t, "reached") && !members[i].Bars(now, node) {
+						votes++
+					}
+				}
+				if votes >= 2 {
+					ever = append(ever, node)
+				}
+			default: // one who was voted in asks for more
+				if len(ever) == 0 {
+					continue
+				}
+				node = ever[rapid.IntRange(0, len(ever)-1).Draw(t, "who")]
+				granted := 0
+				for i := range members {
+					if rapid.Bool().Draw(t, "reached") && members[i].Ask(now, node) {
+						granted++
+					}
+				}
+				if granted < 2 {
+					continue
+				}
+				if held[node] == nil {
+					held[node] = &Held{Lease: lease, Margin: 300 * time.Millisecond}
+				}
+				held[node].Extended(now)
+				for id, h := range held {
+					if id != node && h.Left(now) > 0 {
+						t.Fatalf("%d holds while %d holds for %v", node, id, h.Left(now))
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestScaler(t *testing.T) {
+	f := limits.Scale{PerEngine: 4, Settle: 3 * sec, Calm: 5 * sec, Smooth: sec}
+	zones := []string{"a", "b", "c"}
+	b := Bounds{Min: 2, Max: 10}
+	s := Scaler{Scale: f}
+	sum := func(w map[string]int) (n int) {
+		for _, k := range w {
+			n += k
+		}
+		return n
+	}
+	if w := s.Want(sec, Demand{}, b, zones); w != nil {
+		t.Errorf("before any traffic %v is ordered", w)
+	}
+	now := 10 * sec
+	step := func(d time.Duration, running float64) (w map[string]int) {
+		for end := now + d; now < end; now += 500 * time.Millisecond {
+			w = s.Want(now, Demand{Running: running, Arrived: running}, b, zones)
+		}
+		return w
+	}
+	if w := step(2*sec, 60); w != nil {
+		t.Errorf("after 2 s of traffic %v is ordered", w)
+	}
+	if w := step(8*sec, 60); sum(w) != 15 {
+		t.Errorf("60 running: %v", w)
+	}
+	if w := step(3*sec, 100); sum(w) < 24 {
+		t.Errorf("a burst to 100: %v after 3 s", w)
+	}
+	if w := step(4*sec, 20); sum(w) < 24 {
+		t.Errorf("down at once: %v", w)
+	}
+	if w := step(12*sec, 1); sum(w) != 6 {
+		t.Errorf("never under the least: %v", w)
+	}
+	if w := step(12*sec, 1000); sum(w) != 30 {
+		t.Errorf("never over the most: %v", w)
+	}
+}
+
+func FuzzReport(f *testing.F) {
+	p := Report{Source: 1, Zone: "z", Loads: []Load{{"s", 1, 2, 3}}}
+	p.Tally.Add(5, "k", 2)
+	f.Add(p.Encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if p, err := DecodeReport(b); err == nil {
+			if _, err := DecodeReport(p.Encode()); err != nil {
+				t.Error(err)
+			}
+		}
+		r := form.Reader{B: b}
+		DecodeTally(&r)
+		(&Book{}).Merge(0, b)
+	})
+}
--- /dev/null
+++ b/internal/control/store/store_test.go
@@ -0,0 +1,132 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+)
+
+func open(t *testing.T, dir string, fresh Identity) (*Store, *Kept) {
+	t.Helper()
+	s, k, err := Open(dir, fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, k
+}
+
+// life writes a scripted life and returns what must be there after each write.
+func life(t *testing.T, s *Store, after func(n int, state chain.State, vote ballot.Vote)) {
+	t.Helper()
+	state := chain.State{}
+	vote := ballot.Vote{}
+	n := 0
+	for place := range uint64(80) {
+		e := &chain.Entry{Kind: chain.Usage, Nonce: place, Window: place, Counts: []chain.Count{{Tenant: "k", N: place}}}
+		if place == 0 {
+			e = &chain.Entry{Kind: chain.Members, Members: []chain.Member{{ID: 7, Name: "a", Addr: "x"}}}
+		}
+		vote = ballot.Vote{Place: place, Promised: ballot.Number{Round: place + 1, Node: 3}}
+		for _, accepted := range []bool{false, true} {
+			if accepted {
+				vote.Accepted, vote.Value = vote.Promised, e.Encode()
+			}
+			if err := s.Vote(vote); err != nil {
+				t.Fatal(err)
+			}
+			after(n, state, vote)
+			n++
+		}
+		state.Apply(e.Encode())
+		if err := s.Chose(e.Encode(), &state); err != nil {
+			t.Fatal(err)
+		}
+		after(n, state, vote)
+		n++
+	}
+}
+
+func TestWhatWasWrittenIsThere(t *testing.T) {
+	dir := t.TempDir()
+	s, k := open(t, dir, Identity{ID: 7, Founder: true})
+	if k.ID != 7 || !k.Founder || k.State.Next != 0 {
+		t.Fatalf("%+v", k)
+	}
+	var state chain.State
+	var vote ballot.Vote
+	life(t, s, func(_ int, st chain.State, v ballot.Vote) { state, vote = st, v })
+	if _, ok := s.Place(3); ok {
+		t.Error("places that are in the state are still kept")
+	}
+	if v, ok := s.Place(79); !ok || len(v) == 0 {
+		t.Error("the last place is not kept")
+	}
+	s.Close()
+	s, k = open(t, dir, Identity{ID: 99})
+	defer s.Close()
+	if diff := cmp.Diff(&Kept{Identity{7, true}, state, vote}, k); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// TestStoppedAnywhere copies the folder after each write of a life, as a process that is killed there leaves it, and looks
+// what a start finds: no less than what was written.
+func TestStoppedAnywhere(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir, Identity{ID: 7})
+	defer s.Close()
+	life(t, s, func(n int, state chain.State, vote ballot.Vote) {
+		if n%7 != 0 {
+			return // every write is alike; these meet all kinds, and the state's rewriting
+		}
+		at := t.TempDir()
+		copyDir(t, filepath.Join(dir, "state"), filepath.Join(at, "state"))
+		c, k, err := Open(at, Identity{ID: 99})
+		if err != nil {
+			t.Fatalf("write %d: %v", n, err)
+		}
+		defer c.Close()
+		if k.ID != 7 || !cmp.Equal(k.State, state) || !cmp.Equal(k.Vote, vote) {
+			t.Errorf("write %d: next place %d, vote %+v; want %d, %+v", n, k.State.Next, k.Vote, state.Next, vote)
+		}
+	})
+}
+
+func TestTornTail(t *testing.T) {
+	// What a power loss leaves of a write that was not synced: half of it, at the journal's end.
+	dir := t.TempDir()
+	s, _ := open(t, dir, Identity{ID: 7})
+	for round := range uint64(5) {
+		if err := s.Vote(ballot.Vote{Place: 1, Promised: ballot.Number{Round: round + 1}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	logs, _ := filepath.Glob(filepath.Join(dir, "state", "*.log"))
+	if len(logs) != 1 {
+		t.Fatal(logs)
+	}
+	f, err := os.OpenFile(logs[0], os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Write([]byte{1, 2, 3, 4, 200, 0, 1, 9, 9, 9})
+	f.Close()
+	s, k := open(t, dir, Identity{ID: 99})
+	defer s.Close()
+	if k.ID != 7 || k.Vote.Promised.Round != 5 {
+		t.Errorf("%+v", k)
+	}
+}
+
+func copyDir(t *testing.T, from, to string) {
+	t.Helper()
+	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -138,8 +138,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.grants.Grant(d.clock(), node)
-	return true
+	return d.grants.Ask(d.clock(), node)
 }
 
 // run does the duties until the context is over.
