--- a/internal/control/duty/scale.go
+++ b/internal/control/duty/scale.go
@@ -35,9 +35,10 @@
 }
 
 // Want takes what there is and returns the wanted numbers by zone, or nil as long as too little is known: before there is
-// traffic nobody can say what it needs, and engines that are not known yet are no reason to have fewer. zones lists the zones
-// in which the service runs, in their order.
-func (s *Scaler) Want(now time.Duration, d Demand, b Bounds, zones []string) map[string]int {
+// traffic nobody can say what it needs. In its first moments it may only want more than there is, since engines that are not
+// known yet are no reason to have fewer. zones lists the zones in which the service runs, in their order; have is how many
+// engines are ready in each.
+func (s *Scaler) Want(now time.Duration, d Demand, b Bounds, zones []string, have map[string]int) map[string]int {
 	if s.seen == 0 {
 		if d.Arrived <= 0 && d.Running <= 0 {
 			return nil
@@ -59,16 +60,17 @@
 	for _, p := range s.peaks {
 		total = max(total, p.total)
 	}
-	if now-s.seen < s.Settle {
-		return nil
-	}
 	wanted := map[string]int{}
 	for i, z := range zones {
 		n := total / len(zones)
 		if i < total%len(zones) {
 			n++
 		}
-		wanted[z] = min(max(n, b.Min, 1), max(b.Max, 1))
+		n = min(max(n, b.Min, 1), max(b.Max, 1))
+		if now-s.seen < s.Settle {
+			n = max(n, have[z])
+		}
+		wanted[z] = n
 	}
 	return wanted
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -354,7 +354,7 @@
 			d.scalers[svc.Name] = sc
 		}
 		demand := duty.Demand{Running: float64(load.Running) / 100, Arrived: max(float64(load.Arrived)-float64(before.Arrived), 0) / lapse}
-		wanted := sc.Want(now, demand, duty.Bounds{Min: svc.Scale.Min, Max: svc.Scale.Max, Boot: declared.Millis(svc.Scale.BootS * 1000)}, zones)
+		wanted := sc.Want(now, demand, duty.Bounds{Min: svc.Scale.Min, Max: svc.Scale.Max, Boot: declared.Millis(svc.Scale.BootS * 1000)}, zones, have)
 		for _, z := range zones {
 			key := svc.Name + "/" + z
 			last, known := d.ordered[key]
