Keeper: a disk that refused a write is opened anew; a wiped keeper is taken in again

One keeper's disk had been full for 5 s: goleveldb takes nothing after a write that failed, though there was room again; another had lost its disk and has no vote. So one of three was left.

Change: after a refused write the database is opened anew, a few times a second, and all that was chosen meanwhile is written before any vote; a keeper with another disk asks to be taken in, once it has caught up, by an agreed change of members in the place of its former self. Ruled out: ballots in each other's way (no higher number in the logs).

Found then: two who stood for the duties in turn kept each other from a lease (25 holders in 10 s): one that was agreed lately is given a lease's time. A wiped machine may have granted a lease before, and votes for no holder for one.

--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -27,6 +28,7 @@
 
 // Store is an open one. It is not safe for concurrent use.
 type Store struct {
+	path  string
 	db    *leveldb.DB
 	since int // places written since the state was
 	kept  uint64
@@ -67,23 +69,43 @@
 	if err := syncDir(dir); err != nil {
 		return nil, nil, fmt.Errorf("store: %w", err)
 	}
-	o := memory
-	db, err := leveldb.OpenFile(path, &o)
-	if lerrors.IsCorrupted(err) { // a manifest torn by a power loss; synced journals are read again
-		db, err = leveldb.RecoverFile(path, &o)
-	}
-	if err != nil {
-		return nil, nil, fmt.Errorf("store: %w", err)
+	s := &Store{path: path}
+	if err := s.open(); err != nil {
+		return nil, nil, err
 	}
-	s := &Store{db: db}
 	k, err := s.load(fresh)
 	if err != nil {
-		db.Close()
+		s.db.Close()
 		return nil, nil, err
 	}
 	return s, k, nil
 }
 
+func (s *Store) open() error {
+	o := memory
+	db, err := leveldb.OpenFile(s.path, &o)
+	if lerrors.IsCorrupted(err) { // a manifest torn by a power loss; synced journals are read again
+		db, err = leveldb.RecoverFile(s.path, &o)
+	}
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	s.db = db
+	return nil
+}
+
+// Reopen opens the database anew: once a write has failed it takes no more, though the disk may have room again. What was
+// written without an error is there; everything else must be written again.
+func (s *Store) Reopen() error {
+	if s.db != nil {
+		s.db.Close()
+		s.db = nil
+	}
+	return s.open()
+}
+
+var errShut = errors.New("store: it could not be opened again yet")
+
 func syncDir(dir string) error {
 	f, err := os.Open(dir)
 	if err != nil {
@@ -95,6 +117,9 @@
 
 // get reads a value; nil is none.
 func (s *Store) get(key []byte) ([]byte, error) {
+	if s.db == nil {
+		return nil, errShut
+	}
 	b, err := s.db.Get(key, nil)
 	if err == leveldb.ErrNotFound {
 		return nil, nil
@@ -162,6 +187,9 @@
 func place(n uint64) []byte { return binary.BigEndian.AppendUint64(append([]byte{}, keyPlace...), n) }
 
 func (s *Store) put(key, value []byte) error {
+	if s.db == nil {
+		return errShut
+	}
 	if err := s.db.Put(key, value, &opt.WriteOptions{Sync: true}); err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
@@ -206,6 +234,9 @@
 
 // Whole writes a state in place of all places in it.
 func (s *Store) Whole(state *chain.State) error {
+	if s.db == nil {
+		return errShut
+	}
 	b := new(leveldb.Batch)
 	b.Put(keyState, state.Encode())
 	it := s.db.NewIterator(util.BytesPrefix(keyPlace), nil)
@@ -233,4 +264,9 @@
 }
 
 // Close closes the store.
-func (s *Store) Close() error { return s.db.Close() }
+func (s *Store) Close() error {
+	if s.db == nil {
+		return nil
+	}
+	return s.db.Close()
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -263,6 +263,9 @@
 	// arrive after that.
 	NodeLeaseMargin = 300 * time.Millisecond
 	NodeLeaseCall   = 300 * time.Millisecond
+	NodeReopen      = 300 * time.Millisecond // between two tries to open a disk anew that has refused a write
+	NodeJoin        = 300 * time.Millisecond // between two tries to be taken in as a member
+	NodeMembers     = 9                      // keepers that vote, at the most
 	NodeFounding    = 150 * time.Millisecond // between two tries to found the core
 	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
 )
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -18,6 +18,7 @@
 	callDescribe                  // likewise
 	callReport                    // a router's counts and loads: duty.Report
 	callBook                      // what a keeper has heard of these, from a window on
+	callJoin                      // a keeper wants to be a member: identity
 	callRenew                     // the holder asks for more time: its fence and its member
 )
 
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -101,6 +101,8 @@
 	looked  time.Duration
 	ordered map[string]int // by service and zone, as the platform last took it
 	rank    time.Duration
+	fence   uint64        // the newest holder's, as far as it is known here
+	fenceAt time.Duration // when that was heard of
 }
 
 func newDuties(n *Node) *duties {
@@ -112,7 +114,8 @@
 		held: duty.Held{Lease: lease, Margin: limits.NodeLeaseMargin},
 		rank: time.Duration(n.keeper.self.ID%1000) * time.Millisecond,
 	}
-	d.grants = duty.Grants{Lease: lease, Started: d.clock(), Fresh: n.keeper.at().Holder == 0}
+	// A machine whose disk was wiped may have granted a lease before: only at the very first start there was none.
+	d.grants = duty.Grants{Lease: lease, Started: d.clock(), Fresh: n.keeper.founder && n.keeper.at().Next == 0}
 	n.keeper.mu.Lock()
 	n.keeper.acc.Bars = d.bars
 	n.keeper.mu.Unlock()
@@ -156,9 +159,14 @@
 			continue
 		}
 		now := d.clock()
+		if s.HolderPlace != d.fence {
+			d.fence, d.fenceAt = s.HolderPlace, now
+		}
 		if s.Holder != d.k.self.ID {
-			d.stand(ctx, &s, now)
-			continue
+			if s = d.stand(ctx, s, now); s.Holder != d.k.self.ID {
+				continue
+			}
+			now = d.clock()
 		}
 		d.extend(ctx, &s, now)
 		if d.left() > 0 {
@@ -175,14 +183,15 @@
 // left is how long calls may still be made: what is on its way must arrive before another may act.
 func (d *duties) left() time.Duration { return d.held.Left(d.clock()) - limits.NodeLeaseCall }
 
-// stand has this keeper agreed as the holder, if there is none any more.
-func (d *duties) stand(ctx context.Context, s *chain.State, now time.Duration) {
+// stand has this keeper agreed as the holder, if there is none any more, and returns the state after that. One that was
+// agreed lately is given a lease's time to ask for its own: else two who stand in turn would keep each other from it.
+func (d *duties) stand(ctx context.Context, s chain.State, now time.Duration) chain.State {
 	d.mu.Lock()
-	silent := d.grants.Silent(now)
+	silent := min(d.grants.Silent(now), now-d.fenceAt)
 	barred := d.grants.Bars(now, d.k.self.ID)
 	d.mu.Unlock()
 	if barred || s.Holder != 0 && silent < d.grants.Lease+d.rank {
-		return
+		return s
 	}
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 	defer cancel()
@@ -194,9 +203,11 @@
 		}
 		return value
 	})
-	if s := d.k.at(); s.Holder == d.k.self.ID {
+	s = d.k.at()
+	if s.Holder == d.k.self.ID {
 		d.log.Info("holds the duties", "fence", s.HolderPlace)
 	}
+	return s
 }
 
 // extend asks the members for more time.
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -35,7 +35,9 @@
 	disk  *store.Store
 	acc   ballot.Acceptor
 	state chain.State
-	dirty bool   // the vote, or the state, is not on the disk as it stands here
+	dirty bool // the vote is not on the disk as it stands here
+	shut  bool // a write has failed; the disk must be opened anew
+	tried time.Time
 	round uint64 // the highest seen
 	life  uint64 // of this process, among proposers
 
@@ -83,8 +85,7 @@
 	ans, write := k.acc.Handle(a)
 	if write || k.dirty && ans.Verdict == ballot.Granted {
 		k.dirty = true
-		if err := k.disk.Vote(k.acc.Vote); err != nil {
-			k.log.Error("the disk refuses a vote", "err", err)
+		if err := k.write(func() error { return k.disk.Vote(k.acc.Vote) }); err != nil {
 			return ballot.Answer{}, err
 		}
 		k.dirty = false
@@ -92,6 +93,38 @@
 	return ans, nil
 }
 
+var errDisk = errors.New("the disk does not take what is written")
+
+// write writes to the disk. After a write that failed the disk is opened anew, at most a few times a second, and all that
+// stands here is written to it first: what was chosen meanwhile, and the vote. The lock is held.
+func (k *keeper) write(f func() error) error {
+	if k.shut {
+		if time.Since(k.tried) < limits.NodeReopen {
+			return errDisk
+		}
+		k.tried = time.Now()
+		err := k.disk.Reopen()
+		if err == nil {
+			err = k.disk.Whole(&k.state)
+		}
+		if err == nil {
+			err = k.disk.Vote(k.acc.Vote)
+		}
+		if err != nil {
+			k.log.Error("the disk is still not usable", "err", err)
+			return errDisk
+		}
+		k.shut = false
+		k.log.Info("the disk is usable again", "next_place", k.state.Next)
+	}
+	if err := f(); err != nil {
+		k.shut, k.tried = true, time.Now()
+		k.log.Error("the disk refuses a write; this keeper has no vote until it is opened anew", "err", err)
+		return errDisk
+	}
+	return nil
+}
+
 // learn takes the value that was chosen for a place, if that is the next.
 func (k *keeper) learn(place uint64, value []byte) bool {
 	k.mu.Lock()
@@ -101,12 +134,8 @@
 	}
 	k.state.Apply(value)
 	k.follow()
-	if err := k.disk.Chose(value, &k.state); err != nil {
-		k.log.Error("the disk refuses what was chosen", "place", place, "err", err)
-		if err := k.disk.Whole(&k.state); err != nil {
-			k.log.Error("the disk refuses the state", "err", err)
-		}
-	}
+	// Should this fail, it is chosen all the same, and is written with the next write that does not.
+	k.write(func() error { return k.disk.Chose(value, &k.state) })
 	s := k.state
 	k.changed(&s)
 	return true
@@ -119,8 +148,7 @@
 	if s.Next <= k.state.Next {
 		return false
 	}
-	if err := k.disk.Whole(s); err != nil {
-		k.log.Error("the disk refuses the state", "err", err)
+	if k.write(func() error { return k.disk.Whole(s) }) != nil {
 		return false
 	}
 	k.state = *s
@@ -188,7 +216,11 @@
 		for _, m := range s.Members {
 			r.Members = append(r.Members, m.ID)
 		}
-		k.attempt(ctx, r, s.Members, try) // next sees in the state what has come of it
+		out := k.attempt(ctx, r, s.Members, try) // next sees in the state what has come of it
+		if ctx.Err() != nil {
+			k.log.Warn("a place is not settled in time", "place", r.Place, "tries", try+1, "outcome", int(out), "number", r.Number.Round,
+				"higher", r.Higher.Round, "accepting", r.Accepting(), "behind", len(r.BehindAt))
+		}
 	}
 	return errTime
 }
@@ -449,12 +481,19 @@
 			if k.at().Next == 0 {
 				wait = limits.NodeFounding
 			}
+			outside := false
+			if s := k.at(); s.Next > 0 && s.Member(k.self.ID) == nil {
+				outside, wait = true, limits.NodeJoin
+			}
 			pause(ctx, wait)
 			if all := k.others(); len(all) > 0 {
 				to := all[rand.IntN(len(all))]
 				if i, err := k.who(ctx, to); err == nil && i.next > k.at().Next {
 					k.catchUp(ctx, to)
 				}
+				if outside {
+					k.join(ctx, to)
+				}
 			}
 			continue
 		}
@@ -512,6 +551,40 @@
 	}
 }
 
+// join asks a keeper to have this one taken in as a member. What it was before, with another disk, it is no more.
+func (k *keeper) join(ctx context.Context, to netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	i := k.identity()
+	if _, err := k.call(ctx, to, callJoin, i.encode()); err != nil {
+		k.log.Info("not taken in as a member yet", "by", to.String(), "err", err)
+	}
+}
+
+var errBehind = errors.New("it has not caught up")
+
+// admit has a keeper taken in, in the place of the one of its name whose disk is gone, or as a further one. Who asks has
+// caught up, so that a majority does not come to depend on who knows nothing.
+func (k *keeper) admit(ctx context.Context, i identity) error {
+	if s := k.at(); s.Member(k.self.ID) == nil || i.next < s.Next {
+		return errBehind
+	}
+	return k.propose(ctx, func(s *chain.State) []byte {
+		if s.Member(i.ID) != nil || i.ID == 0 || len(s.Members) > limits.NodeMembers {
+			return nil
+		}
+		e := &chain.Entry{Kind: chain.Members, Nonce: rand.Uint64(), Members: slices.Clone(s.Members)}
+		at := slices.IndexFunc(e.Members, func(m chain.Member) bool { return m.Name == i.Name })
+		if at >= 0 {
+			e.Members[at] = i.Member
+		} else {
+			e.Members = append(e.Members, i.Member)
+		}
+		k.log.Info("taking a member in", "name", i.Name, "member", fmt.Sprintf("%016x", i.ID), "instead_of_its_former_disk", at >= 0)
+		return e.Encode()
+	})
+}
+
 // who asks a keeper who it is.
 func (k *keeper) who(ctx context.Context, to netip.AddrPort) (identity, error) {
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -401,6 +401,14 @@
 	case callIdentity:
 		i := k.identity()
 		return i.encode(), nil
+	case callJoin:
+		i, err := decodeIdentity(body)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+		defer cancel()
+		return nil, k.admit(ctx, i)
 	case callReplace:
 		on, text, err := decodePlace(body)
 		if err != nil {
@@ -473,6 +481,15 @@
 
 // Replace implements api.Handler.
 func (n *Node) Replace(ctx context.Context, on uint64, text []byte) api.Result {
+	began := time.Now()
+	r := n.settle(ctx, on, text)
+	n.log.Info("configuration call", "on", on, "bytes", len(text), "status", r.Status, "says", r.Says, "revision", r.Rev,
+		"took", time.Since(began).Round(time.Millisecond).String())
+	return r
+}
+
+// settle has a configuration settled here, or by a keeper.
+func (n *Node) settle(ctx context.Context, on uint64, text []byte) api.Result {
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 	defer cancel()
 	if n.keeper != nil {
