A budget for sending again that all routers share, each with its part

Need: BUDGET of the control sites. share.Repeats: a sliding window, half of the ratio of a router's own requests and a fortieth of what is allowed beyond; the sum cannot be exceeded whoever is cut off. A leg after one that never reached a host is no repeat.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -48,6 +48,7 @@
 	bound    *leg
 	over     bool  // has its final answer, or the acquirer left
 	gone     bool  // the acquirer left
+	arrived  bool  // a leg of it has reached a host
 	mayRun   bool  // a leg has ended otherwise than by never having run
 	running  int32 // legs that have not been told to the module as ended
 	journey  *trace.Journey
@@ -229,6 +230,9 @@
 	}
 	p.counts.Taken++
 	p.held++
+	if p.repeats != nil {
+		p.repeats.Saw(b.now)
+	}
 	b.lastID++
 	a := &auth{id: b.lastID, pool: p, from: e.From, deadline: min(e.At, b.now) + e.Request.ExpiresIn, attempts: p.attempts}
 	if e.Attempts > 0 {
@@ -351,6 +355,7 @@
 func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, report policy.Report) {
 	p := a.pool
 	a.running--
+	a.arrived = a.arrived || r != policy.ConnectFailed && r != policy.Moot
 	a.mayRun = a.mayRun || r != policy.Full && r != policy.ConnectFailed && r != policy.Moot
 	p.counts.Outcomes[r]++
 	if b.journal != nil {
--- a/internal/broker/pool.go
+++ b/internal/broker/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"notchhinge/internal/pool"
+	"notchhinge/internal/share"
 	"notchhinge/internal/trace"
 	"notchhinge/policy"
 )
@@ -28,7 +29,8 @@
 	counts     Counters
 	held       int        // authorisations that are not forgotten
 	set        *trace.Set // for the journal
-	leaving    bool       // nothing more is routed to it; it goes with its last authorisation
+	repeats    *share.Repeats
+	leaving    bool // nothing more is routed to it; it goes with its last authorisation
 	gone       bool
 }
 
@@ -57,6 +59,9 @@
 		p.retryAfter = b.lim.SpareAnswer
 	}
 	p.set = &trace.Set{Pool: e.Name, Classes: e.Classes}
+	if e.Repeats != nil && (p.repeats == nil || *e.Repeats != *p.repeats) {
+		p.repeats = e.Repeats
+	}
 	b.places.Set(int(p.id), e.Places)
 }
 
@@ -283,6 +288,11 @@
 		b.endLater(a, l, policy.Full) // as if the box itself had turned it away
 		return
 	}
+	if p.repeats != nil && a.arrived && !p.repeats.Take(b.now) {
+		// It has been at a host already, and all routers together may not send so much again.
+		b.endLater(a, l, policy.Moot)
+		return
+	}
 	p.counts.Legs++
 	if until < a.deadline {
 		l.key = b.due.Add(until, due{auth: a, leg: l})
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -263,11 +263,14 @@
 	// arrive after that.
 	NodeLeaseMargin = 300 * time.Millisecond
 	NodeLeaseCall   = 300 * time.Millisecond
-	NodeReopen      = 300 * time.Millisecond // between two tries to open a disk anew that has refused a write
-	NodeJoin        = 300 * time.Millisecond // between two tries to be taken in as a member
-	NodeMembers     = 9                      // keepers that vote, at the most
-	NodeFounding    = 150 * time.Millisecond // between two tries to found the core
-	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
+	// What may be sent again beyond a share of all requests is split into so many parts. A router has one; those that start
+	// anew within a window have another, so that there are to be half as many routers at the most.
+	NodeRetryParts = 40
+	NodeReopen     = 300 * time.Millisecond // between two tries to open a disk anew that has refused a write
+	NodeJoin       = 300 * time.Millisecond // between two tries to be taken in as a member
+	NodeMembers    = 9                      // keepers that vote, at the most
+	NodeFounding   = 150 * time.Millisecond // between two tries to found the core
+	NodeStable     = 500 * time.Millisecond // no further keeper has come for so long
 )
 
 // DrainGrace is how long a known session may still go to an engine that drains: what is left of the platform's time is for
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -33,6 +33,7 @@
 	dialect *edge.Dialect
 	list    func(service string) []roster.Engine
 	seed    uint64
+	repeats share.Repeats // of each service; no Window = there is no such budget
 
 	at      atomic.Pointer[edge.Compiled]
 	mu      sync.Mutex // one change of configuration or engines at a time
@@ -167,9 +168,14 @@
 	d.modules[s.ID], d.classes[s.ID] = m, len(s.Classes)
 	d.issuer.Set(s.ID, issuer.Reports{}, share.Claim{})
 	d.front.Set(s.ID, share.Claim{}, share.Claim{})
-	d.loop.Post(broker.PoolSet{
+	e := broker.PoolSet{
 		Pool: s.ID, Name: s.Name, Module: m, WarmUp: warmUp, ColdFrom: coldFrom, Attempts: d.lim.Attempts, RetryAfter: d.lim.SpareAnswer,
-	})
+	}
+	if d.repeats.Window > 0 {
+		own := d.repeats
+		e.Repeats = &own
+	}
+	d.loop.Post(e)
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"notchhinge/internal/control/peer"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/share"
 )
 
 // Node is a process.
@@ -135,6 +136,11 @@
 		})
 		drain := time.Duration(n.cfg.Bounds.DrainMS) * time.Millisecond
 		n.data = newData(n.log, lim, limits.DrainGrace(drain), rand.Uint64(), n.news.list)
+		if b := n.cfg.Bounds; b.RetryWindowS > 0 {
+			n.data.repeats = share.Repeats{
+				Ratio: b.RetryRatio / 2, Window: time.Duration(b.RetryWindowS * float64(time.Second)), Extra: b.RetryExtra / limits.NodeRetryParts,
+			}
+		}
 		n.news.engines = n.data.engines
 		go n.data.run(ctx)
 		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone}
