--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -63,12 +63,16 @@
 	h Handler
 }
 
-// Serve answers calls at a listener until that is closed.
-func Serve(ln net.Listener, h Handler) error {
+// Server returns what answers calls; Serve has it do so at a listener.
+func Server(h Handler) *http.Server {
 	s := &server{h: h}
-	web := &http.Server{
+	return &http.Server{
 		Handler: s.mux(), ReadHeaderTimeout: headWait, ReadTimeout: headWait + bodyWait, IdleTimeout: idleWait, MaxHeaderBytes: 16 << 10,
 	}
+}
+
+// Serve answers calls at a listener until the server is closed.
+func Serve(web *http.Server, ln net.Listener) error {
 	err := web.Serve(netutil.LimitListener(ln, mostConns))
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/control/peer/peer.go
+++ b/internal/control/peer/peer.go
@@ -40,7 +40,8 @@
 
 	mu    sync.Mutex
 	idle  map[netip.AddrPort][]*kept
-	conns int
+	conns map[net.Conn]struct{} // from others
+	shut  bool
 }
 
 // kept is a connection that can be asked again.
@@ -63,7 +64,7 @@
 		ln.Close()
 		return nil, fmt.Errorf("peer: %w", err)
 	}
-	return &Net{udp: udp, ln: ln, handle: h, idle: map[netip.AddrPort][]*kept{}}, nil
+	return &Net{udp: udp, ln: ln, handle: h, idle: map[netip.AddrPort][]*kept{}, conns: map[net.Conn]struct{}{}}, nil
 }
 
 // Addr is where the sockets are.
@@ -81,6 +82,10 @@
 		}
 	}
 	clear(n.idle)
+	n.shut = true
+	for c := range n.conns {
+		c.Close()
+	}
 }
 
 // Send sends a datagram. It may get lost.
@@ -114,9 +119,9 @@
 			continue
 		}
 		n.mu.Lock()
-		full := n.conns >= mostConns
+		full := n.shut || len(n.conns) >= mostConns
 		if !full {
-			n.conns++
+			n.conns[c] = struct{}{}
 		}
 		n.mu.Unlock()
 		if full {
@@ -127,7 +132,7 @@
 			defer func() {
 				c.Close()
 				n.mu.Lock()
-				n.conns--
+				delete(n.conns, c)
 				n.mu.Unlock()
 			}()
 			n.answer(ctx, c)
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,274 @@
+package edge
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"notchhinge/internal/acquirer"
+	"notchhinge/internal/broker"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/issuer"
+	"notchhinge/internal/limits"
+	"notchhinge/internal/pool"
+	"notchhinge/policy"
+)
+
+func conf() *declared.Config {
+	return &declared.Config{
+		Revision: 3,
+		Services: []declared.Service{{Name: "s"}, {Name: "t"}},
+		Routes: []declared.Route{
+			{Name: "wide", Host: "a.example", Prefix: "/", Type: declared.Idempotent, Timeout: 2500, Target: 1000, Service: "t", Attempts: 3},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Type: declared.Streaming, Timeout: 12000, Target: 800, Affinity: true, Service: "s", Attempts: 2},
+			{Name: "open", Host: "a.example", Prefix: "/open/", Type: declared.NonIdempotent, Timeout: 1000, Public: true, Service: "t"},
+			{Name: "split", Host: "b.example", Prefix: "/", Type: declared.Idempotent, Timeout: 1000,
+				Split: []declared.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 3}}},
+		},
+		Tenants: []declared.Tenant{{Name: "k", Keys: []string{"one", "two"}}},
+	}
+}
+
+func compile(t *testing.T, c *declared.Config) *Compiled {
+	t.Helper()
+	next := pool.ID(1)
+	out, err := Compile(c, 4, nil, &next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func dialect(t *testing.T) *Dialect {
+	at := compile(t, conf())
+	n := uint64(0)
+	return &Dialect{Now: func() *Compiled { return at }, Salt: 9, Conversation: func() uint64 { n += 0x9e3779b97f4a7c15; return n }}
+}
+
+func ask(t *testing.T, text string) *http.Request {
+	t.Helper()
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(strings.ReplaceAll(text, "\n", "\r\n") + "\r\n\r\n")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestLead(t *testing.T) {
+	d := dialect(t)
+	for text, want := range map[string]string{
+		"POST /x/y/2 HTTP/1.1\nHost: a.example\nX-Credential: one":                           "s",
+		"POST /x/y/ HTTP/1.1\nHost: A.example:80\nX-Credential: two":                         "s",
+		"POST /x/y HTTP/1.1\nHost: a.example\nX-Credential: one":                             "t", // the prefix does not begin it
+		"POST /x/yy/2 HTTP/1.1\nHost: a.example\nX-Credential: one":                          "t",
+		"GET /x/y/2?q=/open/ HTTP/1.1\nHost: a.example\nX-Credential: one":                   "s",
+		"GET /open/1 HTTP/1.1\nHost: a.example":                                              "t",
+		"GET /open/1 HTTP/1.1\nHost: a.example\nX-Credential: none":                          "t",
+		"GET /1 HTTP/1.1\nHost: a.example":                                                   "401",
+		"GET /1 HTTP/1.1\nHost: a.example\nX-Credential: none":                               "401",
+		"GET /1 HTTP/1.1\nHost: a.example\nX-Credential: one\nX-Credential: one":             "401",
+		"GET /1 HTTP/1.1\nHost: c.example\nX-Credential: one":                                "404",
+		"GET /1 HTTP/1.1\nHost: a.example\nX-Credential: one\nX-Deadline-Remaining-Ms: soon": "400",
+	} {
+		w, no := d.Lead(ask(t, text))
+		got := ""
+		switch {
+		case no != nil:
+			got = map[int]string{400: "400", 401: "401", 404: "404"}[no.Status]
+		case w.Pool != nil:
+			got = w.Pool.Name
+		}
+		if got != want {
+			t.Errorf("%q: %q, %q is wanted", text, got, want)
+		}
+	}
+	none := &Dialect{Now: func() *Compiled { return nil }}
+	if _, no := none.Lead(ask(t, "GET / HTTP/1.1\nHost: a.example")); no == nil || no.Status != 503 || no.Retry == 0 {
+		t.Errorf("without a configuration: %+v", no)
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	d, n := dialect(t), map[string]int{}
+	for range 4000 {
+		w, no := d.Lead(ask(t, "GET /1 HTTP/1.1\nHost: b.example\nX-Credential: one"))
+		if no != nil {
+			t.Fatal(no)
+		}
+		n[w.Pool.Name]++
+	}
+	if n["s"] < 800 || n["s"] > 1200 {
+		t.Errorf("%v", n)
+	}
+}
+
+func TestWhatAnEngineIsShown(t *testing.T) {
+	d := dialect(t)
+	req := ask(t, "POST /x/y/2?q=1 HTTP/1.1\nHost: a.example\nX-Credential: one\nX-Tenant: forged\nX-Expect-Instance: forged\n"+
+		"X-Request-Id: 9c\nX-Prompt-Prefix: 17\nConnection: x-hop, close\nX-Hop: 1\nKeep-Alive: timeout=3\nTE: trailers\n"+
+		"X-Deadline-Remaining-Ms: 5000\nX-Own: kept\nX-Own: twice\nContent-Length: 2")
+	w, no := d.Lead(req)
+	if no != nil {
+		t.Fatal(no)
+	}
+	m, no := d.Accept(req, &w, []byte("{}"))
+	if no != nil {
+		t.Fatal(no)
+	}
+	text := string(Legs{}.Head(&m.Order, &broker.SendLeg{Name: "i-1"}, 0, nil))
+	got, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]string{
+		"X-Tenant": "k", "X-Expect-Instance": "i-1", "X-Request-Id": "9c", "X-Prompt-Prefix": "17", "X-Own": "kept,twice",
+		"X-Credential": "", "X-Hop": "", "Keep-Alive": "", "Te": "", "Connection": "",
+	} {
+		if v := strings.Join(got.Header[name], ","); v != want {
+			t.Errorf("%s: %q, %q is wanted", name, v, want)
+		}
+	}
+	if got.RequestURI != "/x/y/2?q=1" || got.Host != "a.example" || got.ContentLength != 2 {
+		t.Errorf("%s %s %d", got.RequestURI, got.Host, got.ContentLength)
+	}
+	if ms := got.Header.Get("X-Deadline-Remaining-Ms"); ms > "5000" || ms < "4000" {
+		t.Errorf("%s ms are left of 5000", ms)
+	}
+	if m.Request.ExpiresIn > 3200*time.Millisecond || m.Attempts != 2 || m.Request.Session == 0 || m.Request.Prefix == 0 {
+		t.Errorf("%+v", m.Request)
+	}
+}
+
+func TestSessions(t *testing.T) {
+	accept := func(d *Dialect, text string) policy.Request {
+		req := ask(t, text)
+		w, no := d.Lead(req)
+		if no != nil {
+			t.Fatal(no)
+		}
+		m, no := d.Accept(req, &w, nil)
+		if no != nil {
+			t.Fatal(no)
+		}
+		return m.Request
+	}
+	base := "POST /x/y/2 HTTP/1.1\nHost: a.example\nX-Credential: one\nX-Prompt-Prefix: "
+	d, other := dialect(t), dialect(t)
+	other.Salt = 10
+	a := accept(d, base+"17")
+	if b := accept(d, base+"17"); a.Session != b.Session || a.Prefix != b.Prefix {
+		t.Error("one prefix, two sessions")
+	}
+	if b := accept(d, base+"18"); a.Session == b.Session || a.Prefix == b.Prefix {
+		t.Error("two prefixes, one session")
+	}
+	if b := accept(other, base+"17"); a.Session == b.Session || a.Prefix != b.Prefix {
+		t.Error("routers draw by themselves, and keep to the same engines of a prefix")
+	}
+	if b := accept(d, "POST /1 HTTP/1.1\nHost: a.example\nX-Credential: one\nX-Prompt-Prefix: 17"); b.Session != 0 {
+		t.Error("a route without affinity has a session")
+	}
+}
+
+func TestWhatAnAnswerPromises(t *testing.T) {
+	d := dialect(t)
+	kept := &acquirer.Kept{Result: policy.Error}
+	for _, c := range []struct {
+		why    broker.Verdict
+		mayRun bool
+		kept   *acquirer.Kept
+		want   int // 0 = what was kept
+	}{
+		{broker.Refused, false, nil, 503}, {broker.Failed, false, nil, 503}, {broker.Refused, true, nil, 502}, {broker.Failed, true, nil, 504},
+		{broker.Failed, true, kept, 0}, {broker.Refused, true, kept, 0}, {broker.Refused, false, kept, 503},
+	} {
+		no, instead := d.Close(&acquirer.Message{}, c.why, 0, c.mayRun, c.kept)
+		switch {
+		case c.want == 0 && instead != kept, c.want != 0 && (no == nil || no.Status != c.want):
+			t.Errorf("%+v: %+v, %+v", c, no, instead)
+		case c.want == 503 && no.Retry == 0:
+			t.Errorf("%+v: nobody is told when to come back", c)
+		}
+	}
+}
+
+func TestJudge(t *testing.T) {
+	answer := func(status int, headers ...string) *http.Response {
+		r := &http.Response{StatusCode: status, Header: http.Header{}}
+		for i := 0; i < len(headers); i += 2 {
+			r.Header.Set(headers[i], headers[i+1])
+		}
+		return r
+	}
+	for _, c := range []struct {
+		r    *http.Response
+		want policy.Result
+	}{
+		{answer(200), policy.OK}, {answer(404), policy.OK}, {answer(500), policy.Error}, {answer(503), policy.Error},
+		{answer(429), policy.Error}, {answer(503, "X-Not-Executed", "1"), policy.Full}, {answer(429, "X-Not-Executed", "1"), policy.Full},
+		{answer(421), policy.ConnectFailed}, {answer(400, "X-Not-Executed", "1"), policy.OK}, {answer(504), policy.Error},
+	} {
+		if got := (Legs{}).Judge(c.r); got != c.want {
+			t.Errorf("%d %v: %v, %v is wanted", c.r.StatusCode, c.r.Header, got, c.want)
+		}
+	}
+	for value, want := range map[string]time.Duration{"timeout=10": 9400 * time.Millisecond, "timeout=10, max=3": 9400 * time.Millisecond, "": 300 * time.Millisecond, "timeout=x": 300 * time.Millisecond} {
+		if got := (Legs{}).Idle(answer(200, "Keep-Alive", value)); got != want {
+			t.Errorf("%q: %v", value, got)
+		}
+	}
+}
+
+func TestAnswerHeadsGoBackAsTheyCame(t *testing.T) {
+	d := dialect(t)
+	resp := &http.Response{StatusCode: 200, Status: "200 OK", ContentLength: 5, Header: http.Header{
+		"X-Response-Seal": {"3e1b.07"}, "Connection": {"close, x-odd"}, "X-Odd": {"1"}, "Keep-Alive": {"timeout=3"}, "Set-Cookie": {"a", "b"},
+	}}
+	r := d.Head(&acquirer.Message{Order: issuer.Order{Method: "POST"}}, resp)
+	head := string(r.Head)
+	if !strings.HasPrefix(head, "HTTP/1.1 200 OK\r\n") || !strings.Contains(head, "X-Response-Seal: 3e1b.07\r\n") ||
+		strings.Count(head, "Set-Cookie") != 2 || strings.Contains(head, "X-Odd") || strings.Contains(head, "Connection") ||
+		strings.Contains(head, "Keep-Alive") || r.Length != 5 || r.Bare {
+		t.Errorf("%q, %d", head, r.Length)
+	}
+	if r := d.Head(&acquirer.Message{Order: issuer.Order{Method: "HEAD"}}, resp); !r.Bare {
+		t.Error("an answer to HEAD has a body")
+	}
+}
+
+func TestServicesOutliveConfigurations(t *testing.T) {
+	next := pool.ID(1)
+	first, err := Compile(conf(), 1, nil, &next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := conf()
+	c.Revision = 9
+	c.Routes[1].Target = 700 // another class of s
+	c.Services = append(c.Services, declared.Service{Name: "u"})
+	second, err := Compile(c, 2, first.Services(), &next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, was := second.Services()["s"], first.Services()["s"]
+	if s.ID != was.ID || len(s.Classes) != len(was.Classes)+1 || second.Services()["u"].ID != 3 {
+		t.Errorf("%+v, %+v", s, was)
+	}
+	for i, k := range was.Classes {
+		if s.Classes[i] != k {
+			t.Error("a class has changed its number")
+		}
+	}
+}
+
+// TestDrainFits: a known session may go on for the grace; the news takes its time to every router, and a request its time to an
+// engine. All of it is within what the platform allows after the acknowledgement.
+func TestDrainFits(t *testing.T) {
+	const drain = 3 * time.Second
+	connect := 500 * time.Millisecond
+	if sum := limits.DrainGrace(drain) + limits.NodeSpread + connect; sum > drain {
+		t.Errorf("%v of %v", sum, drain)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,14 @@
 	if err := n.open(ctx); err != nil {
 		return err
 	}
-	defer n.net.Close()
+	defer func() {
+		n.net.Close()
+		if k := n.keeper; k != nil {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.disk.Close()
+		}
+	}()
 	return n.serve(ctx, path, sig)
 }
 
@@ -168,8 +175,9 @@
 		if err != nil {
 			return err
 		}
-		defer ln.Close()
-		go func() { failed <- api.Serve(ln, n) }()
+		web := api.Server(n)
+		defer web.Close()
+		go func() { failed <- api.Serve(web, ln) }()
 	}
 	var front net.Listener
 	if n.data != nil {
@@ -179,6 +187,7 @@
 		}
 		defer ready.Close()
 		web := &http.Server{Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 10 * time.Second}
+		defer web.Close()
 		go func() { failed <- web.Serve(ready) }()
 		if front, err = net.Listen("tcp4", n.cfg.Listeners.Frontend); err != nil {
 			return err
@@ -551,6 +560,12 @@
 		Engines  int    `json:"engines"`
 		Items    int    `json:"items"`
 		Revision uint64 `json:"revision"`
+		Keeper   bool   `json:"keeper"`
+		Chain    uint64 `json:"chain"`   // places that a keeper knows
+		Votes    bool   `json:"votes"`   // the keeper is a member
+		Members  int    `json:"members"` // of the core, as the keeper knows them
+		Holder   string `json:"holder"`  // of the duties
+		Fence    uint64 `json:"fence"`
 	}
 	s := status{Node: n.cfg.Node, Zone: n.cfg.Zone, Ready: n.unready(), Place: n.place.Load(), Wanted: n.wanted.Load()}
 	if s.Ready == "" {
@@ -561,6 +576,11 @@
 			s.Revision = at.Revision
 		}
 	}
+	if n.keeper != nil {
+		st := n.keeper.at()
+		s.Keeper, s.Chain, s.Votes, s.Members = true, st.Next, st.Member(n.keeper.self.ID) != nil, len(st.Members)
+		s.Holder, s.Fence = st.HolderName, st.HolderPlace
+	}
 	n.news.mu.Lock()
 	defer n.news.mu.Unlock()
 	s.Peers, s.Keepers = len(n.news.gossip.Peers()), len(n.news.gossip.Keepers())
