--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -255,7 +255,7 @@
 	NodeFront     = 2300 * time.Millisecond // the platform's entry asks once a second and needs two misses
 	NodeLeast     = 500 * time.Millisecond  // kept of grace_period_s for the end itself
 	NodeCatchUp   = 2 * time.Second         // between two looks whether another keeper has come further
-	NodeReport    = time.Second             // between two reports of a router to the keepers
+	NodeReport    = 500 * time.Millisecond  // between two reports of a router to the keepers
 	NodeDuty      = 500 * time.Millisecond
 	NodeScale     = time.Second
 	NodeUsageKept = 20 * time.Second // a router sends its counts of windows so long ago still
