Tests of settings, calls and frames; a proposer that counts its rounds anew is found out

The three broken rules (a vote after a wipe, an answer before the sync, rounds counted anew) are found by the walk that finds nothing otherwise.

--- /dev/null
+++ b/internal/control/api/api_test.go
@@ -0,0 +1,119 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"notchhinge/internal/control/declared"
+)
+
+// handler notes what it was asked.
+type handler struct {
+	beats []Beat
+	offs  []string
+	on    uint64
+	text  []byte
+	fail  error
+}
+
+func (h *handler) Beat(_ context.Context, b *Beat) error {
+	h.beats = append(h.beats, *b)
+	return h.fail
+}
+func (h *handler) SignOff(_ context.Context, id string) error {
+	h.offs = append(h.offs, id)
+	return h.fail
+}
+func (h *handler) Replace(_ context.Context, on uint64, text []byte) Result {
+	h.on, h.text = on, text
+	if on == 7 {
+		return Result{Status: 412, Says: "version 9 is current"}
+	}
+	return Result{Status: 200, Rev: 3}
+}
+func (h *handler) Describe(context.Context) Result {
+	return Result{Status: 200, Rev: 3, Body: []byte{0xa0}}
+}
+func (h *handler) Status() any { return map[string]int{"x": 1} }
+
+func marshal(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func beat(change string, to any) map[string]any {
+	b := map[string]any{"target_service": "s", "address": "10.0.0.1:80", "zone": "z", "revision": "v1", "capacity_slots": 4,
+		"status": "ready", "warmup_remaining_ms": 12.5, "call_count": 4, "later_field": "x"}
+	if change != "" {
+		b[change] = to
+	}
+	return b
+}
+
+func TestCalls(t *testing.T) {
+	h := &handler{}
+	do := func(method, path string, body []byte, header ...string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(method, path, bytes.NewReader(body))
+		for i := 0; i+1 < len(header); i += 2 {
+			r.Header.Set(header[i], header[i+1])
+		}
+		w := httptest.NewRecorder()
+		Handle(h).ServeHTTP(w, r)
+		return w
+	}
+	for _, c := range []struct {
+		name, method, path string
+		body               []byte
+		header             []string
+		want               int
+	}{
+		{"a beat", "POST", "/Instances.Heartbeat/i-1", marshal(t, beat("", nil)), nil, 200},
+		{"draining", "POST", "/Instances.Heartbeat/i-1", marshal(t, beat("status", "draining")), nil, 200},
+		{"another status", "POST", "/Instances.Heartbeat/i-1", marshal(t, beat("status", "tired")), nil, 400},
+		{"no address", "POST", "/Instances.Heartbeat/i-1", marshal(t, beat("address", "here")), nil, 400},
+		{"no service", "POST", "/Instances.Heartbeat/i-1", marshal(t, beat("target_service", "")), nil, 400},
+		{"a count that is none", "POST", "/Instances.Heartbeat/i-1", marshal(t, beat("call_count", -1)), nil, 400},
+		{"no CBOR", "POST", "/Instances.Heartbeat/i-1", []byte("{}"), nil, 400},
+		{"too large", "POST", "/Instances.Heartbeat/i-1", make([]byte, mostBeat+1), nil, 413},
+		{"a long id", "POST", "/Instances.Heartbeat/" + strings.Repeat("i", 201), marshal(t, beat("", nil)), nil, 400},
+		{"no id", "POST", "/Instances.Heartbeat/", marshal(t, beat("", nil)), nil, 404},
+		{"another method", "GET", "/Instances.Heartbeat/i-1", nil, nil, 405},
+		{"signing off", "POST", "/Instances.Deregister/i-1", nil, nil, 200},
+		{"a configuration", "POST", "/Configuration.Replace", []byte{0xa0}, []string{"X-Revision-Match", "5"}, 200},
+		{"a lost race", "POST", "/Configuration.Replace", []byte{0xa0}, []string{"X-Revision-Match", "7"}, 412},
+		{"upon nothing", "POST", "/Configuration.Replace", []byte{0xa0}, nil, 400},
+		{"upon no number", "POST", "/Configuration.Replace", []byte{0xa0}, []string{"X-Revision-Match", "-1"}, 400},
+		{"far too large", "POST", "/Configuration.Replace", make([]byte, declared.MostBytes+1), []string{"X-Revision-Match", "5"}, 413},
+		{"read back", "GET", "/Configuration.Describe", nil, nil, 200},
+		{"status", "GET", "/fleet/status", nil, nil, 200},
+		{"another path", "GET", "/none", nil, nil, 404},
+	} {
+		if w := do(c.method, c.path, c.body, c.header...); w.Code != c.want {
+			t.Errorf("%s: %d, %d is wanted: %s", c.name, w.Code, c.want, w.Body)
+		}
+	}
+	if len(h.beats) != 2 || h.beats[0].ID != "i-1" || h.beats[0].Slots != 4 || h.beats[0].ColdMS != 12.5 || h.beats[1].Status != "draining" {
+		t.Errorf("%+v", h.beats)
+	}
+	if len(h.offs) != 1 || h.on != 7 {
+		t.Errorf("%v, on %d", h.offs, h.on)
+	}
+	if w := do("GET", "/Configuration.Describe", nil); !bytes.Equal(w.Body.Bytes(), []byte{0xa0}) || w.Header().Get("X-Revision") != "3" {
+		t.Errorf("%v %v", w.Body.Bytes(), w.Header())
+	}
+	h.fail = errors.New("not now")
+	if w := do("POST", "/Instances.Heartbeat/i-1", marshal(t, beat("", nil))); w.Code != http.StatusServiceUnavailable || w.Body.Len() > 4096 {
+		t.Errorf("%d", w.Code)
+	}
+}
--- a/internal/control/ballot/ballot_test.go
+++ b/internal/control/ballot/ballot_test.go
@@ -17,6 +17,7 @@
 	next     uint64                     // rounds' numbers
 	forgets  bool                       // a crash loses the disk, and the member votes on: must be found out
 	skipDisk bool                       // answers leave before the vote is on the disk: likewise
+	again    bool                       // a proposer that restarts counts its rounds anew: likewise
 }
 
 type member struct {
@@ -69,8 +70,12 @@
 
 func (w *world) begin(place uint64) {
 	w.next++
+	number := Number{Round: 1 + w.next/2, Node: w.next}
+	if w.again {
+		number = Number{Round: 1 + w.next/2, Node: 1}
+	}
 	a := &attempt{Round: Round{
-		Place: place, Number: Number{Round: 1 + w.next/2, Node: w.next}, Need: Majority(len(w.members)),
+		Place: place, Number: number, Need: Majority(len(w.members)),
 		Own: []byte(fmt.Sprintf("v%d", w.next)),
 	}}
 	for _, m := range w.members {
@@ -181,11 +186,10 @@
 
 // explore plays every order of deliveries and of a crash for two proposers and three members, without repeats, as far as
 // a bound on the steps allows, and returns the first life in which two values were chosen.
-func explore(forgets, skipDisk bool, crashes, most int) (found string, lives int) {
+func explore(crashes, most int) (found string, lives int) {
 	type step struct{ kind, i int }
 	play := func(path []step) *world {
 		w := newWorld(3)
-		w.forgets, w.skipDisk = forgets, skipDisk
 		w.begin(0)
 		for _, s := range path {
 			switch s.kind {
@@ -258,21 +262,25 @@
 func TestBrokenRulesAreFound(t *testing.T) {
 	// A check that can't fail checks nothing: a member that votes on after its disk was wiped, or that answers before its
 	// vote is on the disk, must be found out by the very walk that finds nothing otherwise.
-	for name, c := range map[string]struct{ forgets, skipDisk bool }{"votes after a wipe": {true, false}, "answers before the sync": {false, true}} {
-		if found, lives := deep(c.forgets, c.skipDisk, 4000); found == "" {
+	for name, breaks := range map[string]func(*world){
+		"votes after a wipe":      func(w *world) { w.forgets = true },
+		"answers before the sync": func(w *world) { w.skipDisk = true },
+		"counts its rounds anew":  func(w *world) { w.again = true },
+	} {
+		if found, lives := deep(breaks, 20000); found == "" {
 			t.Errorf("%s: not found in %d lives", name, lives)
 		}
 	}
-	if found, lives := deep(false, false, 4000); found != "" {
+	if found, lives := deep(func(*world) {}, 4000); found != "" {
 		t.Errorf("%s after %d lives", found, lives)
 	}
 }
 
 // deep plays random lives with a seed each, so that the verdict is the same every time.
-func deep(forgets, skipDisk bool, lives int) (string, int) {
+func deep(breaks func(*world), lives int) (string, int) {
 	for seed := range lives {
 		w := newWorld(3)
-		w.forgets, w.skipDisk = forgets, skipDisk
+		breaks(w)
 		x := uint64(seed)*0x9e3779b97f4a7c15 + 1
 		draw := func(n int) int {
 			x ^= x << 13
@@ -299,7 +307,7 @@
 }
 
 func TestEveryOrder(t *testing.T) {
-	if found, lives := explore(false, false, 1, 9); found != "" || lives < 1000 {
+	if found, lives := explore(1, 9); found != "" || lives < 1000 {
 		t.Errorf("%q after %d lives", found, lives)
 	}
 }
