--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -32,6 +32,7 @@
 	Routes      routesCmd   `cmd:"" help:"Say how requests are led to services."`
 	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
 	Node        nodeCmd     `cmd:"" help:"Run a process of the fleet, as the file says that NOTCHHINGE_BOOT names."`
+	State       stateCmd    `cmd:"" help:"Look at, back up and restore the state on a keeper's disk."`
 	Version     version     `cmd:"" help:"Print the version."`
 
 	LogFormat string `help:"Form of the log: ${enum}." enum:"text,json" default:"text"`
@@ -186,10 +187,20 @@
 	return nil
 }
 
-type nodeCmd struct{}
+type nodeCmd struct {
+	Check bool `help:"Check the settings, say everything that is wrong with them, and end."`
+}
 
 // Run runs a process of the fleet until SIGTERM; SIGHUP has its settings read again.
-func (nodeCmd) Run(c *cli) error {
+func (n nodeCmd) Run(c *cli) error {
+	if n.Check {
+		s, err := boot.Load(os.Getenv(boot.Variable))
+		if err != nil {
+			return badConfig{err}
+		}
+		fmt.Printf("%s on %s in %s: keeper %v, traffic %v\n", s.Node, s.IP, s.Zone, s.Keeper(), s.Listeners.Frontend != "")
+		return nil
+	}
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"testing"
@@ -130,3 +131,37 @@
 		t.Fatal(err)
 	}
 }
+
+func TestBackup(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir, Identity{ID: 7})
+	var state chain.State
+	life(t, s, func(_ int, st chain.State, _ ballot.Vote) { state = st })
+	s.Close()
+	b := Export(&state)
+	got, err := ReadBackup(b)
+	if err != nil || !cmp.Equal(got, &state) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for name, bad := range map[string][]byte{
+		"nothing": nil, "half": b[:len(b)/2], "another form": append([]byte("nhstat2\n"), b[8:]...),
+		"a flipped bit": append(append([]byte{}, b[:len(b)-1]...), b[len(b)-1]^1),
+	} {
+		if _, err := ReadBackup(bad); !errors.Is(err, ErrBackup) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	self := chain.Member{ID: 99, Name: "a", Addr: "10.0.0.1:1"}
+	if err := Import(dir, got, self); !errors.Is(err, ErrUsed) {
+		t.Errorf("over a state that is there: %v", err)
+	}
+	fresh := t.TempDir()
+	if err := Import(fresh, got, self); err != nil {
+		t.Fatal(err)
+	}
+	s, k := open(t, fresh, Identity{ID: 5})
+	defer s.Close()
+	if k.ID != 99 || k.State.Next != state.Next || len(k.State.Members) != 1 || k.State.Member(99) == nil {
+		t.Errorf("%+v", k)
+	}
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -19,6 +19,9 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/store"
 )
 
 // A fleet on loopback: real nodes in this process, engines, a platform and an operator of our own. Nothing waits for a fixed
@@ -545,3 +548,39 @@
 		t.Error(code)
 	}
 }
+
+func TestMajorityOfDisksLost(t *testing.T) {
+	// The one disk that is left is backed up, and a core is founded anew from it; the others come back empty and are taken in.
+	f := newTestFleet(t, 1, 3)
+	if code := put(t, f.keepers[0].ctl, 0, config(2, "k")); code != 200 {
+		t.Fatal(code)
+	}
+	for _, m := range f.keepers {
+		m.end()
+	}
+	first := f.keepers[0]
+	s, kept, err := store.Open(first.cfg["data_directory"].(string), store.Identity{ID: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	if err := os.RemoveAll(first.cfg["data_directory"].(string)); err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("%v:%d", first.cfg["ip_address"], first.cfg["internal_port_range"].([]int)[0])
+	if err := store.Import(first.cfg["data_directory"].(string), &kept.State, chain.Member{ID: 77, Name: "n0", Addr: addr}); err != nil {
+		t.Fatal(err)
+	}
+	first.again(false)
+	f.keepers[1].again(true)
+	f.keepers[2].again(true)
+	for _, m := range f.keepers {
+		until(t, "three members", func() bool {
+			_, b := call(t, "GET", m.ctl, "/fleet/status", nil, nil)
+			return bytes.Contains(b, []byte(`"votes":true,"members":3`))
+		})
+	}
+	if code := put(t, f.edges[0].ctl, 2, config(5, "k")); code != 200 {
+		t.Errorf("the next configuration: %d", code)
+	}
+}
