--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -241,3 +241,30 @@
 		n.Reduce(time.Minute, Tick{})
 	})
 }
+
+// BenchmarkIdle plays a second of a fleet in which nothing happens, and tells what a node sends and takes for it.
+func BenchmarkIdle(b *testing.B) {
+	for _, size := range []int{14, 200} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFleet(size, 2)
+			f.pass(10 * time.Second)
+			packets := f.packets
+			var before, after uint64
+			for _, n := range f.nodes {
+				before += n.SentBytes
+			}
+			seconds := 0
+			for b.Loop() {
+				f.pass(time.Second)
+				seconds++
+			}
+			for _, n := range f.nodes {
+				after += n.SentBytes
+			}
+			per := float64(seconds * size)
+			b.ReportMetric(float64(after-before)/per, "bytes/node-s")
+			b.ReportMetric(float64(f.packets-packets)/per, "packets/node-s")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/per, "ns/node-s")
+		})
+	}
+}
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -407,10 +407,11 @@
 func (c *Client) plain(ctx context.Context, ln *line, resp *http.Response, l *leg, e broker.SendLeg, to Customer,
 	end *broker.LegEnded) bool {
 	ln.SetReadDeadline(time.Now().Add(c.Lim.AnswerWait))
-	buf := make([]byte, c.Lim.EventBytes)
+	size := int64(2 * c.Lim.ReadBuffer) // of one that does not tell its length
 	if resp.ContentLength >= 0 {
-		buf = make([]byte, min(resp.ContentLength+1, int64(c.Lim.EventBytes)))
+		size = min(resp.ContentLength+1, int64(c.Lim.EventBytes))
 	}
+	buf := make([]byte, size)
 	n, err := io.ReadFull(resp.Body, buf)
 	switch {
 	case err == nil:
