--- a/internal/control/chain/chain.go
+++ b/internal/control/chain/chain.go
@@ -75,11 +75,7 @@
 		w.String(e.Name)
 	case Usage:
 		w.Uint(e.Window)
-		w.Uint(uint64(len(e.Counts)))
-		for _, c := range e.Counts {
-			w.String(c.Tenant)
-			w.Uint(c.N)
-		}
+		writeCounts(&w, e.Counts)
 	}
 	return w.B
 }
@@ -100,6 +96,21 @@
 	return all
 }
 
+func writeCounts(w *form.Writer, all []Count) {
+	w.Uint(uint64(len(all)))
+	for _, c := range all {
+		w.String(c.Tenant)
+		w.Uint(c.N)
+	}
+}
+
+func readCounts(r *form.Reader) (all []Count) {
+	for range r.Count(mostCounts, 2) {
+		all = append(all, Count{r.String(mostName), r.Uint()})
+	}
+	return all
+}
+
 // ErrVersion is a text of another version of the format, or of a kind that is not known.
 var ErrVersion = errors.New("chain: another version of the format")
 
@@ -120,10 +131,7 @@
 	case Holder:
 		e.Node, e.Name = r.Word(), r.String(mostName)
 	case Usage:
-		e.Window = r.Uint()
-		for range r.Count(mostCounts, 2) {
-			e.Counts = append(e.Counts, Count{r.String(mostName), r.Uint()})
-		}
+		e.Window, e.Counts = r.Uint(), readCounts(&r)
 	default:
 		return nil, ErrVersion
 	}
@@ -245,11 +253,7 @@
 	w.Uint(uint64(len(s.Windows)))
 	for _, x := range s.Windows {
 		w.Uint(x.Number)
-		w.Uint(uint64(len(x.Counts)))
-		for _, c := range x.Counts {
-			w.String(c.Tenant)
-			w.Uint(c.N)
-		}
+		writeCounts(&w, x.Counts)
 	}
 	return w.B
 }
@@ -274,11 +278,7 @@
 	}
 	s.Holder, s.HolderName, s.HolderPlace = r.Word(), r.String(mostName), r.Uint()
 	for range r.Count(keptWindows, 2) {
-		x := Window{Number: r.Uint()}
-		for range r.Count(mostCounts, 2) {
-			x.Counts = append(x.Counts, Count{r.String(mostName), r.Uint()})
-		}
-		s.Windows = append(s.Windows, x)
+		s.Windows = append(s.Windows, Window{Number: r.Uint(), Counts: readCounts(&r)})
 	}
 	return s, r.End()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -203,12 +202,6 @@
 	Began func(tenant string)
 	// Conversation spreads requests over a split; it is asked for each request.
 	Conversation func() uint64
-	// KeepAlive is told to clients: how long a connection may idle.
-	KeepAlive time.Duration
-	// Lag is what a client's wait is shortened by, for the way back to it.
-	Lag time.Duration
-
-	Refused atomic.Uint64 // by this dialect
 }
 
 var _ acquirer.Dialect = (*Dialect)(nil)
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -58,7 +58,7 @@
 	d.issuer = issuer.New(issuer.Config{
 		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Dialect: edge.Legs{},
 	})
-	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64, KeepAlive: lim.IdleWait}
+	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64}
 	d.front = acquirer.New(acquirer.Options{
 		Lim: lim, Dialect: d.dialect, Routes: func() *service.Directory { return nil }, Post: d.loop.Post, Now: d.loop.Now,
 		Ready: func() bool { return true },
