Command line: fleet status, config check and describe

A table or JSON of what processes know; a configuration checked without a fleet, every fault at once, exit 2; the newest shown without keys.

--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -32,6 +32,8 @@
 	Routes      routesCmd   `cmd:"" help:"Say how requests are led to services."`
 	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
 	Node        nodeCmd     `cmd:"" help:"Run a process of the fleet, as the file says that NOTCHHINGE_BOOT names."`
+	Fleet       fleetCmd    `cmd:"" help:"Ask processes of the fleet how they are."`
+	Config      configCmd   `cmd:"" help:"Check and show configurations of the fleet."`
 	State       stateCmd    `cmd:"" help:"Look at, back up and restore the state on a keeper's disk."`
 	Version     version     `cmd:"" help:"Print the version."`
 
--- a/cmd/notchhinge/state_test.go
+++ b/cmd/notchhinge/state_test.go
@@ -1,13 +1,19 @@
 package main
 
 import (
+	"bytes"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"notchhinge/internal/boot"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/store"
@@ -79,3 +85,44 @@
 		t.Errorf("without settings: %d %s", code, out)
 	}
 }
+
+func TestFleetAndConfigCommands(t *testing.T) {
+	conf, err := cbor.Marshal(map[string]any{
+		"revision": 3, "services": []any{map[string]any{"name": "s"}}, "tenants": []any{map[string]any{"name": "k", "api_keys": []any{"secret"}}},
+		"routes": []any{map[string]any{"name": "r", "hostname": "h", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": 5, "target_service": "s"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/fleet/status":
+			io.WriteString(w, `{"node":"edge-1","ready":"yes","revision":3}`)
+		case "/Configuration.Describe":
+			w.Write(conf)
+		}
+	}))
+	defer web.Close()
+	at := strings.TrimPrefix(web.URL, "http://")
+	good, bad := filepath.Join(t.TempDir(), "good"), filepath.Join(t.TempDir(), "bad")
+	if err := errors.Join(os.WriteFile(good, conf, 0o600), os.WriteFile(bad, bytes.Replace(conf, []byte("idempotent"), []byte("idempotant"), 1), 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"fleet", "status", "--control", at}, 0, "edge-1"},
+		{[]string{"fleet", "status", "--control", at, "--output", "json"}, 0, `"ready": "yes"`},
+		{[]string{"fleet", "status", "--control", at + ",127.0.0.1:1"}, 1, "1 of 2 do not answer"},
+		{[]string{"config", "check", good}, 0, "revision 3, 1 routes"},
+		{[]string{"config", "check", bad}, 2, "route_type"},
+		{[]string{"config", "describe", "--control", at}, 0, "(1 keys)"},
+	} {
+		code, out := run(t, "", c.args...)
+		if code != c.code || !strings.Contains(out, c.says) || strings.Contains(out, "secret") {
+			t.Errorf("%s: exit code %d, %d is wanted\n%s", c.args, code, c.code, out)
+		}
+	}
+}
