Tests: what may have run goes to no second engine, what never ran is a promise

Engines that reset, hang, cut a body, answer 500, 421 or what is no answer, in front of each kind of route; a broken stream does not look complete.

--- /dev/null
+++ b/internal/node/data_test.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/limits"
+)
+
+// rawEngine reads requests and lets play answer on the connection; it closes it when play says so.
+type rawEngine struct {
+	addr string
+	got  atomic.Int64
+}
+
+func newRawEngine(t *testing.T, play func(c net.Conn, r *http.Request) (goOn bool)) *rawEngine {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	e := &rawEngine{addr: ln.Addr().String()}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					e.got.Add(1)
+					if !play(c, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+func says(text string) func(net.Conn, *http.Request) bool {
+	return func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+		return true
+	}
+}
+
+// plane is a data plane of its own with engines by name.
+func plane(t *testing.T, seed uint64, engines map[string]*rawEngine) string {
+	t.Helper()
+	lim := limits.NewNode(limits.Node{
+		Machine: limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 4100}, HeadBytes: 16 << 10, BodyBytes: 1 << 20,
+		HeadWait: 3 * time.Second, IdleWait: 15 * time.Second,
+	})
+	d := newData(slog.New(slog.NewTextHandler(io.Discard, nil)), lim, time.Second, seed, func(string) (all []roster.Engine) {
+		for id, e := range engines {
+			all = append(all, roster.Engine{Record: roster.Record{ID: id, Service: "s", Addr: e.addr}})
+		}
+		return all
+	})
+	go d.run(t.Context())
+	route := func(name, prefix, kind string) declared.Route {
+		return declared.Route{Name: name, Host: "h", Prefix: prefix, Type: kind, Timeout: 1500, Target: 100, Service: "s", Attempts: 2}
+	}
+	if err := d.apply(1, &declared.Config{Revision: 1, Services: []declared.Service{{Name: "s"}}, Routes: []declared.Route{
+		route("a", "/once/", declared.NonIdempotent), route("b", "/again/", declared.Idempotent), route("c", "/stream/", declared.Streaming),
+	}}); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go d.front.Serve(ln)
+	return ln.Addr().String()
+}
+
+func post(t *testing.T, addr, path string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest("POST", "http://"+addr+path, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+const (
+	full   = "HTTP/1.1 503 Service Unavailable\nX-Not-Executed: 1\nContent-Length: 0\n\n"
+	wrong  = "HTTP/1.1 421 Misdirected Request\nX-Not-Executed: 1\nContent-Length: 0\n\n"
+	served = "HTTP/1.1 200 OK\nX-Response-Seal: s\nContent-Length: 4\n\ngood"
+	failed = "HTTP/1.1 500 Internal Server Error\nX-Response-Seal: f\nContent-Length: 3\n\nbad"
+)
+
+func TestWhatMayHaveRunGoesToNoOther(t *testing.T) {
+	closes := func(net.Conn, *http.Request) bool { return false }
+	good := says(served)
+	for name, c := range map[string]struct {
+		first  func(net.Conn, *http.Request) bool
+		path   string
+		status int  // of a request that met the first engine first
+		second bool // the other engine is asked then
+	}{
+		"a reset, not repeatable":  {closes, "/once/1", 504, false},
+		"a reset, a stream":        {closes, "/stream/1", 504, false},
+		"a reset, repeatable":      {closes, "/again/1", 200, true},
+		"full, not repeatable":     {says(full), "/once/1", 200, true},
+		"another engine is there":  {says(wrong), "/stream/1", 200, true},
+		"an error, not repeatable": {says(failed), "/once/1", 500, false},
+		"an error, repeatable":     {says(failed), "/again/1", 200, true},
+		"bytes that are no answer": {says("what is this\n\n"), "/once/1", 504, false},
+		"a body that is cut off": {func(c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal")
+			return false
+		}, "/again/1", 200, true},
+		"silence, then it is over": {func(c net.Conn, _ *http.Request) bool { io.Copy(io.Discard, c); return false }, "/once/1", 504, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			// The draw may pick either first: requests are made until one has met the first engine.
+			for seed := range uint64(40) {
+				first, second := newRawEngine(t, c.first), newRawEngine(t, good)
+				addr := plane(t, seed, map[string]*rawEngine{"first": first, "second": second})
+				resp, body, err := post(t, addr, c.path)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if first.got.Load() == 0 {
+					continue
+				}
+				if resp.StatusCode != c.status || (second.got.Load() > 0) != c.second || first.got.Load() != 1 {
+					t.Errorf("%d %q; the other engine was asked %d times, this one %d", resp.StatusCode, body, second.got.Load(), first.got.Load())
+				}
+				if c.status == 500 && (body != "bad" || resp.Header.Get("X-Response-Seal") != "f") {
+					t.Errorf("the engine's answer came as %q", body)
+				}
+				return
+			}
+			t.Error("the first engine was never drawn")
+		})
+	}
+}
+
+func TestNothingRanIsAPromise(t *testing.T) {
+	one, two := newRawEngine(t, says(full)), newRawEngine(t, says(full))
+	addr := plane(t, 1, map[string]*rawEngine{"one": one, "two": two})
+	for _, path := range []string{"/once/1", "/again/1", "/stream/1"} {
+		resp, _, err := post(t, addr, path)
+		if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+			t.Errorf("%s: %+v, %v", path, resp, err)
+		}
+	}
+}
+
+func TestStreamThatBreaksIsNoWholeAnswer(t *testing.T) {
+	e := newRawEngine(t, func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		io.WriteString(c, "f\r\nid: 1\ndata: x\n\n\r\n")
+		return false
+	})
+	resp, body, err := post(t, plane(t, 1, map[string]*rawEngine{"e": e}), "/stream/1")
+	if resp == nil || resp.StatusCode != 200 || !strings.HasPrefix(body, "id: 1") || err == nil {
+		t.Errorf("%+v %q %v: a broken stream must not look complete", resp, body, err)
+	}
+}
