--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -187,6 +187,27 @@
 	go c.run(ctx, l, e)
 }
 
+// Perform does an effect that concerns legs and lines, and tells whether it was one. It does not wait.
+func (c *Client) Perform(e broker.Effect) bool {
+	switch e := e.(type) {
+	case broker.SendLeg:
+		c.Send(e)
+	case broker.SendTraced:
+		c.SendTraced(e)
+	case broker.Bind:
+		c.Bind(e.Leg)
+	case broker.DropLeg:
+		c.Drop(e.Leg)
+	case broker.HangUp:
+		c.HangUp(e.Line)
+	case broker.Probe:
+		c.Probe(e)
+	default:
+		return false
+	}
+	return true
+}
+
 // Bind does broker.Bind.
 func (c *Client) Bind(id broker.LegID) {
 	if l := c.find(id); l != nil {
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -73,17 +73,10 @@
 
 // perform has an effect done by its owner. It does not wait.
 func (d *data) perform(e broker.Effect) {
+	if d.issuer.Perform(e) {
+		return
+	}
 	switch e := e.(type) {
-	case broker.SendLeg:
-		d.issuer.Send(e)
-	case broker.Bind:
-		d.issuer.Bind(e.Leg)
-	case broker.DropLeg:
-		d.issuer.Drop(e.Leg)
-	case broker.HangUp:
-		d.issuer.HangUp(e.Line)
-	case broker.Probe:
-		d.issuer.Probe(e)
 	case broker.Decline:
 		go e.To.(closer).Close(e.Why, e.RetryAfter, e.MayHaveRun)
 	case broker.PoolGone:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,21 +126,12 @@
 
 // perform has an effect done by its owner. It does not wait.
 func (r *Router) perform(e broker.Effect) {
+	if r.issuer.Perform(e) {
+		return
+	}
 	switch e := e.(type) {
-	case broker.SendLeg:
-		r.issuer.Send(e)
-	case broker.SendTraced:
-		r.issuer.SendTraced(e)
 	case broker.Keep:
 		r.traces.keep(e.Try)
-	case broker.Bind:
-		r.issuer.Bind(e.Leg)
-	case broker.DropLeg:
-		r.issuer.Drop(e.Leg)
-	case broker.HangUp:
-		r.issuer.HangUp(e.Line)
-	case broker.Probe:
-		r.issuer.Probe(e)
 	case broker.Decline:
 		go e.To.(decliner).Decline(e.Why, e.RetryAfter)
 	case broker.Reminded:
