--- a/internal/control/ballot/ballot_test.go
+++ b/internal/control/ballot/ballot_test.go
@@ -336,3 +336,58 @@
 		t.Errorf("who has no vote: %+v", got)
 	}
 }
+
+func TestOldProposerWakes(t *testing.T) {
+	// A proposer dies after one of three has accepted, another comes and has its own chosen where the first had not been; the
+	// operator tries again elsewhere; then the first wakes up with all that it had sent, and what it had heard, still on the
+	// way. Whichever majority the second finds, there is one value, and the first one's is it if the second has seen it.
+	for seen := range 3 { // who of the three has accepted the first one's value
+		for away := range 3 { // who does not answer the second
+			w := newWorld(3)
+			w.begin(0)
+			first := w.rounds[0]
+			take := func(a *attempt, accept, back bool, from int) bool {
+				for i, x := range w.wires {
+					if x.from == a && x.phase == accept && x.back == back && (!back && x.to == from || back && x.by == uint64(from+1)) {
+						w.deliver(i, false)
+						return true
+					}
+				}
+				return false
+			}
+			for i := range 3 {
+				take(first, false, false, i)
+				take(first, false, true, i)
+			}
+			if !take(first, true, false, seen) { // and dies: its other words stay on the way
+				t.Fatal("the first one has not come as far as to have a value accepted")
+			}
+			for _, number := range []int{1, 2} { // the second, and the operator's next try
+				w.begin(0)
+				second := w.rounds[number]
+				for _, accept := range []bool{false, true} {
+					for i := range 3 {
+						if i != away {
+							take(second, accept, false, i)
+							take(second, accept, true, i)
+						}
+					}
+				}
+				want := "v2"
+				if seen != away {
+					want = "v1"
+				}
+				if !w.chosen[0][want] || len(w.chosen[0]) != 1 {
+					t.Fatalf("accepted at %d, away %d: %v, not %s", seen, away, w.chosen[0], want)
+				}
+			}
+			for i := range 3 { // the first wakes up
+				take(first, true, false, i)
+				take(first, true, true, i)
+			}
+			if says := w.broken(); says != "" || first.over && first.Value != nil && !w.chosen[0][string(first.Value)] {
+				t.Errorf("accepted at %d, away %d: %s", seen, away, says)
+			}
+		}
+	}
+}
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -16,6 +16,8 @@
 	rnd     *rand.Rand
 	loss    float64
 	cut     map[int]bool // nobody hears it
+	mute    map[int]bool // it hears all, and nobody hears it
+	deaf    map[int]bool // the other way round
 	learnt  []map[string]uint64
 	alive   []map[uint64]uint64
 	confirm map[any]int
@@ -23,7 +25,8 @@
 }
 
 func newFleet(n int, seed uint64) *fleet {
-	f := &fleet{byAddr: map[netip.AddrPort]int{}, rnd: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}, confirm: map[any]int{}}
+	f := &fleet{byAddr: map[netip.AddrPort]int{}, rnd: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}, mute: map[int]bool{},
+		deaf: map[int]bool{}, confirm: map[any]int{}}
 	for i := range n {
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 		self := Peer{ID: uint64(i + 1), Addr: addr, Zone: uint32(i % 3)}
@@ -72,7 +75,7 @@
 				if len(x.Bytes) > MostPacket+300 {
 					panic(fmt.Sprintf("a datagram of %d bytes", len(x.Bytes)))
 				}
-				if ok && !f.cut[i] && !f.cut[to] && f.rnd.Float64() >= f.loss {
+				if ok && !f.cut[i] && !f.cut[to] && !f.mute[i] && !f.deaf[to] && f.rnd.Float64() >= f.loss {
 					*queue = append(*queue, delivery{to, x.Bytes})
 				}
 			case Learnt:
@@ -151,6 +154,112 @@
 	}
 }
 
+func TestCutOneWay(t *testing.T) {
+	// A node that is cut one way is no worse than one that is cut off: what it can hear it has, the others are not held up,
+	// and once the cut is over everything is everywhere.
+	for name, cut := range map[string]func(f *fleet) map[int]bool{
+		"it is not heard":  func(f *fleet) map[int]bool { return f.mute },
+		"it does not hear": func(f *fleet) map[int]bool { return f.deaf },
+	} {
+		f := newFleet(14, 3)
+		f.pass(5 * time.Second)
+		cut(f)[9] = true
+		for i := range 20 {
+			f.do(i%9, Publish{Items: []Item{{Kind: 1, Key: fmt.Sprint("k", i), Version: 1}}, Urgent: true, Of: i, Need: 2})
+			f.pass(300 * time.Millisecond)
+		}
+		f.do(9, Publish{Items: []Item{{Kind: 1, Key: "own", Version: 1}}})
+		f.pass(2 * time.Second)
+		for i := range 20 {
+			if n := f.have(fmt.Sprint("k", i), 1); n < 13 {
+				t.Errorf("%s: item %d has reached %d of the 13 others", name, i, n)
+			}
+			if f.confirm[i] < 2 {
+				t.Errorf("%s: item %d was confirmed by %d", name, i, f.confirm[i])
+			}
+		}
+		clear(cut(f))
+		f.pass(10 * time.Second)
+		for i, n := range f.nodes {
+			if len(n.items) != 21 {
+				t.Errorf("%s: node %d has %d of 21 items afterwards", name, i, len(n.items))
+			}
+		}
+	}
+}
+
+// restart has a node's process start anew, under other seeds.
+func (f *fleet) restart(i int, seeds ...int) {
+	f.nodes[i] = New(f.nodes[i].self, uint64(1000+i)+uint64(f.now))
+	f.learnt[i], f.alive[i] = map[string]uint64{}, map[uint64]uint64{}
+	f.do(i, Seeds{addrs(seeds)})
+}
+
+func addrs(seeds []int) (all []netip.AddrPort) {
+	for _, s := range seeds {
+		all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(s >> 8), byte(s)}), 7000))
+	}
+	return all
+}
+
+// add has a further node come, and returns its number.
+func (f *fleet) add(seeds ...int) int {
+	i := len(f.nodes)
+	f.nodes = append(f.nodes, New(Peer{ID: uint64(i + 1), Addr: addrs([]int{i})[0]}, uint64(i)))
+	f.byAddr[addrs([]int{i})[0]] = i
+	f.learnt, f.alive = append(f.learnt, map[string]uint64{}), append(f.alive, map[uint64]uint64{})
+	f.do(i, Seeds{addrs(seeds)})
+	return i
+}
+
+func TestSeedsThatAreDownOrStale(t *testing.T) {
+	// Of the seeds one is cut off, one is an address where nobody is any more, and only one is there; and where none is at
+	// first, a node finds the others as soon as one is.
+	f := newFleet(14, 8)
+	f.pass(5 * time.Second)
+	f.do(4, Publish{Items: []Item{{Kind: 1, Key: "k", Version: 1}}})
+	f.cut[0] = true
+	f.restart(9, 0, 500, 2)
+	newcomer := f.add(0, 500, 501)
+	f.pass(6 * time.Second)
+	if n := f.nodes[9]; n.items["k"] == nil || len(n.view) < 4 {
+		t.Errorf("one seed of three is there: %d items, %d others known", len(n.items), len(n.view))
+	}
+	if n := f.nodes[newcomer]; len(n.view) > 0 {
+		t.Errorf("no seed is there, and %d others are known", len(n.view))
+	}
+	delete(f.cut, 0)
+	f.pass(6 * time.Second)
+	if n := f.nodes[newcomer]; n.items["k"] == nil || len(n.view) < 4 {
+		t.Errorf("once a seed is back: %d items, %d others known", len(n.items), len(n.view))
+	}
+}
+
+func TestAZoneStartsAnew(t *testing.T) {
+	// All processes of a zone start anew at once, a keeper and seed among them. They find the others, take in what they have
+	// missed, and the others find them again.
+	f := newFleet(42, 4)
+	f.pass(6 * time.Second)
+	for i := range 30 {
+		f.do(i, Publish{Items: []Item{{Kind: 1, Key: fmt.Sprint("k", i), Version: 2}}})
+	}
+	f.pass(3 * time.Second)
+	for i := 1; i < 42; i += 3 {
+		f.restart(i, 0, 1, 2)
+	}
+	f.pass(10 * time.Second)
+	for i, n := range f.nodes {
+		if len(n.items) != 30 || len(n.view) < 4 || len(n.Keepers()) < 2 {
+			t.Errorf("node %d has %d of 30 items, knows %d others and %d keepers", i, len(n.items), len(n.view), len(n.Keepers()))
+		}
+	}
+	f.do(7, Publish{Items: []Item{{Kind: 1, Key: "k7", Version: 3}}}) // one of those that started anew
+	f.pass(1200 * time.Millisecond)
+	if n := f.have("k7", 3); n < 40 {
+		t.Errorf("news of one of them has reached %d of 42", n)
+	}
+}
+
 func TestOldNewsIsNotTakenBack(t *testing.T) {
 	f := newFleet(5, 1)
 	f.pass(3 * time.Second)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net/http"
 	"strings"
 	"testing"
@@ -272,3 +273,65 @@
 		t.Errorf("%v of %v", sum, drain)
 	}
 }
+
+func FuzzHeads(f *testing.F) {
+	// No head of a client or of an engine may cause a panic; what is shown to an engine, and to a client, is one head that
+	// reads as one, whatever came, and none of the headers that concern one connection, the key or a forged tenant goes on.
+	f.Add("POST /x/y/2?q HTTP/1.1\r\nHost: a.example\r\nX-Credential: one\r\nX-Tenant: z\r\nConnection: X-Odd, close\r\nX-Odd: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Type: text/event-stream\r\n\r\n")
+	f.Add("GET http://b.example/ HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\nTE: trailers\r\nX-Prompt-Prefix: 7\r\n\r\n",
+		"HTTP/1.1 421 \r\nX-Not-Executed: 1\r\nKeep-Alive: timeout=99999999999999999999\r\n\r\n")
+	f.Add("GET /open/ HTTP/1.1\r\nHost: a.example\r\nX-Deadline-Remaining-Ms: 1e400\r\n\r\n", "HTTP/1.1 503 a\r\nConnection: X-Not-Executed\r\n\r\n")
+	at := func() *Compiled {
+		next := pool.ID(1)
+		c, err := Compile(conf(), 4, nil, &next)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return c
+	}()
+	d := &Dialect{Now: func() *Compiled { return at }, Conversation: func() uint64 { return 1 }, Began: func(string) {}}
+	f.Fuzz(func(t *testing.T, asked, answered string) {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(asked)))
+		if err != nil {
+			return
+		}
+		w, no := d.Lead(req)
+		if no != nil {
+			return
+		}
+		m, no := d.Accept(req, &w, nil)
+		if no != nil {
+			return
+		}
+		head := Legs{}.Head(&m.Order, &broker.SendLeg{Name: "i-1"}, time.Second, nil)
+		shown, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+		if err != nil {
+			t.Fatalf("%q is shown, which does not read: %v", head, err)
+		}
+		for _, name := range []string{keyHeader, "Te", "Keep-Alive", "Upgrade", "Transfer-Encoding"} {
+			if v := shown.Header[name]; len(v) > 0 {
+				t.Errorf("%s: %q is passed on", name, v)
+			}
+		}
+		if v := shown.Header[tenantHeader]; len(v) > 0 && (len(v) > 1 || v[0] != "k") {
+			t.Errorf("the tenant is %q", v)
+		}
+		if v := shown.Header[expectHeader]; len(v) != 1 || v[0] != "i-1" {
+			t.Errorf("%s: %q", expectHeader, v)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answered)), nil)
+		if err != nil {
+			return
+		}
+		Legs{}.Judge(resp)
+		Legs{}.Streams(resp)
+		if idle := (Legs{}).Idle(resp); idle > 24*time.Hour {
+			t.Errorf("a line may wait for %v", idle)
+		}
+		reply := d.Head(&m, resp)
+		if _, err := http.ReadResponse(bufio.NewReader(strings.NewReader(string(reply.Head)+"Content-Length: 0\r\n\r\n")), nil); err != nil {
+			t.Errorf("%q is passed back, which does not read: %v", reply.Head, err)
+		}
+	})
+}
