Front: request_limits of a configuration hold from the next message on

Cause: the sample's figures were built in, so that an operator's others were passed over. Ruled out: a new front with each configuration, which would have dropped connections; buffers of the largest head for each connection, which take 16 KB for a head of 400 bytes. The change: the front asks for its bounds with each message; a head's buffer begins at 4 KB and grows out of the room for bodies; a body has its request's time. Answers of engines keep 16 KB.

--- a/internal/acquirer/acquirer.go
+++ b/internal/acquirer/acquirer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,9 @@
 	Post    func(broker.Event)
 	Now     broker.Clock
 	Ready   func() bool // whether the router knows of issuer hosts
-	Trace   bool        // journeys are recorded: contexts are read, and the writing of answers is told
+	// Bounds are what messages keep to at present; nil = the limits', for good.
+	Bounds func() limits.Bounds
+	Trace  bool // journeys are recorded: contexts are read, and the writing of answers is told
 }
 
 // Server is the front.
@@ -58,6 +61,9 @@
 	if s.Dialect == nil {
 		s.Dialect = platform{s}
 	}
+	if s.Bounds == nil {
+		s.Bounds = s.Lim.Bounds
+	}
 	return s
 }
 
@@ -238,6 +244,7 @@
 type Way struct {
 	Pool         *service.Pool // nil: nowhere; it is refused once its body is read
 	Target, Host string        // as they are sent on
+	Until        time.Time     // for its body; zero = it has what is left of the head's time
 	Of           any           // what the dialect knows of it
 }
 
@@ -303,8 +310,7 @@
 }
 
 // body reads the body of a message within the limits. What it holds is counted until release.
-func (s *Server) body(req *http.Request, w *Way) (body []byte, held room, d *Refusal) {
-	most := int64(s.Lim.BodyBytes)
+func (s *Server) body(req *http.Request, w *Way, most int64) (body []byte, held room, d *Refusal) {
 	if req.ContentLength > most {
 		return nil, held, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: "the body is too large", unread: true}
 	}
@@ -334,6 +340,9 @@
 		}
 	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && !w.Until.IsZero():
+		s.release(held)
+		return nil, held, &Refusal{Status: http.StatusRequestTimeout, Reason: "the body took too long", unread: true}
 	case err != nil:
 		s.release(held)
 		return nil, held, &Refusal{Status: http.StatusBadRequest, Reason: "the body is malformed or cut off", unread: true}
@@ -364,3 +373,16 @@
 	s.bodies.Give(r.pool, r.body)
 	s.calls.Give(r.pool, 1)
 }
+
+// grow takes room for the buffer of a connection.
+func (s *Server) grow(bytes int64) bool {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	return s.bodies.Take(nowhere, bytes)
+}
+
+func (s *Server) shrink(bytes int64) {
+	s.roomMu.Lock()
+	defer s.roomMu.Unlock()
+	s.bodies.Give(nowhere, bytes)
+}
--- a/internal/acquirer/conn.go
+++ b/internal/acquirer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 
 	"notchhinge/internal/broker"
 	"notchhinge/internal/framing"
+	"notchhinge/internal/limits"
 	"notchhinge/internal/trace"
 )
 
@@ -20,6 +22,7 @@
 	net.Conn
 	s     *Server
 	br    *bufio.Reader
+	grown int64     // bytes that its buffer has beyond the usual, out of the room for bodies
 	spare bool      // beyond the connections that are kept
 	came  time.Time // when it was accepted
 
@@ -30,7 +33,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	// A head is looked at as a whole before it is parsed, so that the buffer is what bounds it.
+	// A head is looked at as a whole before it is parsed, so that the buffer is what bounds it; it grows to the bounds.
 	return &conn{Conn: nc, s: s, br: bufio.NewReaderSize(nc, s.Lim.HeadBytes), came: time.Now()}
 }
 
@@ -40,7 +43,7 @@
 	if !b {
 		c.idle = time.Now()
 		// Closing on a message that crosses it is harmless: its acquirer sends that one again.
-		c.SetReadDeadline(c.idle.Add(c.s.Lim.IdleWait))
+		c.SetReadDeadline(c.idle.Add(c.s.Bounds().IdleWait))
 	}
 	c.mu.Unlock()
 }
@@ -70,7 +73,8 @@
 // message, since that is how it learns that the acquirer has gone.
 func (c *conn) serve() {
 	var open *authorisation
-	c.SetReadDeadline(c.came.Add(c.s.Lim.MessageWait))
+	c.SetReadDeadline(c.came.Add(c.s.Bounds().HeadWait))
+	defer c.shrink()
 	for first := true; ; first = false {
 		_, err := c.br.Peek(1)
 		if open != nil {
@@ -96,7 +100,7 @@
 		if first {
 			from = c.came // one that dawdles before its first byte gets no more time than any other
 		}
-		open, d = c.read(from.Add(c.s.Lim.MessageWait))
+		open, d = c.read(from)
 		if open != nil {
 			if open.origin != nil {
 				open.origin.Begun = begun
@@ -117,11 +121,40 @@
 	}
 }
 
-// read reads one message: an authorisation, or what to decline it with, or neither.
-func (c *conn) read(until time.Time) (*authorisation, *Refusal) {
+// errNoRoom is a head that is within the bounds, and for which there is no room.
+var errNoRoom = errors.New("there is no room for a head")
+
+// head looks at the head that comes next. Its buffer grows as far as the bounds go and room is left.
+func (c *conn) head(b *limits.Bounds) ([]byte, error) {
+	for {
+		head, err := framing.Head(c.br)
+		line := bytes.IndexByte(head, '\n') + 1
+		if err == nil && (len(head) > b.HeadBytes || b.HeaderBytes > 0 && len(head)-line > b.HeaderBytes) {
+			return nil, bufio.ErrBufferFull
+		}
+		size := c.br.Size()
+		if !errors.Is(err, bufio.ErrBufferFull) || size >= b.HeadBytes {
+			return head, err
+		}
+		more := min(size, b.HeadBytes-size)
+		if !c.s.grow(int64(more)) {
+			return nil, errNoRoom
+		}
+		c.grown += int64(more)
+		there, _ := c.br.Peek(c.br.Buffered())
+		c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(there), c.Conn), size+more)
+	}
+}
+
+// shrink gives back what the buffer has taken.
+func (c *conn) shrink() { c.s.shrink(c.grown) }
+
+// read reads one message, which began at from: an authorisation, or what to decline it with, or neither.
+func (c *conn) read(from time.Time) (*authorisation, *Refusal) {
+	bounds := c.s.Bounds()
 	defer c.SetReadDeadline(time.Time{})
-	c.SetReadDeadline(until)
-	head, err := framing.Head(c.br)
+	c.SetReadDeadline(from.Add(bounds.HeadWait))
+	head, err := c.head(&bounds)
 	var req *http.Request
 	if err == nil && !framing.Single(head) {
 		return nil, c.bad(http.StatusBadRequest, "the head is ambiguous")
@@ -135,6 +168,10 @@
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
 		return nil, c.bad(http.StatusRequestHeaderFieldsTooLarge, "the head is too long")
+	case errors.Is(err, errNoRoom):
+		d := c.bad(http.StatusServiceUnavailable, "no room")
+		d.Retry = c.s.Lim.SpareAnswer
+		return nil, d
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, c.bad(http.StatusRequestTimeout, "the head took too long")
 	case errors.Is(err, io.EOF), isNet(err):
@@ -148,7 +185,10 @@
 		}
 	}
 	w, misled := c.s.Dialect.Lead(req)
-	body, held, d := c.s.body(req, &w)
+	if !w.Until.IsZero() {
+		c.SetReadDeadline(w.Until)
+	}
+	body, held, d := c.s.body(req, &w, int64(bounds.BodyBytes))
 	if d != nil {
 		c.s.Post(broker.Declined{})
 		return nil, d
--- a/internal/control/declared/declared.go
+++ b/internal/control/declared/declared.go
@@ -157,6 +157,9 @@
 	if c.Revision == 0 {
 		bad("revision: above 0 is wanted")
 	}
+	if l := &c.Limits; l.HeaderBytes < 0 || l.BodyBytes < 0 || !(l.HeaderMS >= 0) || !(l.IdleMS >= 0) {
+		bad("request_limits: %+v: none may be below 0", *l)
+	}
 	services := map[string]bool{}
 	for i, s := range c.Services {
 		switch {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -242,7 +242,7 @@
 			w.Pool = s.View
 		}
 	}
-	w.Target, w.Host, w.Of = req.RequestURI, req.Host, r
+	w.Target, w.Host, w.Until, w.Of = req.RequestURI, req.Host, r.until, r
 	return w, nil
 }
 
--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -81,7 +81,7 @@
 		p.release(to.pool)
 		return nil, err
 	}
-	l := &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.HeadBytes), to: to}
+	l := &line{Conn: conn, br: bufio.NewReaderSize(conn, p.lim.AnswerHead), to: to}
 	l.closed = func() { p.release(to.pool) }
 	return l, nil
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -26,6 +26,7 @@
 	MemoryBytes int64 // soft limit of the Go heap
 
 	HeadBytes   int   // head of one message
+	AnswerHead  int   // head of one answer of an issuer host
 	BodyBytes   int   // body of one message
 	BodiesBytes int64 // all bodies held at once
 	ReadBuffer  int   // of the connection to discovery; what a probe may answer
@@ -87,6 +88,7 @@
 		MemoryBytes: int64(m.MemoryMB) << 20 * 3 / 4,
 
 		HeadBytes:   8 << 10, // also what each connection has for a buffer; a good head has 400 bytes
+		AnswerHead:  8 << 10,
 		BodyBytes:   256 << 10,
 		BodiesBytes: int64(m.MemoryMB) << 20 / 6, // a leg copies its body once more to write it
 		ReadBuffer:  4 << 10,
@@ -215,29 +217,63 @@
 	return l
 }
 
-// Node are the figures of a machine of the fleet.
-type Node struct {
-	Machine
-	HeadBytes int           // of a message of a client
-	BodyBytes int           // likewise
-	HeadWait  time.Duration // for a whole message
-	IdleWait  time.Duration // of a client's connection
+// Bounds are what messages of acquirers keep to. Those of the fleet's change with its configuration.
+type Bounds struct {
+	HeadBytes   int           // of a head, its first line included
+	HeaderBytes int           // of a head without its first line; 0 = as HeadBytes says
+	BodyBytes   int           // of a body
+	HeadWait    time.Duration // for a head from its first byte on, and for the body too unless that has a time of its own
+	IdleWait    time.Duration // of a connection with nothing open
+}
+
+// Bounds are those of a program for which nothing changes.
+func (l *Limits) Bounds() Bounds {
+	return Bounds{HeadBytes: l.HeadBytes, BodyBytes: l.BodyBytes, HeadWait: l.MessageWait, IdleWait: l.IdleWait}
+}
+
+// What a configuration may ask of a machine at the most, and the first line of a head, which it does not count.
+const (
+	NodeHeaderBytes = 256 << 10
+	NodeLineBytes   = 8 << 10
+	NodeHeadWait    = 2 * time.Minute
+	NodeIdleWait    = time.Hour
+)
+
+// Declared are the bounds that a configuration declares, as far as the machine has room; what it leaves unsaid (0) stays
+// as it is. less tells that the machine holds less than was asked for.
+func (l *Limits) Declared(headerBytes, bodyBytes int, head, idle time.Duration) (b Bounds, less bool) {
+	b = Bounds{HeaderBytes: 16 << 10, BodyBytes: l.BodyBytes, HeadWait: l.MessageWait, IdleWait: l.IdleWait}
+	if headerBytes > 0 {
+		b.HeaderBytes = min(headerBytes, NodeHeaderBytes)
+	}
+	if bodyBytes > 0 {
+		b.BodyBytes = min(bodyBytes, int(l.BodiesBytes/2)) // one alone must not take the room of all others
+	}
+	if head > 0 {
+		b.HeadWait = min(head, NodeHeadWait)
+	}
+	if idle > 0 {
+		b.IdleWait = min(idle, NodeIdleWait)
+	}
+	b.HeadBytes = b.HeaderBytes + NodeLineBytes
+	return b, headerBytes > b.HeaderBytes || bodyBytes > b.BodyBytes || head > b.HeadWait || idle > b.IdleWait
 }
 
 // reserved is what a machine of the fleet keeps of its descriptors for files, other processes' calls and control.
 const reserved = 200 + 200
 
 // NewNode returns the limits of a process that carries the fleet's traffic.
-func NewNode(n Node) Limits {
-	n.Sockets = max(n.Sockets-reserved, 128)
-	l := New(n.Machine, Site{
+func NewNode(m Machine) Limits {
+	m.Sockets = max(m.Sockets-reserved, 128)
+	l := New(m, Site{
 		ConnectTimeout:  500 * time.Millisecond, // an engine that lives takes milliseconds; a second one is to have its chance
 		IdleClose:       time.Minute,            // engines say themselves how long they wait
 		MaxAttempts:     8,                      // routes say how many of these
 		LongestDeadline: 2 * time.Minute,
 	})
-	l.HeadBytes, l.BodyBytes = n.HeadBytes, n.BodyBytes
-	l.MessageWait, l.IdleWait = n.HeadWait, n.IdleWait
+	// Until a configuration says otherwise. A head has 400 bytes mostly; the buffer of one that has more grows.
+	l.HeadBytes, l.AnswerHead, l.BodyBytes = 4<<10, 16<<10, 8<<20
+	l.MessageWait, l.IdleWait = 3*time.Second, 15*time.Second
 	// Silence of an engine is no reason to end what it has begun: its client says how long it waits.
 	l.AnswerWait, l.StreamWait = l.MaxBudget, l.MaxBudget
 	l.WriteWait = 10 * time.Second
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -2,43 +2,54 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"notchhinge/internal/broker"
+	settings "notchhinge/internal/config"
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/plan"
+	"notchhinge/internal/router"
 )
 
-// BenchmarkRequest makes requests through a node's data plane, one after the other on one connection, to an engine on
-// loopback; "direct" are the same requests to the engine itself, in the same run.
-func BenchmarkRequest(b *testing.B) {
+// benchEngine answers every request with a stream of one event.
+func benchEngine(b *testing.B) string {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Keep-Alive", "timeout=10")
-		io.WriteString(w, "answer")
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, "data: 1\n\n")
+		w.(http.Flusher).Flush()
 	})}
 	go web.Serve(ln)
-	defer web.Close()
-	lim := limits.NewNode(limits.Node{
-		Machine: limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 4100}, HeadBytes: 16 << 10, BodyBytes: 1 << 20,
-		HeadWait: 3 * time.Second, IdleWait: 15 * time.Second,
-	})
-	d := newData(slog.New(slog.NewTextHandler(io.Discard, nil)), lim, time.Second, 1, func(string) []roster.Engine {
-		return []roster.Engine{{Record: roster.Record{ID: "i-1", Service: "s", Addr: ln.Addr().String()}}}
-	})
+	b.Cleanup(func() { web.Close() })
+	return ln.Addr().String()
+}
+
+// benchNode is a node's data plane before an engine.
+func benchNode(b *testing.B, engine string) string {
+	d := newData(slog.New(slog.DiscardHandler), limits.NewNode(limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 4100}), time.Second, 1,
+		func(string) []roster.Engine {
+			return []roster.Engine{{Record: roster.Record{ID: "i-1", Service: "s", Addr: engine}}}
+		})
 	go d.run(b.Context())
 	if err := d.apply(1, &declared.Config{
 		Revision: 1, Services: []declared.Service{{Name: "s"}},
-		Routes: []declared.Route{{Name: "r", Host: "h", Prefix: "/", Type: declared.Idempotent, Timeout: 5000, Service: "s", Attempts: 2}},
+		Routes: []declared.Route{{Name: "r", Host: "h", Prefix: "/", Type: declared.Streaming, Timeout: 5000, Service: "s", Attempts: 2}},
 	}); err != nil {
 		b.Fatal(err)
 	}
@@ -46,26 +57,80 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer front.Close()
+	b.Cleanup(func() { front.Close() })
 	go d.front.Serve(front)
-	for name, addr := range map[string]string{"direct": ln.Addr().String(), "node": front.Addr().String()} {
-		b.Run(name, func(b *testing.B) {
-			c, err := net.Dial("tcp4", addr)
+	return front.Addr().String()
+}
+
+// benchServe is today's program, as `run` starts it, before an engine that it was told of at its start.
+func benchServe(b *testing.B, engine string) string {
+	front, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	path := filepath.Join(b.TempDir(), "config.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, `{"name": "n1", "listen": %q, "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+"limits": {"cores": 1.0, "memory_mb": 284, "sockets": 4100},
+"known": {"seq": 41, "whole": true, "hosts": [
+	{"host": "s-1", "dial": %q, "site": "room", "class": "gpu", "block": 3, "health": "Ready", "share": 1.0, "born_ms": 0}]},
+"settings": {
+	"azs": ["room"], "discovery": "subscribe", "weights": "silent", "zone": 0, "me": 0, "replicasOfMe": 1,
+	"grades": [{"name": "chat", "objective": 2500000, "deadline": 12000000, "dedupWindow": 5000000, "effect": "pure", "group": "all", "lateWorth": 0, "worth": 5, "streaming": true}],
+	"limits": {"cancel": true, "connectTimeout": 100000, "idleClose": 5000000, "maxOpen": 20000, "maxRetryAfter": 2000000, "mostTries": 4, "probes": true, "retryAfter": true},
+	"prices": {}, "report": {"columns": ["x1", "concurrent"], "how": "pull"},
+	"rules": {"askWithin": 10000000, "coldFrom": 0.36, "drainGrace": 500000, "warmUp": 8900000}}}`, front.Addr(), engine), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	cfg, err := settings.Load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] })
+	if err != nil {
+		b.Fatal(err)
+	}
+	p, err := plan.Make(cfg, nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := router.New(cfg, p, slog.New(slog.DiscardHandler), func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if addr == cfg.Discovery { // it says nothing
+			near, far := net.Pipe()
+			go io.Copy(io.Discard, far)
+			return near, nil
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}, broker.UnixClock())
+	stop, done := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { done <- r.ServeOn(front, router.Signals{Stop: stop}) }()
+	b.Cleanup(func() { stop <- os.Interrupt; <-done })
+	return front.Addr().String()
+}
+
+// BenchmarkRequest makes requests one after the other on one connection, to an engine on loopback: through a node, through
+// today's program, and to the engine itself, in one run.
+func BenchmarkRequest(b *testing.B) {
+	engine := benchEngine(b)
+	for _, to := range []struct {
+		name, addr, headers string
+	}{
+		{"direct", engine, ""},
+		{"serve", benchServe(b, engine), "X-Call-Id: 1f\r\nX-Call-Class: chat\r\nX-Budget: 12000m\r\nX-Call-Info: prompt_len=1,prefix_len=0,max_out=1\r\n"},
+		{"node", benchNode(b, engine), "X-Request-Id: 1f\r\nX-Deadline-Remaining-Ms: 5000\r\n"},
+	} {
+		b.Run(to.name, func(b *testing.B) {
+			c, err := net.Dial("tcp4", to.addr)
 			if err != nil {
 				b.Fatal(err)
 			}
 			defer c.Close()
 			br := bufio.NewReader(c)
-			body := strings.Repeat("x", 300)
+			text := "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n" + to.headers + "Content-Length: 300\r\n\r\n" + strings.Repeat("x", 300)
 			b.ReportAllocs()
 			for b.Loop() {
-				io.WriteString(c, "POST /1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nContent-Length: 300\r\n\r\n"+body)
+				io.WriteString(c, text)
 				resp, err := http.ReadResponse(br, nil)
 				if err != nil {
 					b.Fatal(err)
 				}
-				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != 200 {
-					b.Fatal(resp.Status, err)
+				if n, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != 200 || n != 9 {
+					b.Fatal(resp.Status, n, err)
 				}
 			}
 		})
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -36,7 +36,8 @@
 	repeats share.Repeats // of each service; no Window = there is no such budget
 
 	at      atomic.Pointer[edge.Compiled]
-	mu      sync.Mutex // one change of configuration or engines at a time
+	bounds  atomic.Pointer[limits.Bounds] // of the present configuration
+	mu      sync.Mutex                    // one change of configuration or engines at a time
 	next    pool.ID
 	modules map[pool.ID]*policy.Balancer
 	classes map[pool.ID]int
@@ -54,6 +55,8 @@
 		log: log, lim: lim, grace: grace, seed: seed, list: list, next: 1, modules: map[pool.ID]*policy.Balancer{},
 		classes: map[pool.ID]int{}, poke: make(chan struct{}, 1),
 	}
+	unsaid, _ := lim.Declared(0, 0, 0, 0)
+	d.bounds.Store(&unsaid)
 	d.loop = broker.NewLoop(broker.New(lim), broker.UnixClock(), d.perform)
 	d.issuer = issuer.New(issuer.Config{
 		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Dialect: edge.Legs{},
@@ -61,7 +64,7 @@
 	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64}
 	d.front = acquirer.New(acquirer.Options{
 		Lim: lim, Dialect: d.dialect, Routes: func() *service.Directory { return nil }, Post: d.loop.Post, Now: d.loop.Now,
-		Ready: func() bool { return true },
+		Ready: func() bool { return true }, Bounds: func() limits.Bounds { return *d.bounds.Load() },
 	})
 	return d
 }
@@ -128,6 +131,13 @@
 			return err
 		}
 	}
+	l := &c.Limits
+	bounds, less := d.lim.Declared(l.HeaderBytes, l.BodyBytes, declared.Millis(l.HeaderMS), declared.Millis(l.IdleMS))
+	if less {
+		d.log.Warn("request_limits are above what this machine holds", "max_header_bytes", bounds.HeaderBytes, "max_body_bytes",
+			bounds.BodyBytes, "header_timeout", bounds.HeadWait.String(), "idle_timeout", bounds.IdleWait.String())
+	}
+	d.bounds.Store(&bounds)
 	d.at.Store(next)
 	for name, s := range before {
 		if next.Services()[name] == nil {
--- a/internal/node/data_test.go
+++ b/internal/node/data_test.go
@@ -62,35 +62,76 @@
 	}
 }
 
-// plane is a data plane of its own with engines by name.
-func plane(t *testing.T, seed uint64, engines map[string]*rawEngine) string {
+// testPlane is a data plane of its own.
+type testPlane struct {
+	t    *testing.T
+	d    *data
+	addr string
+	ln   net.Listener
+	list atomic.Pointer[[]roster.Engine]
+}
+
+func at(id, service string, e *rawEngine) roster.Engine {
+	return roster.Engine{Record: roster.Record{ID: id, Service: service, Addr: e.addr}}
+}
+
+// newPlane starts one under the configuration of planeConfig.
+func newPlane(t *testing.T, seed uint64, engines ...roster.Engine) *testPlane {
 	t.Helper()
-	lim := limits.NewNode(limits.Node{
-		Machine: limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 4100}, HeadBytes: 16 << 10, BodyBytes: 1 << 20,
-		HeadWait: 3 * time.Second, IdleWait: 15 * time.Second,
-	})
-	d := newData(slog.New(slog.NewTextHandler(io.Discard, nil)), lim, time.Second, seed, func(string) (all []roster.Engine) {
-		for id, e := range engines {
-			all = append(all, roster.Engine{Record: roster.Record{ID: id, Service: "s", Addr: e.addr}})
+	p := &testPlane{t: t}
+	p.list.Store(&engines)
+	lim := limits.NewNode(limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 4100})
+	p.d = newData(slog.New(slog.NewTextHandler(io.Discard, nil)), lim, time.Second, seed, func(service string) (all []roster.Engine) {
+		for _, e := range *p.list.Load() {
+			if e.Service == service {
+				all = append(all, e)
+			}
 		}
 		return all
 	})
-	go d.run(t.Context())
-	route := func(name, prefix, kind string) declared.Route {
-		return declared.Route{Name: name, Host: "h", Prefix: prefix, Type: kind, Timeout: 1500, Target: 100, Service: "s", Attempts: 2}
-	}
-	if err := d.apply(1, &declared.Config{Revision: 1, Services: []declared.Service{{Name: "s"}}, Routes: []declared.Route{
-		route("a", "/once/", declared.NonIdempotent), route("b", "/again/", declared.Idempotent), route("c", "/stream/", declared.Streaming),
-	}}); err != nil {
+	go p.d.run(t.Context())
+	if err := p.d.apply(1, planeConfig()); err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if p.ln, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
-	go d.front.Serve(ln)
-	return ln.Addr().String()
+	t.Cleanup(func() { p.ln.Close() })
+	p.addr = p.ln.Addr().String()
+	go p.d.front.Serve(p.ln)
+	return p
+}
+
+// set changes the engines; what is asked from now on meets those.
+func (p *testPlane) set(engines ...roster.Engine) {
+	p.list.Store(&engines)
+	p.d.mu.Lock()
+	defer p.d.mu.Unlock()
+	p.d.feed(p.d.at.Load())
+}
+
+func planeConfig() *declared.Config {
+	route := func(name, prefix, kind string) declared.Route {
+		return declared.Route{Name: name, Host: "h", Prefix: prefix, Type: kind, Timeout: 1500, Target: 100, Service: "s", Attempts: 2}
+	}
+	other := route("d", "/other/", declared.Idempotent)
+	other.Service = "t"
+	long := route("e", "/long/", declared.Streaming)
+	long.Timeout = 20000
+	return &declared.Config{Revision: 1, Services: []declared.Service{{Name: "s"}, {Name: "t"}}, Routes: []declared.Route{
+		route("a", "/once/", declared.NonIdempotent), route("b", "/again/", declared.Idempotent), route("c", "/stream/", declared.Streaming), other, long,
+	}}
+}
+
+// plane is a data plane with engines of service s by name; its address is returned.
+func plane(t *testing.T, seed uint64, engines map[string]*rawEngine) string {
+	t.Helper()
+	var all []roster.Engine
+	for id, e := range engines {
+		all = append(all, at(id, "s", e))
+	}
+	return newPlane(t, seed, all...).addr
 }
 
 func post(t *testing.T, addr, path string) (*http.Response, string, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,10 +137,7 @@
 func (n *Node) serve(ctx context.Context, path string, sig Signals) error {
 	failed := make(chan error, 4)
 	if n.cfg.Listeners.Frontend != "" {
-		lim := limits.NewNode(limits.Node{
-			Machine:   limits.Machine{Cores: n.cfg.Limits.Cores, MemoryMB: n.cfg.Limits.MemoryMB, Sockets: n.cfg.Limits.Files},
-			HeadBytes: 16<<10 + 512, BodyBytes: 8 << 20, HeadWait: 3 * time.Second, IdleWait: 15 * time.Second,
-		})
+		lim := limits.NewNode(limits.Machine{Cores: n.cfg.Limits.Cores, MemoryMB: n.cfg.Limits.MemoryMB, Sockets: n.cfg.Limits.Files})
 		drain := time.Duration(n.cfg.Bounds.DrainMS) * time.Millisecond
 		n.data = newData(n.log, lim, limits.DrainGrace(drain), rand.Uint64(), n.news.list)
 		if b := n.cfg.Bounds; b.RetryWindowS > 0 {
