--- a/internal/control/duty/scale.go
+++ b/internal/control/duty/scale.go
@@ -11,6 +11,7 @@
 type Demand struct {
 	Running float64 // requests at engines, all routers
 	Arrived float64 // a second
+	Slots   float64 // of an engine, a mean over those that are ready; 0 = not known
 }
 
 // Bounds of a service's engines in each zone.
@@ -52,7 +53,11 @@
 	if len(zones) == 0 {
 		return nil
 	}
-	total := int(math.Ceil(s.mean / s.PerEngine))
+	per := s.PerEngine
+	if d.Slots > 0 {
+		per = max(s.Share*d.Slots, 0.5)
+	}
+	total := int(math.Ceil(s.mean / per))
 	s.peaks = append(s.peaks, peak{now, total})
 	for len(s.peaks) > 1 && now-s.peaks[0].at > s.Calm {
 		s.peaks = s.peaks[1:]
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -13,6 +13,7 @@
 	"github.com/syndtr/goleveldb/leveldb"
 	lerrors "github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"notchhinge/internal/control/ballot"
@@ -28,7 +29,8 @@
 
 // Store is an open one. It is not safe for concurrent use.
 type Store struct {
-	path  string
+	files func() (storage.Storage, error)
+	under storage.Storage // that db is on
 	db    *leveldb.DB
 	since int // places written since the state was
 	kept  uint64
@@ -63,44 +65,83 @@
 // Open opens the store in a folder, or makes one there; fresh tells of who it is to belong to then.
 func Open(dir string, fresh Identity) (*Store, *Kept, error) {
 	path := filepath.Join(dir, "state")
+	_, err := os.Stat(dir)
+	made := errors.Is(err, os.ErrNotExist)
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("store: %w", err)
 	}
-	if err := syncDir(dir); err != nil {
+	err = syncDir(dir)
+	if made { // its own name is to be durable, too
+		err = errors.Join(err, syncDir(filepath.Dir(dir)))
+	}
+	if err != nil {
 		return nil, nil, fmt.Errorf("store: %w", err)
 	}
-	s := &Store{path: path}
+	return openOn(func() (storage.Storage, error) {
+		files, err := storage.OpenFile(path, false)
+		if err != nil {
+			return nil, err
+		}
+		return named{files, func() error { return syncDir(path) }}, nil
+	}, fresh)
+}
+
+// openOn opens a store on files.
+func openOn(files func() (storage.Storage, error), fresh Identity) (*Store, *Kept, error) {
+	s := &Store{files: files}
 	if err := s.open(); err != nil {
 		return nil, nil, err
 	}
 	k, err := s.load(fresh)
 	if err != nil {
-		s.db.Close()
+		s.Close()
 		return nil, nil, err
 	}
 	return s, k, nil
 }
 
+// named makes a file's name durable as the file is made. The database syncs a journal's bytes, and its folder only with the
+// next manifest: what is written to a new journal before that would be gone with its name if the power were lost.
+type named struct {
+	storage.Storage
+	sync func() error // of the folder
+}
+
+// Create implements storage.Storage.
+func (n named) Create(fd storage.FileDesc) (storage.Writer, error) {
+	w, err := n.Storage.Create(fd)
+	if err != nil || fd.Type != storage.TypeJournal { // others are named by a manifest, which syncs the folder
+		return w, err
+	}
+	if err := n.sync(); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
 func (s *Store) open() error {
+	under, err := s.files()
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
 	o := memory
-	db, err := leveldb.OpenFile(s.path, &o)
+	db, err := leveldb.Open(under, &o)
 	if lerrors.IsCorrupted(err) { // a manifest torn by a power loss; synced journals are read again
-		db, err = leveldb.RecoverFile(s.path, &o)
+		db, err = leveldb.Recover(under, &o)
 	}
 	if err != nil {
+		under.Close()
 		return fmt.Errorf("store: %w", err)
 	}
-	s.db = db
+	s.db, s.under = db, under
 	return nil
 }
 
 // Reopen opens the database anew: once a write has failed it takes no more, though the disk may have room again. What was
 // written without an error is there; everything else must be written again.
 func (s *Store) Reopen() error {
-	if s.db != nil {
-		s.db.Close()
-		s.db = nil
-	}
+	s.Close()
 	return s.open()
 }
 
@@ -268,5 +309,7 @@
 	if s.db == nil {
 		return nil
 	}
-	return s.db.Close()
+	err := errors.Join(s.db.Close(), s.under.Close())
+	s.db = nil
+	return err
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -315,7 +315,8 @@
 
 // Scale says how engines are counted. docs/design/scaling.md has what each figure costs.
 type Scale struct {
-	PerEngine float64       // requests running at an engine that are wanted
+	Share     float64       // of an engine's slots that are wanted to be in use
+	PerEngine float64       // requests running at an engine that are wanted where slots are not known
 	Settle    time.Duration // traffic that must have been seen before anything is ordered
 	Calm      time.Duration // a lower number must have been enough for so long
 	Smooth    time.Duration // time constant of the mean
@@ -323,5 +324,5 @@
 
 // Scaling are the fleet's figures.
 func Scaling() Scale {
-	return Scale{PerEngine: 4, Settle: 3 * time.Second, Calm: 5 * time.Second, Smooth: 2 * time.Second}
+	return Scale{Share: 0.31, PerEngine: 4, Settle: 3 * time.Second, Calm: 5 * time.Second, Smooth: 2 * time.Second}
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -348,10 +348,12 @@
 		}
 		load, before := loads[svc.Name], d.before[svc.Name]
 		d.before[svc.Name] = load
-		have := map[string]int{}
+		have, ready, slots := map[string]int{}, 0.0, 0.0
 		for _, e := range d.list(svc.Name) {
 			if have[e.Zone] += 0; e.State == roster.Ready {
 				have[e.Zone]++
+				ready++
+				slots += float64(e.Slots)
 			}
 		}
 		var zones []string
@@ -364,7 +366,7 @@
 			sc = &duty.Scaler{Scale: limits.Scaling()}
 			d.scalers[svc.Name] = sc
 		}
-		demand := duty.Demand{Running: float64(load.Running) / 100, Arrived: max(float64(load.Arrived)-float64(before.Arrived), 0) / lapse}
+		demand := duty.Demand{Running: float64(load.Running) / 100, Arrived: max(float64(load.Arrived)-float64(before.Arrived), 0) / lapse, Slots: slots / max(ready, 1)}
 		wanted := sc.Want(now, demand, duty.Bounds{Min: svc.Scale.Min, Max: svc.Scale.Max, Boot: declared.Millis(svc.Scale.BootS * 1000)}, zones, have)
 		for _, z := range zones {
 			key := svc.Name + "/" + z
