Fleet: an account by cause, members taken out, changes of members checked

Ruled out: taking members out by silence, since a cut looks the same. The change: counters at the calls, datagrams and lines; DELETE /fleet/members/NAME and fleet remove, never below 2f+1.

--- a/cmd/notchhinge/fleet.go
+++ b/cmd/notchhinge/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -16,6 +17,46 @@
 
 type fleetCmd struct {
 	Status fleetStatus `cmd:"" help:"Print what processes of the fleet know, from their control addresses."`
+	Remove fleetRemove `cmd:"" help:"Take a keeper out that is gone for good. One that runs is taken in again."`
+}
+
+type fleetRemove struct {
+	Name    string `arg:"" help:"The node_name of the machine."`
+	Control string `help:"A control address, of any process." required:"" placeholder:"IP:PORT"`
+}
+
+// Run asks for it once; what is not settled may be asked for again.
+func (c fleetRemove) Run() error {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+c.Control+"/fleet/members/"+url.PathEscape(c.Name), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Client{Timeout: 5 * time.Second}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := answered(resp); err != nil {
+		return err
+	}
+	fmt.Printf("%s is no member any more\n", c.Name)
+	return nil
+}
+
+// answered reads an answer of the control plane; one that is not 200 is an error with what it says.
+func answered(resp *http.Response) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, declared.MostBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		var says struct {
+			Error string `cbor:"error_message"`
+		}
+		cbor.Unmarshal(b, &says) // what cannot be read says nothing
+		return nil, fmt.Errorf("%s: %s", resp.Status, says.Error)
+	}
+	return b, nil
 }
 
 type fleetStatus struct {
@@ -105,17 +146,10 @@
 		return err
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, declared.MostBytes+1))
+	b, err := answered(resp)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		var says struct {
-			Error string `cbor:"error_message"`
-		}
-		cbor.Unmarshal(b, &says) // what cannot be read says nothing
-		return fmt.Errorf("%s: %s", resp.Status, says.Error)
-	}
 	conf, _, err := declared.Decode(b)
 	if err != nil {
 		return err
--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -55,6 +55,8 @@
 	SignOff(ctx context.Context, id string) error
 	Replace(ctx context.Context, on uint64, text []byte) Result
 	Describe(ctx context.Context) Result
+	// Dismiss takes a keeper out that is gone for good, by its name.
+	Dismiss(ctx context.Context, name string) Result
 	// Status is for the staff: the state of this process as JSON.
 	Status() any
 }
@@ -90,6 +92,7 @@
 	mux.HandleFunc("POST /Configuration.Replace", s.replace)
 	mux.HandleFunc("GET /Configuration.Describe", s.describe)
 	mux.HandleFunc("GET /fleet/status", s.status)
+	mux.HandleFunc("DELETE /fleet/members/{name}", s.dismiss)
 	return mux
 }
 
@@ -188,6 +191,15 @@
 	s.result(w, s.h.Describe(r.Context()))
 }
 
+func (s *server) dismiss(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	if name == "" || len(name) > 200 {
+		refuse(w, http.StatusBadRequest, "name: 1 to 200 bytes are wanted")
+		return
+	}
+	s.result(w, s.h.Dismiss(r.Context(), name))
+}
+
 func (s *server) result(w http.ResponseWriter, x Result) {
 	switch {
 	case x.Body != nil:
--- a/internal/control/api/api_test.go
+++ b/internal/control/api/api_test.go
@@ -41,6 +41,12 @@
 func (h *handler) Describe(context.Context) Result {
 	return Result{Status: 200, Rev: 3, Body: []byte{0xa0}}
 }
+func (h *handler) Dismiss(_ context.Context, name string) Result {
+	if name != "k-1" {
+		return Result{Status: 404, Says: "no member"}
+	}
+	return Result{Status: 200, Rev: 3}
+}
 func (h *handler) Status() any { return map[string]int{"x": 1} }
 
 func marshal(t *testing.T, v any) []byte {
@@ -97,6 +103,9 @@
 		{"far too large", "POST", "/Configuration.Replace", make([]byte, declared.MostBytes+1), []string{"X-Revision-Match", "5"}, 413},
 		{"read back", "GET", "/Configuration.Describe", nil, nil, 200},
 		{"status", "GET", "/fleet/status", nil, nil, 200},
+		{"a member taken out", "DELETE", "/fleet/members/k-1", nil, nil, 200},
+		{"a member that is none", "DELETE", "/fleet/members/k-2", nil, nil, 404},
+		{"a name that is too long", "DELETE", "/fleet/members/" + strings.Repeat("k", 201), nil, nil, 400},
 		{"another path", "GET", "/none", nil, nil, 404},
 	} {
 		if w := do(c.method, c.path, c.body, c.header...); w.Code != c.want {
--- /dev/null
+++ b/internal/control/ballot/members_test.go
@@ -0,0 +1,354 @@
+package ballot
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// core is three machines that hold a chain whose values change who its members are, as keepers do: a machine that lost its
+// disk has another number and no vote until the chain says so, one that is gone is taken out, proposers die between the
+// phases of a ballot. A step is a phase that reaches some of them, a state that is taken from another, or a loss.
+type core struct {
+	boxes  []*box
+	open   []*opened // the round of each machine's proposer
+	chosen map[int]map[string]bool
+	nextID int
+	count  uint64 // rounds so far
+	forget bool   // a machine whose disk is gone goes on under its number: must be found out
+	eager  bool   // a change of members counts in the ballot that decides it, and who is to be taken in votes: likewise
+}
+
+type box struct {
+	id  int
+	acc Acceptor
+	log []string
+}
+
+type opened struct {
+	Round
+	ask Ask
+}
+
+func newCore() *core {
+	c := &core{chosen: map[int]map[string]bool{}, nextID: 4, open: make([]*opened, 3)}
+	for i := range 3 {
+		b := &box{id: i + 1}
+		b.acc = Acceptor{Voter: true, Chosen: b.at}
+		c.boxes = append(c.boxes, b)
+	}
+	return c
+}
+
+func (b *box) at(place uint64) ([]byte, bool) {
+	if place < uint64(len(b.log)) {
+		return []byte(b.log[place]), true
+	}
+	return nil, false
+}
+
+// members are those that a chain names.
+func members(log []string) []int {
+	at := []int{1, 2, 3}
+	for _, v := range log {
+		if list, ok := strings.CutPrefix(v, "m "); ok {
+			at = at[:0:0]
+			for _, f := range strings.Fields(list) {
+				var id int
+				fmt.Sscan(f, &id)
+				at = append(at, id)
+			}
+		}
+	}
+	return at
+}
+
+func (c *core) follow(b *box) {
+	b.acc.Next = uint64(len(b.log))
+	b.acc.Voter = slices.Contains(members(b.log), b.id) || c.eager
+}
+
+// names writes a change of members.
+func names(ids []int) string { return "m " + strings.Trim(fmt.Sprint(ids), "[]") }
+
+// wishes lists what a machine may propose: a value, taking one in that has lost its disk and caught up, taking one out.
+func (c *core) wishes(p int) (all []string) {
+	b := c.boxes[p]
+	now := members(b.log)
+	all = append(all, fmt.Sprintf("d%d", c.count))
+	for i, x := range c.boxes {
+		if !slices.Contains(now, x.id) && len(x.log) >= len(b.log) {
+			next := slices.Clone(now)
+			// In the place of the one that it was: the one that no machine is any more.
+			at := slices.IndexFunc(next, func(id int) bool { return !slices.ContainsFunc(c.boxes, func(o *box) bool { return o.id == id }) })
+			if at < 0 {
+				next = append(next, x.id)
+			} else {
+				next[at] = x.id
+			}
+			all = append(all, names(next))
+		}
+		if i != p && len(now) > 2 && slices.Contains(now, x.id) {
+			all = append(all, names(slices.DeleteFunc(slices.Clone(now), func(id int) bool { return id == x.id })))
+		}
+	}
+	return all
+}
+
+// prepare begins a round of p's, which reaches those of a mask.
+func (c *core) prepare(p int, own string, mask int) {
+	b := c.boxes[p]
+	c.count++
+	known := b.log
+	if c.eager {
+		known = append(slices.Clone(known), own)
+	}
+	r := &opened{Round: Round{Place: uint64(len(b.log)), Number: Number{c.count, c.count}, Own: []byte(own)}}
+	for _, id := range members(known) {
+		r.Members = append(r.Members, uint64(id))
+	}
+	r.Need = Majority(len(r.Members))
+	c.open[p] = nil
+	next, _ := c.turn(r, r.Begin(), mask)
+	if next != nil {
+		r.ask = *next
+		c.open[p] = r
+	}
+}
+
+// accept has p's round go on.
+func (c *core) accept(p, mask int) {
+	r := c.open[p]
+	_, out := c.turn(r, r.ask, mask)
+	if out == Pending {
+		return
+	}
+	c.open[p] = nil
+	if out != Chosen {
+		return
+	}
+	at := int(r.Place)
+	if c.chosen[at] == nil {
+		c.chosen[at] = map[string]bool{}
+	}
+	c.chosen[at][string(r.Value)] = true
+	if b := c.boxes[p]; len(b.log) == at {
+		b.log = append(b.log[:at:at], string(r.Value))
+		c.follow(b)
+	}
+}
+
+func (c *core) turn(r *opened, ask Ask, mask int) (next *Ask, out Outcome) {
+	accepting := r.Accepting()
+	for i, b := range c.boxes {
+		if mask&(1<<i) == 0 || !slices.Contains(r.Members, uint64(b.id)) || next != nil || out != Pending {
+			continue
+		}
+		ans, _ := b.acc.Handle(ask)
+		next, out = r.Take(uint64(b.id), accepting, ans)
+	}
+	return next, out
+}
+
+// learn has a machine take another's state.
+func (c *core) learn(to, from int) {
+	if a, b := c.boxes[to], c.boxes[from]; len(b.log) > len(a.log) {
+		a.log = slices.Clone(b.log)
+		c.follow(a)
+	}
+}
+
+// wipe has a machine come back without its disk.
+func (c *core) wipe(i int) {
+	b := &box{id: c.nextID}
+	if c.forget {
+		b.id = c.boxes[i].id
+	} else {
+		c.nextID++
+	}
+	b.acc = Acceptor{Voter: c.forget || c.eager, Chosen: b.at}
+	c.boxes[i], c.open[i] = b, nil
+}
+
+// broken says what is wrong: two values at a place, or a chain that is not what was chosen.
+func (c *core) broken() string {
+	for at, values := range c.chosen {
+		if len(values) > 1 {
+			return fmt.Sprintf("place %d: %v", at, values)
+		}
+		for i, b := range c.boxes {
+			if at < len(b.log) && !values[b.log[at]] {
+				return fmt.Sprintf("place %d: %v is chosen, and machine %d has %q", at, values, i, b.log[at])
+			}
+		}
+	}
+	return ""
+}
+
+// key names the state; numbers of rounds are by their order, so that lives that differ in nothing else are one.
+func (c *core) key() string {
+	var sb strings.Builder
+	for i, b := range c.boxes {
+		fmt.Fprintf(&sb, "%d %v %q %d %v %q;", b.id, b.acc.Voter, b.log, b.acc.Vote.Promised.Round, b.acc.Vote.Accepted.Round, b.acc.Vote.Value)
+		if r := c.open[i]; r != nil {
+			fmt.Fprintf(&sb, "%d %d %q %v", r.Place, r.Number.Round, r.Value, len(r.granted))
+			for id := range uint64(8) {
+				fmt.Fprint(&sb, r.granted[id], r.failed[id])
+			}
+		}
+	}
+	fmt.Fprint(&sb, c.count, c.chosen)
+	return sb.String()
+}
+
+func (c *core) clone() *core {
+	n := *c
+	n.boxes, n.open, n.chosen = nil, nil, map[int]map[string]bool{}
+	for _, b := range c.boxes {
+		x := *b
+		x.log = slices.Clone(b.log)
+		x.acc.Chosen = x.at
+		n.boxes = append(n.boxes, &x)
+	}
+	for _, r := range c.open {
+		if r != nil {
+			x := *r
+			x.granted, x.failed = map[uint64]bool{}, map[uint64]bool{}
+			for k, v := range r.granted {
+				x.granted[k] = v
+			}
+			for k, v := range r.failed {
+				x.failed[k] = v
+			}
+			r = &x
+		}
+		n.open = append(n.open, r)
+	}
+	for at, v := range c.chosen {
+		n.chosen[at] = map[string]bool{}
+		for k := range v {
+			n.chosen[at][k] = true
+		}
+	}
+	return &n
+}
+
+// bounds of the walk through every life.
+type bounds struct{ rounds, wipes, places, depth int }
+
+// everyLife walks through every life within bounds, and returns the first in which something is broken, and how many states
+// it has met.
+func everyLife(start *core, most bounds) (found string, states int) {
+	pairs := []int{3, 5, 6}
+	some := []int{1, 2, 4, 3, 5, 6}
+	seen := map[string]int{} // with how much depth left
+	var walk func(c *core, wipes, depth int) bool
+	walk = func(c *core, wipes, depth int) bool {
+		if says := c.broken(); says != "" {
+			found = says
+			return true
+		}
+		key := fmt.Sprint(wipes) + c.key()
+		if left, ok := seen[key]; depth == 0 || ok && left >= depth {
+			return false
+		}
+		seen[key] = depth
+		try := func(wipes int, do func(*core)) bool {
+			n := c.clone()
+			do(n)
+			return walk(n, wipes, depth-1)
+		}
+		for p := range 3 {
+			if c.count < uint64(most.rounds) && len(c.boxes[p].log) < most.places {
+				for _, own := range c.wishes(p) {
+					for _, mask := range pairs {
+						if try(wipes, func(n *core) { n.prepare(p, own, mask) }) {
+							return true
+						}
+					}
+				}
+			}
+			if c.open[p] != nil {
+				for _, mask := range some {
+					if try(wipes, func(n *core) { n.accept(p, mask) }) {
+						return true
+					}
+				}
+			}
+			for q := range 3 {
+				if len(c.boxes[q].log) > len(c.boxes[p].log) && try(wipes, func(n *core) { n.learn(p, q) }) {
+					return true
+				}
+			}
+			if wipes < most.wipes && try(wipes+1, func(n *core) { n.wipe(p) }) {
+				return true
+			}
+		}
+		return false
+	}
+	walk(start, 0, most.depth)
+	return found, len(seen)
+}
+
+func TestEveryChangeOfMembers(t *testing.T) {
+	found, states := everyLife(newCore(), bounds{rounds: 2, wipes: 1, places: 2, depth: 6})
+	if found != "" || states < 40000 {
+		t.Errorf("%q in %d states", found, states)
+	}
+	t.Logf("%d states", states)
+}
+
+// deepLives plays random lives with a seed each, and returns the first in which something is broken.
+func deepLives(breaks func(*core), lives, steps int) (string, int) {
+	for seed := range lives {
+		c := newCore()
+		breaks(c)
+		x := uint64(seed)*0x9e3779b97f4a7c15 + 1
+		draw := func(n int) int {
+			x ^= x << 13
+			x ^= x >> 7
+			x ^= x << 17
+			return int(x % uint64(n))
+		}
+		for range steps {
+			p := draw(3)
+			switch k := draw(16); {
+			case k < 4:
+				own := c.wishes(p)
+				c.prepare(p, own[draw(len(own))], 1+draw(7))
+			case k < 10 && c.open[p] != nil:
+				c.accept(p, 1+draw(7))
+			case k < 14:
+				c.learn(p, draw(3))
+			case k == 14:
+				c.open[p] = nil // its process is killed: what it has voted is on its disk
+			case k == 15 && draw(3) == 0:
+				c.wipe(p)
+			}
+			if says := c.broken(); says != "" {
+				return says, seed
+			}
+		}
+	}
+	return "", lives
+}
+
+func TestBrokenMembersAreFound(t *testing.T) {
+	for name, breaks := range map[string]func(*core){
+		"a wiped machine goes on under its number": func(c *core) { c.forget = true },
+		"a change counts before it is chosen":      func(c *core) { c.eager = true },
+	} {
+		if found, lives := deepLives(breaks, 20000, 60); found == "" {
+			t.Errorf("%s: not found in %d lives", name, lives)
+		}
+	}
+	broken := newCore()
+	broken.forget = true
+	if found, states := everyLife(broken, bounds{rounds: 3, wipes: 1, places: 1, depth: 7}); found == "" {
+		t.Errorf("a wiped machine that goes on under its number: not found in %d states", states)
+	}
+	if found, seed := deepLives(func(*core) {}, 3000, 60); found != "" {
+		t.Errorf("%s with seed %d", found, seed)
+	}
+}
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -583,6 +583,42 @@
 	return all
 }
 
+// ZoneOf tells the zone of a machine that is known here.
+func (n *Node) ZoneOf(addr netip.Addr) (zone uint32, known bool) {
+	for _, all := range []map[uint64]*entry{n.keepers, n.view} {
+		for _, p := range all {
+			if p.Addr.Addr() == addr {
+				return p.Zone, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// Use is what a datagram is for.
+type Use uint8
+
+// The uses.
+const (
+	Spreads Use = iota // news, signs of life, and words back
+	Compares
+	Shuffles
+)
+
+// UseOf tells what a datagram of this package is for.
+func UseOf(b []byte) Use {
+	if len(b) < 4 {
+		return Spreads
+	}
+	switch b[3] {
+	case kindDigest, kindWant:
+		return Compares
+	case kindShuffle, kindShuffled:
+		return Shuffles
+	}
+	return Spreads
+}
+
 // Items tells how many items are kept.
 func (n *Node) Items() int { return len(n.items) }
 
--- a/internal/control/peer/peer.go
+++ b/internal/control/peer/peer.go
@@ -37,6 +37,9 @@
 	udp    *net.UDPConn
 	ln     *net.TCPListener
 	handle Handler
+	// Counted is told of every exchange that begins here: a call's bytes both ways, or a datagram's (kind 0, with what it
+	// holds). It must not wait; nil is nobody. It is set before anything is sent.
+	Counted func(to netip.AddrPort, kind uint8, bytes int, datagram []byte)
 
 	mu    sync.Mutex
 	idle  map[netip.AddrPort][]*kept
@@ -89,7 +92,12 @@
 }
 
 // Send sends a datagram. It may get lost.
-func (n *Net) Send(to netip.AddrPort, b []byte) { n.udp.WriteToUDPAddrPort(b, to) }
+func (n *Net) Send(to netip.AddrPort, b []byte) {
+	if n.Counted != nil {
+		n.Counted(to, 0, len(b), b)
+	}
+	n.udp.WriteToUDPAddrPort(b, to)
+}
 
 // Datagrams hands datagrams to take until the socket is closed. The bytes are take's own.
 func (n *Net) Datagrams(take func([]byte)) {
@@ -210,6 +218,9 @@
 			out, err = n.ask(ctx, c, kind, body)
 		}
 	}
+	if n.Counted != nil {
+		n.Counted(to, kind, 2*frameBytes+len(body)+len(out), nil)
+	}
 	if err != nil && !errors.Is(err, ErrRefused) {
 		return nil, fmt.Errorf("peer: %v: %w", to, err)
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -306,6 +306,7 @@
 	NodeJoin       = 300 * time.Millisecond // between two tries to be taken in as a member
 	NodeMembers    = 9                      // keepers that vote, at the most
 	NodeFounding   = 150 * time.Millisecond // between two tries to found the core
+	NodeAccount    = 5 * time.Second        // between two accounts in the log, at level debug
 	NodeStable     = 500 * time.Millisecond // no further keeper has come for so long
 )
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
@@ -20,8 +21,24 @@
 	callBook                      // what a keeper has heard of these, from a window on
 	callJoin                      // a keeper wants to be a member: identity
 	callRenew                     // the holder asks for more time: its fence and its member
+	callDismiss                   // the operator's, passed on: a member's name
 )
 
+// causeOf is what a call is for.
+func causeOf(kind uint8) account.Cause {
+	switch kind {
+	case callAsk, callLearn:
+		return account.Ballots
+	case callFetch, callReplace, callDescribe:
+		return account.Configs
+	case callReport, callBook:
+		return account.Reports
+	case callRenew:
+		return account.Leases
+	}
+	return account.States
+}
+
 func encodeAsk(a *ballot.Ask) []byte {
 	w := form.Writer{}
 	w.Byte(byte(a.Kind))
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 
 	"notchhinge/internal/acquirer"
 	"notchhinge/internal/broker"
+	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/edge"
@@ -33,11 +35,14 @@
 	dialect *edge.Dialect
 	list    func(service string) []roster.Engine
 	seed    uint64
+	spent   *account.Book
+	zone    string        // this machine's
 	repeats share.Repeats // of each service; no Window = there is no such budget
 
 	at      atomic.Pointer[edge.Compiled]
-	bounds  atomic.Pointer[limits.Bounds] // of the present configuration
-	mu      sync.Mutex                    // one change of configuration or engines at a time
+	bounds  atomic.Pointer[limits.Bounds]     // of the present configuration
+	zones   atomic.Pointer[map[string]string] // of engines, by address
+	mu      sync.Mutex                        // one change of configuration or engines at a time
 	next    pool.ID
 	modules map[pool.ID]*policy.Balancer
 	classes map[pool.ID]int
@@ -52,14 +57,14 @@
 
 func newData(log *slog.Logger, lim limits.Limits, grace time.Duration, seed uint64, list func(string) []roster.Engine) *data {
 	d := &data{
-		log: log, lim: lim, grace: grace, seed: seed, list: list, next: 1, modules: map[pool.ID]*policy.Balancer{},
+		spent: &account.Book{}, log: log, lim: lim, grace: grace, seed: seed, list: list, next: 1, modules: map[pool.ID]*policy.Balancer{},
 		classes: map[pool.ID]int{}, poke: make(chan struct{}, 1),
 	}
 	unsaid, _ := lim.Declared(0, 0, 0, 0)
 	d.bounds.Store(&unsaid)
 	d.loop = broker.NewLoop(broker.New(lim), broker.UnixClock(), d.perform)
 	d.issuer = issuer.New(issuer.Config{
-		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: (&net.Dialer{KeepAlive: -1}).DialContext, Dialect: edge.Legs{},
+		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: d.dial, Dialect: edge.Legs{},
 	})
 	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64}
 	d.front = acquirer.New(acquirer.Options{
@@ -69,6 +74,19 @@
 	return d
 }
 
+// dial opens a connection to an engine, and has it counted.
+func (d *data) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	zone := d.zone
+	if all := d.zones.Load(); all != nil {
+		zone = cmp.Or((*all)[addr], zone)
+	}
+	return d.spent.Counted(account.Engines, c, zone != d.zone), nil
+}
+
 // closer is what every authorisation of this front is.
 type closer interface {
 	Close(why broker.Verdict, retryAfter time.Duration, mayHaveRun bool)
@@ -185,9 +203,12 @@
 // feed tells the modules which engines there are. The lock is held.
 func (d *data) feed(at *edge.Compiled) {
 	now, clock := time.Now().UnixMilli(), d.loop.Now()
+	zones := map[string]string{}
+	defer func() { d.zones.Store(&zones) }()
 	for name, s := range at.Services() {
 		l := broker.Listed{Pool: s.ID, Kind: policy.ListFull}
 		for _, e := range d.list(name) {
+			zones[e.Addr] = e.Zone
 			h := broker.Host{Name: e.ID, Dial: e.Addr, Weight: 1}
 			if e.State == roster.Draining {
 				h.State = policy.Draining
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -11,6 +11,7 @@
 
 	"notchhinge/internal/boot"
 	"notchhinge/internal/broker"
+	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
@@ -89,6 +90,7 @@
 	others func() []netip.AddrPort
 	list   func(service string) []roster.Engine
 	config func() *declared.Config
+	spent  *account.Book
 
 	mu     sync.Mutex
 	book   duty.Book
@@ -109,7 +111,7 @@
 	lease := time.Duration(n.cfg.Bounds.LeaseMS) * time.Millisecond
 	d := &duties{
 		k: n.keeper, log: n.log, cfg: n.cfg, cloud: platform.New(n.cfg.Cloud.Address, n.cfg.Node), clock: n.news.clock,
-		others: n.keeper.others, list: n.news.list, config: n.config, sent: map[uint64]bool{}, scalers: map[string]*duty.Scaler{},
+		spent: &n.spent, others: n.keeper.others, list: n.news.list, config: n.config, sent: map[uint64]bool{}, scalers: map[string]*duty.Scaler{},
 		before: map[string]duty.Load{}, ordered: map[string]int{},
 		held: duty.Held{Lease: lease, Margin: limits.NodeLeaseMargin},
 		rank: time.Duration(n.keeper.self.ID%1000) * time.Millisecond,
@@ -308,6 +310,7 @@
 			return
 		}
 		one, cancel := context.WithTimeout(ctx, d.left())
+		d.spent.Add(account.Platform, 0, false)
 		err := d.cloud.Usage(one, s.HolderPlace, number, counts)
 		cancel()
 		if err != nil {
@@ -379,6 +382,7 @@
 				return
 			}
 			one, cancel := context.WithTimeout(ctx, d.left())
+			d.spent.Add(account.Platform, 0, false)
 			err := d.cloud.Scale(one, s.HolderPlace, svc.Name, z, wanted[z])
 			cancel()
 			if err != nil {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -57,6 +57,7 @@
 	edges    []*machine
 	keepers  []*machine
 	platform *platformStandIn
+	make     func(i int, keeper bool) *machine
 }
 
 // port returns a port that is free at an address.
@@ -83,7 +84,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(i), control))
 	}
 	zones := []string{"a", "b", "c"}
-	for i := range 3 + edges {
+	f.make = func(i int, keeper bool) *machine {
 		m := &machine{t: t, dir: t.TempDir(), ctl: fmt.Sprintf("%s:%d", ip(i), control)}
 		m.cfg = map[string]any{
 			"node_name": fmt.Sprintf("n%d", i), "machine_class": "edge", "ip_address": ip(i), "zone": zones[i%3],
@@ -94,7 +95,7 @@
 			"cloud_api": map[string]any{"address": f.platform.addr, "duties": []string{"usage_reporting", "autoscaler"}},
 		}
 		listeners := map[string]any{"control_plane": m.ctl}
-		if i < 3 {
+		if keeper {
 			m.cfg["machine_class"], m.cfg["quorum_member"], m.cfg["data_directory"] = "core", true, filepath.Join(m.dir, "data")
 			f.keepers = append(f.keepers, m)
 		} else {
@@ -104,6 +105,10 @@
 		}
 		m.cfg["listeners"] = listeners
 		m.path = filepath.Join(m.dir, "boot.json")
+		return m
+	}
+	for i := range 3 + edges {
+		f.make(i, i < 3)
 	}
 	t.Cleanup(func() {
 		for _, m := range append(f.edges, f.keepers...) {
@@ -584,3 +589,42 @@
 		t.Errorf("the next configuration: %d", code)
 	}
 }
+
+func TestMemberThatIsGoneForGood(t *testing.T) {
+	// A fourth keeper comes, and is gone for good: it is taken out by name, by way of a router that holds no state. Those that
+	// the losses to be borne want stay, whoever asks.
+	f := newTestFleet(t, 1, 4)
+	if code := put(t, f.keepers[0].ctl, 0, config(2, "k")); code != 200 {
+		t.Fatal(code)
+	}
+	fourth := f.make(9, true)
+	fourth.cfg["bootstrap"] = false
+	fourth.start()
+	members := func(m *machine, n int) func() bool {
+		return func() bool {
+			_, b := call(t, "GET", m.ctl, "/fleet/status", nil, nil)
+			return bytes.Contains(b, fmt.Appendf(nil, `"votes":true,"members":%d`, n))
+		}
+	}
+	until(t, "a fourth member", members(fourth, 4))
+	fourth.end()
+	f.keepers = f.keepers[:3]
+	remove := func(name string, want int) {
+		t.Helper()
+		until(t, "a clear answer", func() bool {
+			code, b := call(t, "DELETE", f.edges[0].ctl, "/fleet/members/"+name, nil, nil)
+			if code != want && code != 503 {
+				t.Fatalf("%s: %d %s, not %d", name, code, b, want)
+			}
+			return code == want
+		})
+	}
+	remove("nobody", 404)
+	remove(fourth.cfg["node_name"].(string), 200)
+	until(t, "three members", members(f.keepers[0], 3))
+	remove("n1", 409)
+	f.keepers[2].end() // a majority of three is left, which it would not be of four
+	if code := put(t, f.edges[0].ctl, 2, config(5, "k")); code != 200 {
+		t.Errorf("the next configuration: %d", code)
+	}
+}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -165,6 +165,12 @@
 	return k.state
 }
 
+// member tells whether this keeper has a vote.
+func (k *keeper) member() bool {
+	s := k.at()
+	return s.Member(k.self.ID) != nil
+}
+
 func (k *keeper) identity() identity {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -585,6 +591,43 @@
 	})
 }
 
+// dismiss takes members of a name out that are gone for good, so that a majority need not be made up of who will never
+// answer. Those that are left must still be as many as the losses that are to be borne want. Who runs is taken in again.
+func (k *keeper) dismiss(ctx context.Context, name string) (res api.Result) {
+	if !k.member() {
+		return api.Result{Status: http.StatusServiceUnavailable, Says: "this keeper is no member itself"}
+	}
+	if err := k.settle(ctx); err != nil {
+		return api.Result{Status: http.StatusServiceUnavailable, Says: err.Error()}
+	}
+	done := false
+	err := k.propose(ctx, func(s *chain.State) []byte {
+		e := &chain.Entry{Kind: chain.Members, Nonce: rand.Uint64()}
+		for _, m := range s.Members {
+			if m.Name != name {
+				e.Members = append(e.Members, m)
+			}
+		}
+		switch {
+		case len(e.Members) == len(s.Members) && done:
+			res = api.Result{Status: http.StatusOK, Rev: s.Revision}
+		case len(e.Members) == len(s.Members):
+			res = api.Result{Status: http.StatusNotFound, Says: fmt.Sprintf("no member is named %q", name)}
+		case len(e.Members) < k.least:
+			res = api.Result{Status: http.StatusConflict, Says: fmt.Sprintf("%d members would be left; %d are wanted", len(e.Members), k.least)}
+		default:
+			done = true
+			k.log.Info("taking a member out", "name", name, "left", len(e.Members))
+			return e.Encode()
+		}
+		return nil
+	})
+	if err != nil {
+		return api.Result{Status: http.StatusServiceUnavailable, Says: err.Error()}
+	}
+	return res
+}
+
 // who asks a keeper who it is.
 func (k *keeper) who(ctx context.Context, to netip.AddrPort) (identity, error) {
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"notchhinge/internal/boot"
+	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
@@ -42,6 +43,7 @@
 	data   *data   // nil where no traffic is carried
 	duties *duties // nil where there is no disk
 	conf   atomic.Pointer[declared.Config]
+	spent  account.Book
 	began  time.Time
 
 	holding  sync.Mutex    // one configuration is taken over at a time
@@ -117,6 +119,7 @@
 	silence := n.cfg.Beat()*limits.NodeSilence + n.cfg.Beat()/2
 	n.news = newNews(n.net, self, rand.Uint64(), silence)
 	n.news.config = n.heardOf
+	n.net.Counted = n.counted
 	return nil
 }
 
@@ -145,6 +148,7 @@
 				Ratio: b.RetryRatio / 2, Window: time.Duration(b.RetryWindowS * float64(time.Second)), Extra: b.RetryExtra / limits.NodeRetryParts,
 			}
 		}
+		n.data.spent, n.data.zone = &n.spent, n.cfg.Zone
 		n.news.engines = n.data.engines
 		go n.data.run(ctx)
 		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone}
@@ -193,8 +197,12 @@
 		go func() { n.data.front.Serve(front) }()
 	}
 	n.log.Info("started", "class", n.cfg.Class, "zone", n.cfg.Zone, "bootstrap", n.cfg.Bootstrap)
+	accounts := time.NewTicker(limits.NodeAccount)
+	defer accounts.Stop()
 	for {
 		select {
+		case <-accounts.C:
+			n.settleUp(slog.LevelDebug)
 		case err := <-failed:
 			if err != nil {
 				return err
@@ -209,11 +217,41 @@
 			}
 		case <-sig.Stop:
 			n.stop(ctx, front)
+			n.settleUp(slog.LevelInfo)
 			return nil
 		}
 	}
 }
 
+// counted keeps the account of what goes to other processes.
+func (n *Node) counted(to netip.AddrPort, kind uint8, bytes int, datagram []byte) {
+	const headers = 28 // of a datagram
+	if kind == 0 {
+		// The lock of the news is held: datagrams are sent by its turn only.
+		zone, known := n.news.gossip.ZoneOf(to.Addr())
+		cause := map[gossip.Use]account.Cause{gossip.Compares: account.Digests, gossip.Shuffles: account.Shuffles, gossip.Spreads: account.News}
+		n.spent.Add(cause[gossip.UseOf(datagram)], bytes+headers, known && zone != hash32(n.cfg.Zone))
+		return
+	}
+	n.news.mu.Lock()
+	zone, known := n.news.gossip.ZoneOf(to.Addr())
+	n.news.mu.Unlock()
+	n.spent.Add(causeOf(kind), bytes, known && zone != hash32(n.cfg.Zone))
+}
+
+// settleUp writes down what the process has cost.
+func (n *Node) settleUp(level slog.Level) {
+	ctx := context.Background()
+	if !n.log.Enabled(ctx, level) {
+		return
+	}
+	for _, r := range n.spent.Rows() {
+		n.log.Log(ctx, level, "account", "cause", r.Cause, "count", r.Count, "bytes", r.Bytes, "between_zones", r.Between, "connections", r.Conns)
+	}
+	m := account.Used()
+	n.log.Log(ctx, level, "account of the machine", "processor_s", m.Processor, "memory_most_mb", m.MemoryMB, "wake_ups", m.WakeUps)
+}
+
 // readiness says whether clients are wanted here.
 func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
 	if why := n.unready(); why != "" {
@@ -430,6 +468,15 @@
 		defer cancel()
 		r := k.put(ctx, on, append([]byte(nil), text...))
 		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
+	case callDismiss:
+		_, name, err := decodePlace(body)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+		defer cancel()
+		r := k.dismiss(ctx, string(name))
+		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
 	case callDescribe:
 		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 		defer cancel()
@@ -528,6 +575,16 @@
 	return n.pass(ctx, callDescribe, nil)
 }
 
+// Dismiss implements api.Handler.
+func (n *Node) Dismiss(ctx context.Context, name string) api.Result {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	if n.keeper != nil && n.keeper.member() {
+		return n.keeper.dismiss(ctx, name)
+	}
+	return n.pass(ctx, callDismiss, encodePlace(0, []byte(name)))
+}
+
 // pass passes a call of the operator on to a keeper, and to the next if that one does not answer.
 func (n *Node) pass(ctx context.Context, kind uint8, body []byte) api.Result {
 	for _, p := range n.news.keepers() {
@@ -563,11 +620,15 @@
 		Members  int    `json:"members"` // of the core, as the keeper knows them
 		Holder   string `json:"holder"`  // of the duties
 		Fence    uint64 `json:"fence"`
+
+		Account []account.Row   `json:"account"` // what the process has sent and taken, by cause
+		Machine account.Machine `json:"machine"`
 	}
 	s := status{Node: n.cfg.Node, Zone: n.cfg.Zone, Ready: n.unready(), Place: n.place.Load(), Wanted: n.wanted.Load()}
 	if s.Ready == "" {
 		s.Ready = "yes"
 	}
+	s.Account, s.Machine = n.spent.Rows(), account.Used()
 	if n.data != nil {
 		if at := n.data.at.Load(); at != nil {
 			s.Revision = at.Revision
