--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -325,5 +325,5 @@
 
 // Scaling are the fleet's figures.
 func Scaling() Scale {
-	return Scale{Share: 0.31, PerEngine: 4, Settle: 3 * time.Second, Calm: 5 * time.Second, Smooth: 2 * time.Second}
+	return Scale{Share: 0.31, PerEngine: 4, Settle: 8 * time.Second, Calm: 5 * time.Second, Smooth: 2 * time.Second}
 }
