Lab: a whole fleet on loopback, through troubles, in one command

Need: a newcomer's first command started a test. Ruled out: nodes within one process, which cannot be killed or frozen.

--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -16,8 +16,9 @@
 )
 
 type cli struct {
-	Demo demo `cmd:"" help:"Start discovery, boxes, a collector, two routers and clients on loopback, show requests being served through troubles, and end within a minute."`
-	Run  run  `cmd:"" help:"Run an experiment file (lab/NAME.toml) and hold it to its bars."`
+	Demo  demo     `cmd:"" help:"Start discovery, boxes, a collector, two routers and clients on loopback, show requests being served through troubles, and end within a minute."`
+	Fleet fleetCmd `cmd:"" help:"Start a whole fleet with engines, an operator, a platform and clients, show it through troubles, and end with a report."`
+	Run   run      `cmd:"" help:"Run an experiment file (lab/NAME.toml) and hold it to its bars."`
 }
 
 // badFile is an error of a file that was given; the program ends with exit code 2.
