Declarations: configurations in TOML, checked by a schema, compared

Need: a configuration was CBOR that nobody can keep under version control. Ruled out: a second set of types for files (they would part); YAML. The change: the types carry the file's names and its schema, faults carry a path and get the file's lines, keys may stand elsewhere and are never printed; settings.Read is what both kinds of files share.

--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -7,3 +7,9 @@
 //
 //go:embed notchhinge.schema.json
 var Schema []byte
+
+// ConfigurationSchema is the JSON Schema of the fleet's configurations in files. A test of internal/declaration makes it from
+// the Go types (-update).
+//
+//go:embed configuration.schema.json
+var ConfigurationSchema []byte
--- a/internal/control/declared/declared.go
+++ b/internal/control/declared/declared.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,69 +18,70 @@
 // MostBytes bounds a configuration: thousands of routes at some 250 bytes.
 const MostBytes = 8 << 20
 
-// Config is a configuration.
+// Config is a configuration: on the wire in CBOR, in users' files in TOML (package declaration). Its tags are of both, and of
+// the schema of the files.
 type Config struct {
-	Revision uint64    `cbor:"revision"`
-	Routes   []Route   `cbor:"routes"`
-	Services []Service `cbor:"services"`
-	Limits   Limits    `cbor:"request_limits"`
-	Tenants  []Tenant  `cbor:"tenants"`
+	Revision uint64    `cbor:"revision" toml:"revision" jsonschema:"minimum=0,description=number of the version; left out in a file it is the next one"`
+	Routes   []Route   `cbor:"routes" toml:"routes" jsonschema:"description=Which requests lead where. Of several the longest path_prefix counts."`
+	Services []Service `cbor:"services" toml:"services" jsonschema:"description=What engines serve."`
+	Limits   Limits    `cbor:"request_limits" toml:"request_limits" jsonschema:"description=What clients may send."`
+	Tenants  []Tenant  `cbor:"tenants,omitempty" toml:"tenants" jsonschema:"description=Who may ask. Without any nobody needs a key."`
 }
 
 // Route leads requests of a host to services.
 type Route struct {
-	Name     string  `cbor:"name"`
-	Host     string  `cbor:"hostname"`
-	Prefix   string  `cbor:"path_prefix"`
-	Type     string  `cbor:"route_type"`
-	Timeout  float64 `cbor:"timeout_ms"`
-	Target   float64 `cbor:"target_latency_ms"`
-	Priority int     `cbor:"priority"`
-	Service  string  `cbor:"target_service"`
-	Split    []Share `cbor:"traffic_split"`
-	Attempts int     `cbor:"max_attempts"`
-	Public   bool    `cbor:"public"`
-	Affinity bool    `cbor:"session_affinity"`
-	Resume   bool    `cbor:"resumable"`
+	Name     string  `cbor:"name" toml:"name" jsonschema:"required,minLength=1,description=a name of the route"`
+	Host     string  `cbor:"hostname" toml:"hostname" jsonschema:"required,minLength=1,description=the host that is asked for"`
+	Prefix   string  `cbor:"path_prefix" toml:"path_prefix" jsonschema:"required,pattern=^/(.*/)?$,description=what the path begins with; it begins and ends with a slash"`
+	Type     string  `cbor:"route_type" toml:"route_type" jsonschema:"required,enum=idempotent,enum=non_idempotent,enum=streaming,description=what may be sent again; one of idempotent and non_idempotent and streaming"`
+	Timeout  float64 `cbor:"timeout_ms" toml:"timeout_ms" jsonschema:"required,exclusiveMinimum=0,description=the longest time that a request is held"`
+	Target   float64 `cbor:"target_latency_ms" toml:"target_latency_ms" jsonschema:"minimum=0,description=the time within which an answer earns its full worth"`
+	Priority int     `cbor:"priority" toml:"priority" jsonschema:"minimum=0,description=rank; 0 is highest"`
+	Service  string  `cbor:"target_service,omitempty" toml:"target_service" jsonschema:"description=the service; or traffic_split"`
+	Split    []Share `cbor:"traffic_split,omitempty" toml:"traffic_split" jsonschema:"description=several services with their weights; or target_service"`
+	Attempts int     `cbor:"max_attempts" toml:"max_attempts" jsonschema:"minimum=0,description=the most engines that one request is sent to"`
+	Public   bool    `cbor:"public" toml:"public" jsonschema:"description=no key is needed"`
+	Affinity bool    `cbor:"session_affinity" toml:"session_affinity" jsonschema:"description=requests that share a prompt's beginning keep to an engine"`
+	Resume   bool    `cbor:"resumable" toml:"resumable" jsonschema:"description=a stream may be taken up again"`
 }
 
 // Share is a service's part of a route.
 type Share struct {
-	Service string  `cbor:"target_service"`
-	Weight  float64 `cbor:"weight"`
+	Service string  `cbor:"target_service" toml:"target_service" jsonschema:"required,description=the service"`
+	Weight  float64 `cbor:"weight" toml:"weight" jsonschema:"required,minimum=0,description=its weight against the others'"`
 }
 
 // Service is what engines serve.
 type Service struct {
-	Name     string `cbor:"name"`
-	Health   string `cbor:"health_path"`
-	MaxConns int    `cbor:"max_connections"`
-	Protocol string `cbor:"protocol"`
-	TLS      bool   `cbor:"tls_enabled"`
-	Scale    *Scale `cbor:"autoscaling"`
+	Name     string `cbor:"name" toml:"name" jsonschema:"required,minLength=1,description=the name that engines give"`
+	Health   string `cbor:"health_path" toml:"health_path" jsonschema:"description=the path that a probe asks for"`
+	MaxConns int    `cbor:"max_connections" toml:"max_connections" jsonschema:"minimum=0,description=the connections that one engine takes from all callers"`
+	Protocol string `cbor:"protocol" toml:"protocol" jsonschema:"enum=h1,description=h1"`
+	TLS      bool   `cbor:"tls_enabled" toml:"tls_enabled" jsonschema:"description=engines speak TLS"`
+	Scale    *Scale `cbor:"autoscaling,omitempty" toml:"autoscaling" jsonschema:"description=the numbers of engines in each zone. Without this table they stay as they are."`
 }
 
 // Scale bounds the engines of a service in each zone.
 type Scale struct {
-	Min   int     `cbor:"min_instances"`
-	Max   int     `cbor:"max_instances"`
-	BootS float64 `cbor:"boot_timeout_s"`
+	Min   int     `cbor:"min_instances" toml:"min_instances" jsonschema:"required,minimum=0,description=at the least"`
+	Max   int     `cbor:"max_instances" toml:"max_instances" jsonschema:"required,minimum=0,description=at the most"`
+	BootS float64 `cbor:"boot_timeout_s" toml:"boot_timeout_s" jsonschema:"minimum=0,description=seconds until a new one serves"`
 }
 
-// Limits bound what clients send.
+// Limits bound what clients send. 0 is unsaid: the program's own bound holds.
 type Limits struct {
-	HeaderBytes int     `cbor:"max_header_bytes"`
-	BodyBytes   int     `cbor:"max_body_bytes"`
-	HeaderMS    float64 `cbor:"header_timeout_ms"`
-	IdleMS      float64 `cbor:"idle_timeout_ms"`
+	HeaderBytes int     `cbor:"max_header_bytes" toml:"max_header_bytes" jsonschema:"minimum=0,description=bytes of headers"`
+	BodyBytes   int     `cbor:"max_body_bytes" toml:"max_body_bytes" jsonschema:"minimum=0,description=bytes of a body"`
+	HeaderMS    float64 `cbor:"header_timeout_ms" toml:"header_timeout_ms" jsonschema:"minimum=0,description=the time for a head"`
+	IdleMS      float64 `cbor:"idle_timeout_ms" toml:"idle_timeout_ms" jsonschema:"minimum=0,description=the time between two requests on a connection"`
 }
 
 // Tenant is who a key belongs to.
 type Tenant struct {
-	Name     string   `cbor:"name"`
-	Keys     []string `cbor:"api_keys"`
-	Priority int      `cbor:"priority"`
-	PerS     float64  `cbor:"rate_per_s"`
+	Name     string   `cbor:"name" toml:"name" jsonschema:"required,minLength=1,description=the name that engines are shown"`
+	Keys     []string `cbor:"api_keys" toml:"api_keys" jsonschema:"description=its keys; env:NAME and file:PATH stand for what is kept elsewhere"`
+	Priority int      `cbor:"priority" toml:"priority" jsonschema:"minimum=0,description=rank; 0 is highest"`
+	PerS     float64  `cbor:"rate_per_s" toml:"rate_per_s" jsonschema:"minimum=0,description=requests a second"`
 }
 
 // The types of routes.
@@ -138,10 +140,41 @@
 	return c, sha256.Sum256(canonical), nil
 }
 
+// Fault is one thing that is wrong with a configuration.
+type Fault struct {
+	Path []string // to the field: names, and numbers of what stands in a list
+	Name string   // of the route, service or tenant that it is in; "" = none
+	Says string
+}
+
+func (f Fault) String() string {
+	at := ""
+	for _, p := range f.Path {
+		if _, err := strconv.Atoi(p); err == nil {
+			at += "[" + p + "]"
+			continue
+		}
+		if at != "" {
+			at += "."
+		}
+		at += p
+	}
+	if f.Name != "" {
+		at += " (" + f.Name + ")"
+	}
+	return at + ": " + f.Says
+}
+
 // Faults is everything that is wrong with a configuration.
-type Faults []string
+type Faults []Fault
 
-func (f Faults) Error() string { return ErrInvalid.Error() + ": " + strings.Join(f, "; ") }
+func (f Faults) Error() string {
+	var all []string
+	for _, x := range f {
+		all = append(all, x.String())
+	}
+	return ErrInvalid.Error() + ": " + strings.Join(all, "; ")
+}
 
 // Is has errors.Is find ErrInvalid.
 func (f Faults) Is(err error) bool { return err == ErrInvalid }
@@ -149,78 +182,101 @@
 // Check says what is wrong with a configuration by itself.
 func (c *Config) Check() error {
 	var faults Faults
-	bad := func(format string, args ...any) {
+	name := ""
+	bad := func(path []string, format string, args ...any) {
 		if len(faults) < 64 { // a file of thousands of routes may be wrong throughout
-			faults = append(faults, fmt.Sprintf(format, args...))
+			faults = append(faults, Fault{path, name, fmt.Sprintf(format, args...)})
 		}
 	}
 	if c.Revision == 0 {
-		bad("revision: above 0 is wanted")
+		bad([]string{"revision"}, "above 0 is wanted")
 	}
-	if l := &c.Limits; l.HeaderBytes < 0 || l.BodyBytes < 0 || !(l.HeaderMS >= 0) || !(l.IdleMS >= 0) {
-		bad("request_limits: %+v: none may be below 0", *l)
+	for _, l := range []struct {
+		key   string
+		value float64
+	}{
+		{"max_header_bytes", float64(c.Limits.HeaderBytes)}, {"max_body_bytes", float64(c.Limits.BodyBytes)},
+		{"header_timeout_ms", c.Limits.HeaderMS}, {"idle_timeout_ms", c.Limits.IdleMS},
+	} {
+		if !(l.value >= 0) {
+			bad([]string{"request_limits", l.key}, "0 or more is wanted, not %v", l.value)
+		}
 	}
 	services := map[string]bool{}
 	for i, s := range c.Services {
+		at := func(key string) []string { return []string{"services", strconv.Itoa(i), key} }
+		name = s.Name
 		switch {
 		case s.Name == "":
-			bad("services[%d].name: a name is wanted", i)
+			bad(at("name"), "a name is wanted")
 		case services[s.Name]:
-			bad("services[%d].name: %q is another service's", i, s.Name)
+			bad(at("name"), "it is another service's")
 		}
 		services[s.Name] = true
 		if k := s.Scale; k != nil && (k.Min < 0 || k.Max < k.Min) {
-			bad("services[%d].autoscaling: min_instances %d, max_instances %d", i, k.Min, k.Max)
+			bad(at("autoscaling"), "min_instances %d, max_instances %d: 0 or more, and no more than the other, are wanted", k.Min, k.Max)
 		}
 	}
 	type place struct{ host, prefix string }
 	places := map[place]int{}
 	for i, r := range c.Routes {
-		at := fmt.Sprintf("routes[%d] %s", i, r.Name)
+		at := func(key ...string) []string { return append([]string{"routes", strconv.Itoa(i)}, key...) }
+		name = r.Name
 		host := strings.ToLower(r.Host)
 		if r.Host == "" {
-			bad("%s: hostname: a host is wanted", at)
+			bad(at("hostname"), "a host is wanted")
 		}
 		if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-			bad("%s: path_prefix: %q does not begin and end with a slash", at, r.Prefix)
+			bad(at("path_prefix"), "%q does not begin and end with a slash", r.Prefix)
 		}
 		if before, twice := places[place{host, r.Prefix}]; twice {
-			bad("%s: routes[%d] has the same host and path_prefix", at, before)
+			bad(at("path_prefix"), "routes[%d] (%s) has the same host and path_prefix", before, c.Routes[before].Name)
 		}
 		places[place{host, r.Prefix}] = i
 		if r.Type != Idempotent && r.Type != NonIdempotent && r.Type != Streaming {
-			bad("%s: route_type: %q is none", at, r.Type)
+			bad(at("route_type"), "%q is none; %s, %s or %s is wanted", r.Type, Idempotent, NonIdempotent, Streaming)
 		}
 		if !(r.Timeout > 0) || math.IsInf(r.Timeout, 0) {
-			bad("%s: timeout_ms: above 0 is wanted, not %v", at, r.Timeout)
+			bad(at("timeout_ms"), "above 0 is wanted, not %v", r.Timeout)
+		}
+		if r.Target < 0 {
+			bad(at("target_latency_ms"), "0 or more is wanted, not %v", r.Target)
 		}
-		if r.Target < 0 || r.Attempts < 0 {
-			bad("%s: target_latency_ms %v, max_attempts %d: 0 or more are wanted", at, r.Target, r.Attempts)
+		if r.Attempts < 0 {
+			bad(at("max_attempts"), "0 or more is wanted, not %d", r.Attempts)
 		}
 		sum := 0.0
-		for _, s := range r.Shares() {
+		for k, s := range r.Shares() {
+			in := func(key string) []string {
+				if len(r.Split) == 0 {
+					return at(key)
+				}
+				return at("traffic_split", strconv.Itoa(k), key)
+			}
 			if !services[s.Service] {
-				bad("%s: target_service: there is no service %q", at, s.Service)
+				bad(in("target_service"), "there is no service %q", s.Service)
 			}
 			if !(s.Weight >= 0) || math.IsInf(s.Weight, 0) {
-				bad("%s: weight: 0 or more is wanted, not %v", at, s.Weight)
+				bad(in("weight"), "0 or more is wanted, not %v", s.Weight)
 			}
 			sum += s.Weight
 		}
 		if !(sum > 0) {
-			bad("%s: traffic_split: the weights add up to %v", at, sum)
+			bad(at("traffic_split"), "the weights add up to %v", sum)
 		}
 	}
 	keys := map[string]string{}
 	names := map[string]bool{}
 	for i, t := range c.Tenants {
+		at := func(key string) []string { return []string{"tenants", strconv.Itoa(i), key} }
+		name = t.Name
 		if t.Name == "" || names[t.Name] {
-			bad("tenants[%d].name: %q is empty or another tenant's", i, t.Name)
+			bad(at("name"), "it is empty or another tenant's")
 		}
 		names[t.Name] = true
 		for _, k := range t.Keys {
 			if other, twice := keys[k]; twice && other != t.Name {
-				bad("tenants[%d].api_keys: a key is tenant %q's too", i, other)
+				bad(at("api_keys"), "a key is tenant %q's too", other)
 			}
 			keys[k] = t.Name
 		}
--- /dev/null
+++ b/internal/declaration/declaration_test.go
@@ -0,0 +1,178 @@
+package declaration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/invopop/jsonschema"
+
+	"notchhinge/deploy"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/settings"
+)
+
+var update = flag.Bool("update", false, "write deploy/configuration.schema.json anew")
+
+func TestSchemaIsOfTheTypes(t *testing.T) {
+	r := jsonschema.Reflector{FieldNameTag: "toml", RequiredFromJSONSchemaTags: true, ExpandedStruct: true, Anonymous: true}
+	s := r.Reflect(&declared.Config{})
+	s.ID, s.Title = "", "a configuration of the fleet"
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = append(text, '\n')
+	if *update {
+		if err := os.WriteFile("../../deploy/configuration.schema.json", text, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if !bytes.Equal(text, deploy.ConfigurationSchema) {
+		t.Error("deploy/configuration.schema.json is not what the types say: run go test ./internal/declaration -run Schema -update")
+	}
+}
+
+const good = `
+[request_limits]
+max_body_bytes = 1000000
+
+[[services]]
+name = "scribe"
+health_path = "/health"
+max_connections = 110
+
+[services.autoscaling]
+min_instances = 2
+max_instances = 12
+
+[[routes]]
+name = "chat"
+hostname = "a.example"
+path_prefix = "/chat/"
+route_type = "streaming"
+timeout_ms = 12000
+target_service = "scribe"
+max_attempts = 2
+
+[[routes]]
+name = "read"
+hostname = "a.example"
+path_prefix = "/"
+route_type = "idempotent"
+timeout_ms = 2500.5
+traffic_split = [{target_service = "scribe", weight = 1}]
+
+[[tenants]]
+name = "lab"
+api_keys = ["one", "env:LAB_KEY", "file:lab.key"]
+`
+
+func env(name string) string { return map[string]string{"LAB_KEY": "two"}[name] }
+
+func TestGoodFile(t *testing.T) {
+	f, err := Parse([]byte(good), filepath.Join(t.TempDir(), "a.toml"), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Numbered || f.Routes[1].Timeout != 2500.5 || f.Routes[1].Split[0].Service != "scribe" || f.Services[0].Scale.Max != 12 ||
+		!cmp.Equal(f.Tenants[0].Keys[:2], []string{"one", "two"}) || !cmp.Equal(f.Unread, []string{"file:lab.key"}) {
+		t.Errorf("%+v", f.Config)
+	}
+	// The wire's form is the same every time, and says the same.
+	f.Revision = 4
+	b, err := Encode(f.Config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, _ := Encode(f.Config)
+	c, _, err := declared.Decode(b)
+	if err != nil || c.Check() != nil || !cmp.Equal(c, f.Config) || !bytes.Equal(b, again) {
+		t.Errorf("%v %s", err, cmp.Diff(f.Config, c))
+	}
+	path := filepath.Join(t.TempDir(), "a.cbor")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if g, err := Read(path, env); err != nil || !g.Numbered || !cmp.Equal(g.Config, f.Config) {
+		t.Errorf("from CBOR: %+v %v", g, err)
+	}
+	for _, k := range Hidden(f.Config).Tenants[0].Keys {
+		if k == "one" || k == "two" {
+			t.Error("a key is shown")
+		}
+	}
+}
+
+func TestEveryFaultWithItsLine(t *testing.T) {
+	bad := strings.NewReplacer(
+		`path_prefix = "/chat/"`, `path_prefix = "chat"`, // a shape
+		`max_attempts = 2`, `max_tries = 2`, // no key
+	).Replace(good)
+	worse := strings.NewReplacer(
+		`target_service = "scribe"`+"\nmax", `target_service = "none"`+"\nmax", // what no schema can say
+		`weight = 1`, `weight = 0`,
+		`"one", "env`, `"one", "one", "env`,
+	).Replace(good)
+	for name, c := range map[string]struct {
+		text string
+		want []string
+	}{
+		"by the schema": {bad, []string{"f.toml:17: routes[0].path_prefix", "f.toml:21: routes[0].max_tries: is no key"}},
+		"by the checks": {worse, []string{"f.toml:20: routes[0].target_service (chat): there is no service \"none\"", "f.toml:29: routes[1].traffic_split"}},
+		"no TOML":       {"[[routes]\n", []string{"f.toml:1"}},
+	} {
+		_, err := Parse([]byte(c.text), "f.toml", env)
+		var faults settings.Faults
+		if !errors.As(err, &faults) || len(faults) != len(c.want) {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		for i, w := range c.want {
+			if !strings.HasPrefix(faults[i].Error(), w) {
+				t.Errorf("%s: %q, not %q", name, faults[i].Error(), w)
+			}
+		}
+	}
+}
+
+func TestDiff(t *testing.T) {
+	read := func(text string) *declared.Config {
+		f, err := Parse([]byte(text), "f.toml", env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f.Config
+	}
+	a := read(good)
+	if d := Diff(a, read(good)); len(d) > 0 {
+		t.Errorf("of itself: %v", d)
+	}
+	b := read(strings.NewReplacer("12000", "9000", "max_body_bytes = 1000000", "max_body_bytes = 5", `"one", `, `"three", "four", `,
+		`path_prefix = "/"`, `path_prefix = "/new/"`, "max_instances = 12", "max_instances = 20", `weight = 1`, `weight = 3`).Replace(good))
+	var got []string
+	for _, c := range Diff(a, b) {
+		got = append(got, c.String())
+	}
+	want := []string{
+		"~ route a.example/chat/: timeout_ms 12000 -> 9000",
+		"+ route a.example/new/: read, idempotent -> scribe:3, 2500.5 ms",
+		"- route a.example/: read, idempotent -> scribe:1, 2500.5 ms",
+		"~ service scribe: autoscaling 2 to 12, boot 0 s -> 2 to 20, boot 0 s",
+		"~ tenant lab: api_keys 3 (1 taken away) -> 4 (2 new)",
+		"~ request_limits: max_body_bytes 1000000 -> 5",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if first := Diff(nil, a); len(first) != 5 {
+		t.Errorf("of nothing: %v", first)
+	}
+}
--- /dev/null
+++ b/internal/declaration/file.go
@@ -0,0 +1,160 @@
+// Package declaration owns configurations of the fleet as users keep them in version control: TOML files, checked by a JSON
+// Schema that is made from the types, and what changes from one to another. It asks no fleet and prints no key of a tenant.
+// Its errors are settings.Faults (what is wrong with a file, with lines) or those of reading.
+package declaration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pelletier/go-toml/v2"
+
+	"notchhinge/deploy"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/settings"
+)
+
+// File is a configuration from a file.
+type File struct {
+	*declared.Config
+	Path     string
+	Numbered bool     // the file says a revision itself
+	Unread   []string // keys kept elsewhere that could not be read, as env:NAME
+}
+
+// Read reads and checks a file: TOML, or CBOR where its name ends in .cbor. Keys that are kept elsewhere are read if they
+// are there; getenv is the environment.
+func Read(path string, getenv func(string) string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, path, getenv)
+}
+
+// Parse is Read on a text that is already read.
+func Parse(text []byte, path string, getenv func(string) string) (*File, error) {
+	f := &File{Config: &declared.Config{}, Path: path}
+	if filepath.Ext(path) == ".cbor" || len(text) > 0 && text[0] >= 0xa0 && text[0] <= 0xbf { // a map, which begins no TOML
+		c, _, err := declared.Decode(text)
+		if err == nil {
+			err = c.Check()
+		}
+		f.Config, f.Numbered = c, true
+		return f, lines(nil, path, err)
+	}
+	from, faults, err := settings.Read(text, path, deploy.ConfigurationSchema)
+	if err != nil {
+		return nil, err
+	}
+	if len(faults) > 0 {
+		return nil, faults.Sorted()
+	}
+	if err := toml.Unmarshal(text, f.Config); err != nil {
+		return nil, settings.Faults{{File: path, Says: err.Error()}}
+	}
+	f.Numbered = f.Revision > 0
+	for i := range f.Tenants {
+		for k, key := range f.Tenants[i].Keys {
+			got, err := elsewhere(key, filepath.Dir(path), getenv)
+			switch {
+			case errors.Is(err, errUnread):
+				f.Unread = append(f.Unread, key)
+			case err != nil:
+				faults = append(faults, from.Fault([]string{"tenants", fmt.Sprint(i), "api_keys"}, "%v", err))
+			default:
+				f.Tenants[i].Keys[k] = got
+			}
+		}
+	}
+	checked := *f.Config
+	checked.Revision = max(checked.Revision, 1) // the next one, which is not known here
+	if err := lines(from, path, checked.Check()); err != nil {
+		var more settings.Faults
+		if !errors.As(err, &more) {
+			return nil, err
+		}
+		faults = append(faults, more...)
+	}
+	if len(faults) > 0 {
+		return nil, faults.Sorted()
+	}
+	return f, nil
+}
+
+var errUnread = errors.New("not there")
+
+// elsewhere reads a key that is kept elsewhere; any other is returned as it is.
+func elsewhere(key, dir string, getenv func(string) string) (string, error) {
+	if name, ok := strings.CutPrefix(key, "env:"); ok {
+		if v := getenv(name); v != "" {
+			return v, nil
+		}
+		return "", errUnread
+	}
+	path, ok := strings.CutPrefix(key, "file:")
+	if !ok {
+		return key, nil
+	}
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(dir, path)
+	}
+	b, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return "", errUnread
+	case err != nil:
+		return "", err
+	case len(bytes.TrimSpace(b)) == 0:
+		return "", fmt.Errorf("%s is empty", path)
+	}
+	return string(bytes.TrimSpace(b)), nil
+}
+
+// lines makes faults of a configuration faults of a file.
+func lines(from *settings.Source, path string, err error) error {
+	var faults declared.Faults
+	if !errors.As(err, &faults) {
+		if err != nil {
+			return settings.Faults{{File: path, Says: err.Error()}}
+		}
+		return nil
+	}
+	var all settings.Faults
+	for _, x := range faults {
+		f := settings.Fault{File: path, Key: strings.TrimSuffix(x.String(), ": "+x.Says), Says: x.Says}
+		if from != nil {
+			f = from.Fault(x.Path, "%s", x.Says)
+			if x.Name != "" {
+				f.Key += " (" + x.Name + ")"
+			}
+		}
+		all = append(all, f)
+	}
+	return all.Sorted()
+}
+
+// Encode writes a configuration as the wire has it. The same configuration has the same bytes every time.
+func Encode(c *declared.Config) ([]byte, error) {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return nil, err
+	}
+	return mode.Marshal(c)
+}
+
+// Hidden is a copy of a configuration without its keys.
+func Hidden(c *declared.Config) *declared.Config {
+	out := *c
+	out.Tenants = nil
+	for _, t := range c.Tenants {
+		t.Keys = []string{fmt.Sprintf("(%d keys)", len(t.Keys))}
+		out.Tenants = append(out.Tenants, t)
+	}
+	return &out
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -66,30 +66,14 @@
 
 // Parse is Load on a text that is already read.
 func Parse(text []byte, path string, classes []string) (*File, error) {
-	lines, err := index(text)
-	from := source{path, lines}
-	faults := Faults{}
+	from, faults, err := Read(text, path, deploy.Schema)
+	if err != nil {
+		return nil, err
+	}
 	fault := func(key []string, format string, args ...any) {
 		faults = append(faults, from.Fault(key, format, args...))
 	}
-	var syntax *unstable.ParserError
-	if errors.As(err, &syntax) {
-		return nil, Faults{{File: path, Line: lines.at(text, syntax.Highlight), Says: syntax.Message}}
-	} else if err != nil {
-		return nil, Faults{{File: path, Says: err.Error()}}
-	}
-	var tree map[string]any
-	if err := toml.Unmarshal(text, &tree); err != nil {
-		f := Fault{File: path, Says: err.Error()}
-		if d := (*toml.DecodeError)(nil); errors.As(err, &d) {
-			f.Line, _ = d.Position()
-		}
-		return nil, Faults{f}
-	}
-	if err := meets(tree, fault); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	f := &File{source: from}
+	f := &File{Source: *from}
 	if len(faults) == 0 {
 		if err := toml.Unmarshal(text, f); err != nil { // what the schema cannot say: times
 			d := (*toml.DecodeError)(nil)
@@ -129,8 +113,36 @@
 	return f, nil
 }
 
+// Read holds a text against a JSON Schema and returns where its keys stand, and every fault. An error is a text that
+// is no TOML, as Faults, or one that cannot be checked.
+func Read(text []byte, path string, schema []byte) (*Source, Faults, error) {
+	lines, err := index(text)
+	from := &Source{path, lines}
+	faults := Faults{}
+	var syntax *unstable.ParserError
+	if errors.As(err, &syntax) {
+		return nil, nil, Faults{{File: path, Line: lines.at(text, syntax.Highlight), Says: syntax.Message}}
+	} else if err != nil {
+		return nil, nil, Faults{{File: path, Says: err.Error()}}
+	}
+	var tree map[string]any
+	if err := toml.Unmarshal(text, &tree); err != nil {
+		f := Fault{File: path, Says: err.Error()}
+		if d := (*toml.DecodeError)(nil); errors.As(err, &d) {
+			f.Line, _ = d.Position()
+		}
+		return nil, nil, Faults{f}
+	}
+	if err := meets(tree, schema, func(key []string, format string, args ...any) {
+		faults = append(faults, from.Fault(key, format, args...))
+	}); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return from, faults, nil
+}
+
 // Fault is a fault of a key, for what only a subsystem can tell.
-func (s *source) Fault(key []string, format string, args ...any) Fault {
+func (s *Source) Fault(key []string, format string, args ...any) Fault {
 	line, shown := s.lines.find(key)
 	return Fault{File: s.path, Line: line, Key: shown, Says: fmt.Sprintf(format, args...)}
 }
@@ -142,7 +154,7 @@
 }
 
 // meets holds a file against the schema and reports each fault.
-func meets(tree map[string]any, fault func(key []string, format string, args ...any)) error {
+func meets(tree map[string]any, schemaText []byte, fault func(key []string, format string, args ...any)) error {
 	text, err := json.Marshal(tree)
 	if err != nil {
 		return err // a value that JSON does not have, such as inf
@@ -151,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(deploy.Schema))
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
 	if err != nil {
 		return fmt.Errorf("the schema: %w", err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,15 +7,15 @@
 	"time"
 )
 
-// source is where a file's keys stand.
-type source struct {
+// Source is where a file's keys stand.
+type Source struct {
 	path  string
 	lines lineIndex
 }
 
 // File is the whole file. A nil table is off.
 type File struct {
-	source
+	Source `toml:"-" jsonschema:"-"`
 
 	Trace     *Trace     `toml:"trace" jsonschema:"description=Journeys of requests: what is recorded and where it goes. Without this table nothing is."`
 	Batch     *Batch     `toml:"batch" jsonschema:"description=The batch front: files of requests. Off without this table. It needs one contract at least."`
