--- a/cmd/notchhinge/fleet.go
+++ b/cmd/notchhinge/fleet.go
@@ -1,22 +1,28 @@
 package main
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"notchhinge/internal/control/declared"
+	"notchhinge/internal/node"
 )
 
 type fleetCmd struct {
 	Status fleetStatus `cmd:"" help:"Print what processes of the fleet know, from their control addresses."`
+	Watch  fleetWatch  `cmd:"" help:"Print a line whenever what a process knows of the fleet changes, until it is stopped."`
 	Remove fleetRemove `cmd:"" help:"Take a keeper out that is gone for good. One that runs is taken in again."`
 }
 
@@ -107,41 +113,136 @@
 	return nil
 }
 
-type configCmd struct {
-	Check    configCheck    `cmd:"" help:"Check a configuration in a file (CBOR, as the operator sends it) and say every fault."`
-	Describe configDescribe `cmd:"" help:"Print the newest configuration that the fleet has agreed on, without keys of tenants."`
+type fleetWatch struct {
+	toFleet
+	Every time.Duration `help:"Pause between two looks." default:"1s"`
+	For   time.Duration `help:"End after this; 0 = never."`
 }
 
-type configCheck struct {
-	File string `arg:"" help:"The configuration." type:"existingfile"`
+// Run prints what differs from the look before.
+func (c fleetWatch) Run() error {
+	client := http.Client{Timeout: 3 * time.Second}
+	before, began := map[string]any{}, time.Now()
+	for {
+		now, err := status(&client, c.Control)
+		if err != nil {
+			now = map[string]any{"error": err.Error()}
+		}
+		var all []string
+		for _, k := range watched {
+			if now[k] != before[k] && now[k] != nil {
+				all = append(all, fmt.Sprintf("%s=%v", k, now[k]))
+			}
+		}
+		if len(all) > 0 {
+			fmt.Printf("%s %s\n", time.Now().UTC().Format(time.TimeOnly), strings.Join(all, " "))
+		}
+		before = now
+		if c.For > 0 && time.Since(began)+c.Every > c.For {
+			return nil
+		}
+		time.Sleep(c.Every)
+	}
+}
+
+var watched = []string{
+	"error", "node", "zone", "ready", "revision", "place", "newest_place", "peers", "keepers", "engines", "members", "votes", "holder", "fence",
+}
+
+func status(client *http.Client, addr string) (map[string]any, error) {
+	resp, err := client.Get("http://" + addr + "/fleet/status")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	s := map[string]any{}
+	return s, json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&s)
+}
+
+type enginesCmd struct {
+	List    enginesList    `cmd:"" help:"List the engines that a process knows."`
+	Explain enginesExplain `cmd:"" help:"Say why an engine gets requests, or none."`
+}
+
+type enginesList struct {
+	toFleet
+	Service string `help:"Of this service only." placeholder:"NAME"`
+	output
+}
+
+func (t toFleet) engines() (all []node.EngineView, err error) {
+	resp, err := (&http.Client{Timeout: 3 * time.Second}).Get("http://" + t.Control + "/fleet/engines")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return all, json.NewDecoder(io.LimitReader(resp.Body, 64<<20)).Decode(&all)
 }
 
-// Run checks a file. It needs no fleet.
-func (c configCheck) Run() error {
-	b, err := os.ReadFile(c.File)
+// Run lists engines.
+func (c enginesList) Run() error {
+	all, err := c.engines()
 	if err != nil {
 		return err
 	}
-	conf, digest, err := declared.Decode(b)
-	if err == nil {
-		err = conf.Check()
+	all = slices.DeleteFunc(all, func(e node.EngineView) bool { return c.Service != "" && e.Service != c.Service })
+	if c.Output == "json" {
+		return asJSON(all)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tENGINE\tZONE\tSTATE\tHEARD\tSLOTS\tADDRESS")
+	for _, e := range all {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.1fs\t%d\t%s\n", e.Service, e.ID, e.Zone, e.State, e.HeardS, e.Slots, e.Address)
 	}
+	return w.Flush()
+}
+
+type enginesExplain struct {
+	toFleet
+	ID string `arg:"" help:"The engine's instance id."`
+}
+
+// Run explains an engine.
+func (c enginesExplain) Run() error {
+	all, err := c.engines()
 	if err != nil {
-		return badConfig{fmt.Errorf("%s: %w", c.File, err)}
+		return err
 	}
-	fmt.Printf("revision %d, %d routes, %d services, %d tenants, digest %x\n", conf.Revision, len(conf.Routes), len(conf.Services),
-		len(conf.Tenants), digest[:8])
-	return nil
+	for _, e := range all {
+		if e.ID == c.ID {
+			fmt.Printf("%s of %s at %s in %s, heard %.1f s ago: %s; %s\n", e.ID, e.Service, e.Address, e.Zone, e.HeardS, e.State, e.Says)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not known at %s: it has not called any process that this one hears of, or is long gone", c.ID, c.Control)
 }
 
-type configDescribe struct {
-	Control string `help:"A control address, of any process." required:"" placeholder:"IP:PORT"`
+type requestCmd struct {
+	Explain requestExplain `cmd:"" help:"Say what would become of a request: its route, tenant, service, and engines. Nothing is sent to an engine."`
+}
+
+type requestExplain struct {
+	toFleet
+	URL    string   `arg:"" help:"What is asked for: http://HOST/PATH."`
+	Method string   `help:"The method." default:"POST"`
+	Header []string `help:"A header, NAME: VALUE; a key is better given by --key-env." short:"H" sep:"none" placeholder:"HEADER"`
+	KeyEnv string   `help:"The environment variable that holds the tenant's key." placeholder:"NAME"`
 }
 
-// Run prints a configuration as JSON.
-func (c configDescribe) Run() error {
-	client := http.Client{Timeout: 5 * time.Second}
-	resp, err := client.Get("http://" + c.Control + "/Configuration.Describe")
+// Run asks a router.
+func (c requestExplain) Run() error {
+	u, err := url.Parse(c.URL)
+	if err != nil || u.Host == "" {
+		return badConfig{fmt.Errorf("%q is no http://HOST/PATH", c.URL)}
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, cmp.Or(u.RequestURI(), "/"), u.Host)
+	for _, h := range c.Header {
+		head += h + "\r\n"
+	}
+	if c.KeyEnv != "" {
+		head += "X-Credential: " + os.Getenv(c.KeyEnv) + "\r\n"
+	}
+	resp, err := (&http.Client{Timeout: 3 * time.Second}).Post("http://"+c.Control+"/fleet/explain", "text/plain", strings.NewReader(head))
 	if err != nil {
 		return err
 	}
@@ -150,14 +251,10 @@
 	if err != nil {
 		return err
 	}
-	conf, _, err := declared.Decode(b)
-	if err != nil {
+	var out bytes.Buffer
+	if err := json.Indent(&out, b, "", "  "); err != nil {
 		return err
 	}
-	for i := range conf.Tenants {
-		conf.Tenants[i].Keys = []string{fmt.Sprintf("(%d keys)", len(conf.Tenants[i].Keys))}
-	}
-	e := json.NewEncoder(os.Stdout)
-	e.SetIndent("", "  ")
-	return e.Encode(conf)
+	_, err = out.WriteTo(os.Stdout)
+	return err
 }
--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -33,7 +33,9 @@
 	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
 	Node        nodeCmd     `cmd:"" help:"Run a process of the fleet, as the file says that NOTCHHINGE_BOOT names."`
 	Fleet       fleetCmd    `cmd:"" help:"Ask processes of the fleet how they are."`
-	Config      configCmd   `cmd:"" help:"Check and show configurations of the fleet."`
+	Config      configCmd   `cmd:"" help:"Check, compare, apply and show configurations of the fleet."`
+	Engines     enginesCmd  `cmd:"" help:"List the fleet's engines, and say why they get requests."`
+	Request     requestCmd  `cmd:"" help:"Say what would become of a request."`
 	State       stateCmd    `cmd:"" help:"Look at, back up and restore the state on a keeper's disk."`
 	Version     version     `cmd:"" help:"Print the version."`
 
@@ -54,6 +56,9 @@
 	return slog.New(slog.NewTextHandler(os.Stderr, o))
 }
 
+// lostRace is a configuration that another came before; the program ends with exit code 3.
+type lostRace struct{ error }
+
 // badConfig is an error of the configuration; the program ends with exit code 2.
 type badConfig struct{ error }
 
@@ -252,5 +257,8 @@
 	if bad := (badConfig{}); errors.As(err, &bad) { // kong wraps what a command returns
 		os.Exit(2)
 	}
+	if lost := (lostRace{}); errors.As(err, &lost) {
+		os.Exit(3)
+	}
 	os.Exit(1)
 }
--- a/cmd/notchhinge/state_test.go
+++ b/cmd/notchhinge/state_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -10,13 +12,18 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"notchhinge/internal/boot"
+	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/store"
+	"notchhinge/internal/declaration"
+	"notchhinge/internal/node"
 )
 
 // run runs the command and returns its exit code and all that it printed.
@@ -126,3 +133,158 @@
 		}
 	}
 }
+
+// fakeFleet takes configurations as the fleet does, for as long as nobody else does.
+type fakeFleet struct {
+	api.Handler
+	mu      sync.Mutex
+	rev     uint64
+	text    []byte
+	fails   int  // answers 503 so many times first
+	other   bool // somebody else is first, once
+	history []byte
+	asked   int
+}
+
+func (f *fakeFleet) Replace(_ context.Context, on uint64, text []byte) api.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	if f.fails > 0 {
+		f.fails--
+		return api.Result{Status: 503, Says: "no keeper has settled it"}
+	}
+	if f.other {
+		f.rev, f.other = f.rev+5, false
+	}
+	c, _, err := declared.Decode(text)
+	if err == nil {
+		err = c.Check()
+	}
+	switch {
+	case err != nil:
+		return api.Result{Status: 400, Says: err.Error()}
+	case on != f.rev:
+		return api.Result{Status: 412, Says: fmt.Sprintf("version %d is current, not %d", f.rev, on)}
+	}
+	f.rev, f.text = c.Revision, text
+	return api.Result{Status: 200, Rev: c.Revision}
+}
+
+// set says what comes next, and returns how often it was asked.
+func (f *fakeFleet) set(fails int, other bool) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fails, f.other = fails, other
+	return f.asked
+}
+
+func (f *fakeFleet) Describe(context.Context) api.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.text == nil {
+		return api.Result{Status: 404, Says: "there is no configuration yet"}
+	}
+	c, _, _ := declared.Decode(f.text)
+	c.Revision = f.rev
+	b, _ := declaration.Encode(c)
+	return api.Result{Status: 200, Rev: f.rev, Body: b}
+}
+
+func (f *fakeFleet) History(context.Context) api.Result {
+	return api.Result{Status: 200, Body: []byte(`[{"revision":1,"digest":"ab"}]`)}
+}
+
+func (f *fakeFleet) Engines() any {
+	return []node.EngineView{{ID: "i-1", Service: "s", Zone: "z", Address: "10.0.0.1:80", Slots: 13, State: "ready", HeardS: 0.5, Says: "it is drawn"}}
+}
+
+func (f *fakeFleet) Explain(r *http.Request) any {
+	return map[string]string{"route": r.RequestURI + " on " + r.Host}
+}
+
+func (f *fakeFleet) Status() any { return map[string]string{"node": "edge-1", "ready": "yes"} }
+
+// TestConfigWalk is a user's: a file is checked and planned, applied, changed, applied, and rolled back.
+func TestConfigWalk(t *testing.T) {
+	f := &fakeFleet{}
+	web := httptest.NewServer(api.Handle(f))
+	defer web.Close()
+	at := strings.TrimPrefix(web.URL, "http://")
+	dir := t.TempDir()
+	file, saved := filepath.Join(dir, "a.toml"), filepath.Join(dir, "before.cbor")
+	write := func(timeout, prefix string) {
+		t.Helper()
+		if err := os.WriteFile(file, []byte(`[[services]]
+name = "s"
+[[routes]]
+name = "r"
+hostname = "h.example"
+path_prefix = "`+prefix+`"
+route_type = "idempotent"
+timeout_ms = `+timeout+`
+target_service = "s"
+[[tenants]]
+name = "lab"
+api_keys = ["secret", "file:key"]
+`), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step := func(code int, want string, args ...string) {
+		t.Helper()
+		got, out := run(t, "", args...)
+		if got != code || !strings.Contains(out, want) || strings.Contains(out, "secret") {
+			t.Errorf("%s: exit code %d, %d is wanted, with %q\n%s", args, got, code, want, out)
+		}
+	}
+	write("5000", "no/slash")
+	step(2, "a.toml:6: routes[0].path_prefix", "config", "check", file)
+	write("5000", "/")
+	step(0, "not here: file:key", "config", "check", file)
+	step(2, "keys are not here", "config", "apply", file, "--control", at)
+	if err := os.WriteFile(filepath.Join(dir, "key"), []byte("other secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	step(0, "upon revision 0, as revision 1\n+ route h.example/: r, idempotent -> s:1, 5000 ms\n+ service s: h1, 0 connections\n+ tenant lab: 2 keys, priority 0\n",
+		"config", "plan", file, "--control", at)
+	step(1, "no configuration yet", "config", "describe", "--control", at)
+	f.set(2, false) // it is sent again, unchanged
+	step(0, "revision 1 is acknowledged, upon 0", "config", "apply", file, "--control", at)
+	step(0, "nothing changes", "config", "plan", file, "--control", at)
+	write("9000", "/")
+	step(0, "~ route h.example/: timeout_ms 5000 -> 9000", "config", "plan", file, "--control", at)
+	step(0, `"what": "timeout_ms"`, "config", "plan", file, "--control", at, "--output", "json")
+	step(3, "revision 1 is in force, not 7", "config", "apply", file, "--control", at, "--on", "7")
+	f.set(0, true)
+	step(3, "another configuration came before", "config", "apply", file, "--control", at)
+	step(0, "revision 7 is acknowledged, upon 6", "config", "apply", file, "--control", at, "--on", "6", "--save", saved)
+	step(0, "~ route h.example/: timeout_ms 5000 -> 9000", "config", "diff", saved, file)
+	step(0, "revision 8 is acknowledged, upon 7", "config", "rollback", saved, "--control", at)
+	step(0, "timeout_ms = 5000", "config", "describe", "--control", at, "--output", "toml")
+	step(0, "REVISION  DIGEST\n1         ab\n", "config", "history", "--control", at)
+	step(0, `"path_prefix"`, "config", "schema")
+	step(0, "SERVICE  ENGINE  ZONE  STATE  HEARD  SLOTS  ADDRESS\ns        i-1     z     ready  0.5s   13     10.0.0.1:80\n", "engines", "list", "--control", at)
+	step(0, "i-1 of s at 10.0.0.1:80 in z, heard 0.5 s ago: ready; it is drawn", "engines", "explain", "i-1", "--control", at)
+	step(1, "i-2 is not known", "engines", "explain", "i-2", "--control", at)
+	step(0, `"route": "/x?y on h.example"`, "request", "explain", "http://h.example/x?y", "--control", at, "-H", "X-Prompt-Prefix: 3, 4")
+	step(2, "is no http://HOST/PATH", "request", "explain", "/x", "--control", at)
+	step(0, "node=edge-1 ready=yes", "fleet", "watch", "--control", at, "--every", "10ms", "--for", "30ms")
+	asked := f.set(100, false)
+	step(1, "no clear answer", "config", "apply", file, "--control", at, "--wait", "0s")
+	if now := f.set(0, false); now != asked+1 {
+		t.Errorf("sent %d times", now-asked)
+	}
+	if i, err := os.Stat(saved); err != nil || i.Mode().Perm() != 0o600 {
+		t.Errorf("what is saved holds keys: %v, %v", i.Mode(), err)
+	}
+}
+
+func TestExample(t *testing.T) {
+	if code, out := run(t, "", "config", "check", "../../deploy/fleet.example.toml"); code != 0 || !strings.Contains(out, "env:ANALYSIS_KEY") {
+		t.Errorf("%d %s", code, out)
+	}
+	if code, out := run(t, "", "config", "chekc"); code != 80 {
+		t.Errorf("a wrong command line: exit code %d\n%s", code, out)
+	}
+}
--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -3,6 +3,8 @@
 package api
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -22,6 +24,7 @@
 // Bounds of calls.
 const (
 	mostBeat  = 4 << 10
+	mostHead  = 64 << 10
 	mostConns = 256
 	headWait  = 5 * time.Second
 	bodyWait  = 10 * time.Second
@@ -55,10 +58,16 @@
 	SignOff(ctx context.Context, id string) error
 	Replace(ctx context.Context, on uint64, text []byte) Result
 	Describe(ctx context.Context) Result
+	// History is for the staff: the configurations that were taken, as JSON.
+	History(ctx context.Context) Result
 	// Dismiss takes a keeper out that is gone for good, by its name.
 	Dismiss(ctx context.Context, name string) Result
 	// Status is for the staff: the state of this process as JSON.
 	Status() any
+	// Engines is for the staff: those that are known here, as JSON.
+	Engines() any
+	// Explain is for the staff: what would become of a request with this head, as JSON.
+	Explain(r *http.Request) any
 }
 
 type server struct {
@@ -92,6 +101,9 @@
 	mux.HandleFunc("POST /Configuration.Replace", s.replace)
 	mux.HandleFunc("GET /Configuration.Describe", s.describe)
 	mux.HandleFunc("GET /fleet/status", s.status)
+	mux.HandleFunc("GET /fleet/history", s.history)
+	mux.HandleFunc("GET /fleet/engines", s.engines)
+	mux.HandleFunc("POST /fleet/explain", s.explain)
 	mux.HandleFunc("DELETE /fleet/members/{name}", s.dismiss)
 	return mux
 }
@@ -191,6 +203,16 @@
 	s.result(w, s.h.Describe(r.Context()))
 }
 
+func (s *server) history(w http.ResponseWriter, r *http.Request) {
+	x := s.h.History(r.Context())
+	if x.Status != http.StatusOK {
+		s.result(w, x)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(x.Body)
+}
+
 func (s *server) dismiss(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
 	if name == "" || len(name) > 200 {
@@ -215,7 +237,25 @@
 	}
 }
 
-func (s *server) status(w http.ResponseWriter, _ *http.Request) {
+func (s *server) status(w http.ResponseWriter, _ *http.Request) { asJSON(w, s.h.Status()) }
+
+func (s *server) engines(w http.ResponseWriter, _ *http.Request) { asJSON(w, s.h.Engines()) }
+
+// explain takes a request's head as its body: what a client would send, up to the empty line.
+func (s *server) explain(w http.ResponseWriter, r *http.Request) {
+	b, ok := body(w, r, mostHead)
+	if !ok {
+		return
+	}
+	head, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(bytes.TrimRight(b, "\r\n"), "\r\n\r\n"...))))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body: no head of a request: "+err.Error())
+		return
+	}
+	asJSON(w, s.h.Explain(head))
+}
+
+func asJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(s.h.Status())
+	json.NewEncoder(w).Encode(v)
 }
--- a/internal/control/api/api_test.go
+++ b/internal/control/api/api_test.go
@@ -47,7 +47,10 @@
 	}
 	return Result{Status: 200, Rev: 3}
 }
-func (h *handler) Status() any { return map[string]int{"x": 1} }
+func (h *handler) History(context.Context) Result { return Result{Status: 200, Body: []byte("[]")} }
+func (h *handler) Engines() any                   { return []int{} }
+func (h *handler) Explain(r *http.Request) any    { return r.Host }
+func (h *handler) Status() any                    { return map[string]int{"x": 1} }
 
 func marshal(t *testing.T, v any) []byte {
 	t.Helper()
@@ -103,6 +106,10 @@
 		{"far too large", "POST", "/Configuration.Replace", make([]byte, declared.MostBytes+1), []string{"X-Revision-Match", "5"}, 413},
 		{"read back", "GET", "/Configuration.Describe", nil, nil, 200},
 		{"status", "GET", "/fleet/status", nil, nil, 200},
+		{"engines", "GET", "/fleet/engines", nil, nil, 200},
+		{"a request explained", "POST", "/fleet/explain", []byte("GET /x HTTP/1.1\r\nHost: a"), nil, 200},
+		{"what is no request", "POST", "/fleet/explain", []byte("hello"), nil, 400},
+		{"history", "GET", "/fleet/history", nil, nil, 200},
 		{"a member taken out", "DELETE", "/fleet/members/k-1", nil, nil, 200},
 		{"a member that is none", "DELETE", "/fleet/members/k-2", nil, nil, 404},
 		{"a name that is too long", "DELETE", "/fleet/members/" + strings.Repeat("k", 201), nil, nil, 400},
--- /dev/null
+++ b/internal/edge/explain.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"net/http"
+
+	"notchhinge/internal/control/declared"
+)
+
+// Explanation is what would become of a request.
+type Explanation struct {
+	Revision uint64           `json:"revision"`
+	Route    string           `json:"route,omitempty"`
+	Host     string           `json:"hostname,omitempty"`
+	Prefix   string           `json:"path_prefix,omitempty"`
+	Type     string           `json:"route_type,omitempty"`
+	Tenant   string           `json:"tenant,omitempty"`
+	Shares   []declared.Share `json:"split,omitempty"`
+	Service  string           `json:"service,omitempty"` // of a split, this time's
+	Class    string           `json:"class,omitempty"`
+	Session  bool             `json:"session"` // known sessions go by the table, others are drawn
+	LeftMS   int64            `json:"left_ms,omitempty"`
+	Status   int              `json:"status,omitempty"` // it is refused with
+	Refused  string           `json:"refused,omitempty"`
+}
+
+// Explain says what would become of a request, by its head. Nothing is sent, counted or kept.
+func (d *Dialect) Explain(req *http.Request) *Explanation {
+	x := &Explanation{}
+	if at := d.Now(); at != nil {
+		x.Revision = at.Revision
+	}
+	w, no := d.Lead(req)
+	if no == nil {
+		r := w.Of.(*request)
+		x.Route, x.Host, x.Prefix, x.Type, x.Shares = r.route.Name, r.route.Host, r.route.Prefix, r.route.Type, r.route.Shares()
+		x.Service = w.Pool.Name
+		if r.tenant != nil {
+			x.Tenant = r.tenant.Name
+		}
+		m, refused := d.Accept(req, &w, nil)
+		no = refused
+		x.Session, x.LeftMS = m.Request.Session != 0, m.Request.ExpiresIn.Milliseconds()
+		x.Class = Class(r.route.Route).Name
+	}
+	if no != nil {
+		x.Status, x.Refused = no.Status, no.Reason
+	}
+	return x
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -22,6 +22,7 @@
 	callJoin                      // a keeper wants to be a member: identity
 	callRenew                     // the holder asks for more time: its fence and its member
 	callDismiss                   // the operator's, passed on: a member's name
+	callHistory                   // likewise, without anything
 )
 
 // causeOf is what a call is for.
@@ -29,7 +30,7 @@
 	switch kind {
 	case callAsk, callLearn:
 		return account.Ballots
-	case callFetch, callReplace, callDescribe:
+	case callFetch, callReplace, callDescribe, callHistory:
 		return account.Configs
 	case callReport, callBook:
 		return account.Reports
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -426,6 +426,29 @@
 		resp.Header.Get("X-Saw-Key") != "" || !strings.HasPrefix(resp.Header.Get("X-Response-Seal"), "seal-") {
 		t.Errorf("%+v %q", resp, body)
 	}
+	// The staff may ask what is known, and what would become of a request.
+	explain := func(m *machine, head string) string {
+		t.Helper()
+		_, b := call(t, "POST", m.ctl, "/fleet/explain", nil, []byte(head))
+		return string(b)
+	}
+	for _, want := range []string{`"route":"chat"`, `"tenant":"lab"`, `"service":"s"`, `"session":true`, `"ready":["i-one","i-two"]`} {
+		if got := explain(edge, "POST /chat/1 HTTP/1.1\r\nHost: f.example\r\nX-Credential: key-1\r\nX-Prompt-Prefix: 9"); !strings.Contains(got, want) {
+			t.Errorf("%s is not in %s", want, got)
+		}
+	}
+	if got := explain(edge, "GET /chat/1 HTTP/1.1\r\nHost: f.example\r\nX-Credential: none"); !strings.Contains(got, `"status":401`) || strings.Contains(got, "none") {
+		t.Errorf("a wrong key: %s", got)
+	}
+	if got := explain(f.keepers[0], "GET / HTTP/1.1\r\nHost: f.example"); !strings.Contains(got, "ask a router") {
+		t.Errorf("a keeper explains: %s", got)
+	}
+	if _, b := call(t, "GET", f.keepers[2].ctl, "/fleet/engines", nil, nil); bytes.Count(b, []byte(`"state":"ready","heard_s"`)) != 2 {
+		t.Errorf("engines known at a keeper: %s", b)
+	}
+	if _, b := call(t, "GET", edge.ctl, "/fleet/history", nil, nil); !bytes.HasPrefix(b, []byte(`[{"revision":3,`)) {
+		t.Errorf("the history: %s", b)
+	}
 	// A session stays with its engine.
 	_, first := ask(t, edge, "/chat/1", "key-1", "X-Prompt-Prefix", "17")
 	for range 8 {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -476,6 +477,27 @@
 	return api.Result{Status: http.StatusOK, Rev: s.Revision, Body: s.Text}
 }
 
+// history lists the configurations that were taken, the newest last, as JSON. Their texts are not kept.
+func (k *keeper) history(ctx context.Context) api.Result {
+	if err := k.settle(ctx); err != nil {
+		return api.Result{Status: http.StatusServiceUnavailable, Says: err.Error()}
+	}
+	s := k.at()
+	type taken struct {
+		Revision uint64 `json:"revision"`
+		Digest   string `json:"digest"`
+	}
+	all := []taken{}
+	for _, h := range s.History {
+		all = append(all, taken{h.Revision, fmt.Sprintf("%x", h.Digest[:8])})
+	}
+	b, err := json.Marshal(all)
+	if err != nil {
+		return api.Result{Status: http.StatusInternalServerError, Says: err.Error()}
+	}
+	return api.Result{Status: http.StatusOK, Rev: s.Revision, Body: b}
+}
+
 // tend founds the core at the first start, and looks now and then whether others have come further.
 func (k *keeper) tend(ctx context.Context) {
 	var stable time.Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -477,6 +477,11 @@
 		defer cancel()
 		r := k.dismiss(ctx, string(name))
 		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
+	case callHistory:
+		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+		defer cancel()
+		r := k.history(ctx)
+		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
 	case callDescribe:
 		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 		defer cancel()
@@ -575,6 +580,16 @@
 	return n.pass(ctx, callDescribe, nil)
 }
 
+// History implements api.Handler.
+func (n *Node) History(ctx context.Context) api.Result {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	if n.keeper != nil {
+		return n.keeper.history(ctx)
+	}
+	return n.pass(ctx, callHistory, nil)
+}
+
 // Dismiss implements api.Handler.
 func (n *Node) Dismiss(ctx context.Context, name string) api.Result {
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
--- /dev/null
+++ b/internal/node/staff.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/edge"
+)
+
+// EngineView is an engine as this process knows it, for the staff.
+type EngineView struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Zone     string  `json:"zone"`
+	Address  string  `json:"address"`
+	Revision string  `json:"revision"`
+	Slots    uint64  `json:"slots"`
+	State    string  `json:"state"`   // ready, draining, silent, gone
+	HeardS   float64 `json:"heard_s"` // ago
+	WarmInS  float64 `json:"warm_in_s"`
+	Says     string  `json:"says"` // why it gets requests, or none
+}
+
+// Engines implements api.Handler.
+func (n *Node) Engines() any {
+	c := n.config()
+	n.news.mu.Lock()
+	defer n.news.mu.Unlock()
+	now, wall := n.news.clock(), time.Now().UnixMilli()
+	all := []EngineView{}
+	n.news.roster.All(func(e *roster.Engine) {
+		v := EngineView{
+			ID: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Addr, Revision: e.Revision, Slots: e.Slots,
+			HeardS: (now - e.Heard).Seconds(), WarmInS: max(float64(e.WarmAt-wall)/1000, 0),
+		}
+		known := c != nil && slices.ContainsFunc(c.Services, func(s declared.Service) bool { return s.Name == e.Service })
+		switch {
+		case e.State == roster.Gone:
+			v.State, v.Says = "gone", "it has signed off, or another has come at its address: it gets nothing"
+		case e.Silent:
+			v.State, v.Says = "silent", "others have been heard since and it has not: it gets nothing"
+		case e.State == roster.Draining:
+			v.State, v.Says = "draining", "it gets nothing new; known sessions for a quarter of the time to drain"
+		case !known:
+			v.State, v.Says = "ready", "no configuration here names its service: it gets nothing"
+		case v.WarmInS > 0:
+			v.State, v.Says = "ready", "it is drawn, and is slow at first"
+		default:
+			v.State, v.Says = "ready", "it is drawn"
+		}
+		all = append(all, v)
+	})
+	slices.SortFunc(all, func(x, y EngineView) int { return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.ID, y.ID)) })
+	return all
+}
+
+// Explain implements api.Handler: what would become of a request, by its head.
+func (n *Node) Explain(r *http.Request) any {
+	type explained struct {
+		*edge.Explanation
+		Ready    []string `json:"ready,omitempty"`
+		Draining []string `json:"draining,omitempty"`
+	}
+	if n.data == nil {
+		return map[string]string{"refused": "no traffic is carried here: ask a router"}
+	}
+	x := explained{Explanation: n.data.dialect.Explain(r)}
+	if x.Service != "" {
+		for _, e := range n.news.list(x.Service) {
+			if e.State == roster.Draining {
+				x.Draining = append(x.Draining, e.ID)
+			} else {
+				x.Ready = append(x.Ready, e.ID)
+			}
+		}
+	}
+	return x
+}
