--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,7 @@
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/issuer"
 	"notchhinge/internal/pool"
+	"notchhinge/internal/rank"
 	"notchhinge/internal/route"
 	"notchhinge/internal/service"
 	"notchhinge/internal/trace"
@@ -68,6 +70,25 @@
 	Classes []policy.Class // it only ever grows
 	// View is the service as the front sees it.
 	View *service.Pool
+	gate *gate
+}
+
+// gate is a service's rank.Gate, for all connections.
+type gate struct {
+	mu sync.Mutex
+	g  rank.Gate
+}
+
+func (g *gate) admit(now time.Duration, of int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.g.Admit(now, of)
+}
+
+func (g *gate) note(f func(*rank.Gate)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(&g.g)
 }
 
 // class finds or adds the class of a route. Classes only grow, since requests of earlier configurations may still run.
@@ -110,10 +131,10 @@
 	for _, s := range c.Services {
 		old := before[s.Name]
 		if old == nil {
-			old = &Service{Name: s.Name, ID: *next, View: &service.Pool{ID: *next, Name: s.Name}}
+			old = &Service{Name: s.Name, ID: *next, View: &service.Pool{ID: *next, Name: s.Name}, gate: &gate{}}
 			*next++
 		}
-		out.services[s.Name] = &Service{Name: old.Name, ID: old.ID, Classes: slices.Clone(old.Classes), View: old.View}
+		out.services[s.Name] = &Service{Name: old.Name, ID: old.ID, Classes: slices.Clone(old.Classes), View: old.View, gate: old.gate}
 	}
 	var services []route.Service
 	var routes []route.Route
@@ -190,6 +211,7 @@
 	under  *Compiled
 	route  *leads
 	tenant *declared.Tenant
+	to     *Service
 	until  time.Time // when its client gives up
 }
 
@@ -202,6 +224,8 @@
 	Began func(tenant string)
 	// Conversation spreads requests over a split; it is asked for each request.
 	Conversation func() uint64
+	// Clock is steady, for who waits when not all can be served.
+	Clock broker.Clock
 }
 
 var _ acquirer.Dialect = (*Dialect)(nil)
@@ -239,7 +263,7 @@
 	number := to.Pool(d.Conversation())
 	for _, s := range at.services {
 		if int(s.ID) == number {
-			w.Pool = s.View
+			w.Pool, r.to = s.View, s
 		}
 	}
 	w.Target, w.Host, w.Until, w.Of = req.RequestURI, req.Host, r.until, r
@@ -253,6 +277,15 @@
 	if left <= 0 {
 		return acquirer.Message{}, &acquirer.Refusal{Status: http.StatusServiceUnavailable, Reason: "too_late: its time was over before it was read"}
 	}
+	of := 0
+	if r.tenant != nil {
+		of = r.tenant.Priority
+	}
+	if !r.to.gate.admit(d.Clock(), rank.Of(of, r.route.Priority)) {
+		return acquirer.Message{}, &acquirer.Refusal{
+			Status: http.StatusServiceUnavailable, Reason: "yields: not all can be served, and others come first", Retry: time.Second,
+		}
+	}
 	m := acquirer.Message{Of: r, Attempts: r.route.Attempts}
 	m.Request = policy.Request{Class: r.route.class[w.Pool.ID], ExpiresIn: min(left, r.route.silence)}
 	prefix := ""
@@ -333,8 +366,11 @@
 	if resp == nil {
 		return acquirer.Reply{Head: []byte("HTTP/1.1 200 OK\r\n"), Length: -1}
 	}
-	if r, ok := m.Of.(*request); ok && d.Began != nil && r.tenant != nil {
-		d.Began(r.tenant.Name)
+	if r, ok := m.Of.(*request); ok {
+		r.to.gate.note(func(g *rank.Gate) { g.Served(d.Clock()) })
+		if d.Began != nil && r.tenant != nil {
+			d.Began(r.tenant.Name)
+		}
 	}
 	return d.head(m, resp)
 }
@@ -372,6 +408,9 @@
 func (d *Dialect) Close(m *acquirer.Message, why broker.Verdict, retryAfter time.Duration, mayHaveRun bool, kept *acquirer.Kept) (
 	*acquirer.Refusal, *acquirer.Kept) {
 	const least = 200 * time.Millisecond
+	if r, ok := m.Of.(*request); ok && !mayHaveRun {
+		r.to.gate.note(func(g *rank.Gate) { g.Turned(d.Clock()) })
+	}
 	switch {
 	case !mayHaveRun:
 		return &acquirer.Refusal{Status: http.StatusServiceUnavailable, Reason: "not_run: no engine could take it", Retry: max(retryAfter, least)}, nil
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -45,7 +45,7 @@
 func dialect(t *testing.T) *Dialect {
 	at := compile(t, conf())
 	n := uint64(0)
-	return &Dialect{Now: func() *Compiled { return at }, Salt: 9, Conversation: func() uint64 { n += 0x9e3779b97f4a7c15; return n }}
+	return &Dialect{Now: func() *Compiled { return at }, Salt: 9, Conversation: func() uint64 { n += 0x9e3779b97f4a7c15; return n }, Clock: func() time.Duration { return 0 }}
 }
 
 func ask(t *testing.T, text string) *http.Request {
@@ -290,7 +290,7 @@
 		}
 		return c
 	}()
-	d := &Dialect{Now: func() *Compiled { return at }, Conversation: func() uint64 { return 1 }, Began: func(string) {}}
+	d := &Dialect{Now: func() *Compiled { return at }, Conversation: func() uint64 { return 1 }, Began: func(string) {}, Clock: func() time.Duration { return 0 }}
 	f.Fuzz(func(t *testing.T, asked, answered string) {
 		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(asked)))
 		if err != nil {
@@ -335,3 +335,55 @@
 		}
 	})
 }
+
+func TestLowRanksWaitUnderOverload(t *testing.T) {
+	// More come than can be served: whoever ranks lower is told at once to come again, the tenant's rank before the route's, and
+	// not once it is over. Other services are not concerned.
+	c := conf()
+	c.Tenants = []declared.Tenant{{Name: "k", Keys: []string{"one"}}, {Name: "low", Keys: []string{"two"}, Priority: 1}}
+	c.Routes[1].Priority = 7
+	at := compile(t, c)
+	now := time.Duration(0)
+	d := &Dialect{Now: func() *Compiled { return at }, Conversation: func() uint64 { return 1 }, Clock: func() time.Duration { return now }}
+	come := func(path, key string) (acquirer.Message, *acquirer.Refusal) {
+		t.Helper()
+		req := ask(t, "POST "+path+" HTTP/1.1\nHost: a.example\nX-Credential: "+key)
+		w, no := d.Lead(req)
+		if no != nil {
+			t.Fatal(no)
+		}
+		return d.Accept(req, &w, nil)
+	}
+	for i := range 40 { // a second in which half is turned away
+		now = time.Duration(i) * 25 * time.Millisecond
+		for _, key := range []string{"one", "two"} {
+			m, no := come("/x/y/", key)
+			if no != nil {
+				t.Fatal("refused before anybody was turned away")
+			}
+			if key == "one" {
+				d.Head(&m, &http.Response{StatusCode: 200, Status: "200 OK"})
+			} else {
+				d.Close(&m, broker.Refused, time.Second, false, nil)
+			}
+		}
+	}
+	now = 1100 * time.Millisecond
+	if _, no := come("/x/y/", "one"); no != nil {
+		t.Errorf("the tenant that goes first waits: %+v", no)
+	}
+	if _, no := come("/x/y/", "two"); no == nil || no.Status != 503 || no.Retry <= 0 {
+		t.Errorf("the tenant that goes second does not wait: %+v", no)
+	}
+	if _, no := come("/", "two"); no != nil {
+		t.Errorf("another service: %+v", no)
+	}
+	for range 5 {
+		now += 1100 * time.Millisecond
+		come("/x/y/", "one")
+		come("/x/y/", "two")
+	}
+	if _, no := come("/x/y/", "two"); no != nil {
+		t.Errorf("long after: %+v", no)
+	}
+}
--- a/internal/edge/explain.go
+++ b/internal/edge/explain.go
@@ -23,7 +23,7 @@
 	Refused  string           `json:"refused,omitempty"`
 }
 
-// Explain says what would become of a request, by its head. Nothing is sent, counted or kept.
+// Explain says what would become of a request, by its head. Nothing is sent or kept.
 func (d *Dialect) Explain(req *http.Request) *Explanation {
 	x := &Explanation{}
 	if at := d.Now(); at != nil {
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -66,7 +66,7 @@
 	d.issuer = issuer.New(issuer.Config{
 		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: d.dial, Dialect: edge.Legs{},
 	})
-	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64}
+	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64, Clock: d.loop.Now}
 	d.front = acquirer.New(acquirer.Options{
 		Lim: lim, Dialect: d.dialect, Routes: func() *service.Directory { return nil }, Post: d.loop.Post, Now: d.loop.Now,
 		Ready: func() bool { return true }, Bounds: func() limits.Bounds { return *d.bounds.Load() },
