Usage: sent until the platform has taken it, for three times the delay

Cause: windows older than usage_delay_s and one window were sent by nobody any more, though docs said three times as long; a platform that was busy while two holders ended lost them. Found by TestUsageThroughTroubles (429, 503, answers too late, two holders ended), which failed before. Ruled out: asking all keepers for every old window, which costs calls for nothing; only due windows are asked for, once a look.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -272,8 +272,10 @@
 	length := time.Duration(d.cfg.Bounds.UsageWindowS * float64(time.Second))
 	delay := time.Duration(d.cfg.Bounds.UsageDelayS * float64(time.Second))
 	now := time.Now()
-	newest := duty.Window(now.Add(-delay*3/10), length) // over for a while: what was counted last has come
-	oldest := duty.Window(now.Add(-delay-length), length)
+	newest := duty.Window(now.Add(-delay*3/10), length)     // over for a while: what was counted last has come
+	due := duty.Window(now.Add(-delay-length), length)      // from here on all keepers are asked what they have heard
+	oldest := duty.Window(now.Add(-3*delay-length), length) // what the platform has not taken by then nobody sends any more
+	asked := false
 	for number := oldest; number < newest; number++ {
 		if d.sent[number] {
 			continue
@@ -281,7 +283,10 @@
 		s := d.k.at()
 		w := s.Agreed(number)
 		if w == nil {
-			d.gather(ctx, oldest)
+			if number >= due && !asked {
+				d.gather(ctx, due)
+				asked = true
+			}
 			d.mu.Lock()
 			counts := duty.Counts(d.book.Sum(number))
 			d.mu.Unlock()
@@ -325,7 +330,7 @@
 		}
 	}
 	d.mu.Lock()
-	d.book.Forget(d.clock(), duty.Window(now.Add(-3*delay), length))
+	d.book.Forget(d.clock(), oldest)
 	d.mu.Unlock()
 }
 
