Configurations: routers are sent what differs from the one that they have

Need: a configuration of thousands of routes went whole to every router for each change. The last four texts are kept, 16 MB at the most. What is made is kept for the next that asks.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -307,6 +307,8 @@
 	NodeMembers    = 9                      // keepers that vote, at the most
 	NodeFounding   = 150 * time.Millisecond // between two tries to found the core
 	NodeAccount    = 5 * time.Second        // between two accounts in the log, at level debug
+	NodeTexts      = 4                      // configurations that are kept so that differences to them can be sent
+	NodeTextBytes  = 16 << 20               // of them, at the most
 	NodeStable     = 500 * time.Millisecond // no further keeper has come for so long
 )
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -126,14 +126,6 @@
 	return i, r.End()
 }
 
-// fetched is a configuration on its way.
-type fetched struct {
-	place uint64 // 0 = there is none
-	text  []byte
-}
-
-func (f *fetched) encode() []byte { return encodePlace(f.place, f.text) }
-
 // result is the answer to an operator's call that was passed on.
 func encodeResult(status int, says string, rev uint64, body []byte) []byte {
 	w := form.Writer{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/delta"
 	"notchhinge/internal/control/duty"
 	"notchhinge/internal/control/form"
 	"notchhinge/internal/control/gossip"
@@ -48,7 +49,7 @@
 
 	holding  sync.Mutex    // one configuration is taken over at a time
 	place    atomic.Uint64 // of the newest configuration that is held here
-	text     atomic.Pointer[fetched]
+	texts    texts
 	wanted   atomic.Uint64 // of the newest that is known of
 	asked    atomic.Bool   // a keeper has said what the newest is
 	fetching chan gossip.Peer
@@ -326,7 +327,7 @@
 		return
 	}
 	n.conf.Store(c)
-	n.text.Store(&fetched{place, text})
+	n.texts.hold(place, text)
 	n.place.Store(place)
 	for w := n.wanted.Load(); w < place && !n.wanted.CompareAndSwap(w, place); w = n.wanted.Load() {
 	}
@@ -376,18 +377,26 @@
 func (n *Node) get(ctx context.Context, to netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, limits.NodePass)
 	defer cancel()
-	b, err := n.net.Call(ctx, to, callFetch, encodePlace(n.place.Load(), nil))
-	if err != nil {
-		return false
-	}
-	place, text, err := decodePlace(b)
-	if err != nil {
-		return false
-	}
-	if len(text) > 0 {
-		n.hold(place, text)
+	has, had := n.texts.newest()
+	for {
+		b, err := n.net.Call(ctx, to, callFetch, encodePlace(has, nil))
+		if err != nil {
+			return false
+		}
+		place, text, err := n.texts.read(b, had)
+		if errors.Is(err, delta.ErrBase) && has > 0 { // two who hold different texts for one place would be a fault: it must not last
+			has, had = 0, nil
+			continue
+		}
+		if err != nil {
+			n.log.Error("a configuration on its way cannot be read", "from", to.String(), "err", err)
+			return false
+		}
+		if len(text) > 0 {
+			n.hold(place, text)
+		}
+		return true
 	}
-	return true
 }
 
 // start finds out at the start which configuration is the newest.
@@ -412,10 +421,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if f := n.text.Load(); f != nil && f.place > place {
-			return f.encode(), nil
-		}
-		return (&fetched{}).encode(), nil
+		return n.texts.answer(place), nil
 	}
 	k := n.keeper
 	if k == nil {
--- /dev/null
+++ b/internal/node/texts.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"sync"
+
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/delta"
+	"notchhinge/internal/limits"
+)
+
+// texts are the newest configurations that this process has held, as they came, so that others can be sent what differs from
+// the one that they have. It is safe for concurrent use.
+type texts struct {
+	mu   sync.Mutex
+	all  []held            // the newest last
+	sent map[uint64][]byte // what was made for those that have the text of a place, for the newest
+}
+
+type held struct {
+	place uint64
+	text  []byte
+}
+
+// hold keeps a text that is newer than those that are kept.
+func (t *texts) hold(place uint64, text []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all = append(t.all, held{place, text})
+	bytes := 0
+	for _, h := range t.all {
+		bytes += len(h.text)
+	}
+	for len(t.all) > 1 && (len(t.all) > limits.NodeTexts || bytes > limits.NodeTextBytes) {
+		bytes -= len(t.all[0].text)
+		t.all = append([]held(nil), t.all[1:]...)
+	}
+	t.sent = map[uint64][]byte{}
+}
+
+// newest returns the newest text; place 0 = there is none.
+func (t *texts) newest() (place uint64, text []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := len(t.all); n > 0 {
+		return t.all[n-1].place, t.all[n-1].text
+	}
+	return 0, nil
+}
+
+// answer is what somebody is sent who has the text of a place (0 = none): the newest, upon that where it is kept here.
+func (t *texts) answer(has uint64) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := len(t.all)
+	if n == 0 || t.all[n-1].place <= has {
+		return encodePlace(0, nil)
+	}
+	var base []byte
+	for _, h := range t.all {
+		if h.place == has {
+			base = h.text
+		}
+	}
+	if base == nil {
+		has = 0
+	}
+	b := t.sent[has]
+	if b == nil {
+		b = delta.Encode(base, t.all[n-1].text)
+		t.sent[has] = b
+	}
+	return encodePlace(t.all[n-1].place, b)
+}
+
+// read reads an answer, by who had asked with a text.
+func (t *texts) read(b, had []byte) (place uint64, text []byte, err error) {
+	place, d, err := decodePlace(b)
+	if err != nil || place == 0 {
+		return 0, nil, err
+	}
+	text, err = delta.Decode(had, d, declared.MostBytes)
+	return place, text, err
+}
