--- a/cmd/notchhinge/main.go
+++ b/cmd/notchhinge/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
 
 	"notchhinge/deploy"
 	"notchhinge/internal/batch"
@@ -25,19 +26,20 @@
 )
 
 type cli struct {
-	Serve       serve       `cmd:"" help:"Run a router, as the environment tells it (BALANCER_CONFIG and the others)."`
-	CheckConfig checkConfig `cmd:"" help:"Check the configuration and say what is wrong with it."`
-	Schema      schema      `cmd:"" help:"Print the JSON Schema of the operator's settings."`
-	Pools       pools       `cmd:"" help:"Print what each pool of a running router holds."`
-	Routes      routesCmd   `cmd:"" help:"Say how requests are led to services."`
-	Trace       traceCmd    `cmd:"" help:"Find and show recorded requests."`
-	Node        nodeCmd     `cmd:"" help:"Run a process of the fleet, as the file says that NOTCHHINGE_BOOT names."`
-	Fleet       fleetCmd    `cmd:"" help:"Ask processes of the fleet how they are."`
-	Config      configCmd   `cmd:"" help:"Check, compare, apply and show configurations of the fleet."`
-	Engines     enginesCmd  `cmd:"" help:"List the fleet's engines, and say why they get requests."`
-	Request     requestCmd  `cmd:"" help:"Say what would become of a request."`
-	State       stateCmd    `cmd:"" help:"Look at, back up and restore the state on a keeper's disk."`
-	Version     version     `cmd:"" help:"Print the version."`
+	Serve       serve                        `cmd:"" help:"Run a router, as the environment tells it (BALANCER_CONFIG and the others)."`
+	CheckConfig checkConfig                  `cmd:"" help:"Check the configuration and say what is wrong with it."`
+	Schema      schema                       `cmd:"" help:"Print the JSON Schema of the operator's settings."`
+	Pools       pools                        `cmd:"" help:"Print what each pool of a running router holds."`
+	Routes      routesCmd                    `cmd:"" help:"Say how requests are led to services."`
+	Trace       traceCmd                     `cmd:"" help:"Find and show recorded requests."`
+	Node        nodeCmd                      `cmd:"" help:"Run a process of the fleet, as the file says that NOTCHHINGE_BOOT names."`
+	Fleet       fleetCmd                     `cmd:"" help:"Ask processes of the fleet how they are."`
+	Config      configCmd                    `cmd:"" help:"Check, compare, apply and show configurations of the fleet."`
+	Engines     enginesCmd                   `cmd:"" help:"List the fleet's engines, and say why they get requests."`
+	Request     requestCmd                   `cmd:"" help:"Say what would become of a request."`
+	State       stateCmd                     `cmd:"" help:"Look at, back up and restore the state on a keeper's disk."`
+	Version     version                      `cmd:"" help:"Print the version."`
+	Completions kongplete.InstallCompletions `cmd:"" help:"Print what a shell must run to complete this program's commands."`
 
 	LogFormat string `help:"Form of the log: ${enum}." enum:"text,json" default:"text"`
 	LogLevel  string `help:"Least level that is logged: ${enum}." enum:"debug,info,warn,error" default:"info"`
@@ -248,8 +250,11 @@
 
 func main() {
 	var c cli
-	ctx := kong.Parse(&c, kong.Name("notchhinge"), kong.Description("A router before language-model servers."))
-	err := ctx.Run(&c)
+	parser := kong.Must(&c, kong.Name("notchhinge"), kong.Description("A router before language-model servers."))
+	kongplete.Complete(parser) // answers and ends where a shell asks for completions
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	err = ctx.Run(&c)
 	if err == nil {
 		return
 	}
--- a/cmd/notchhinge/state_test.go
+++ b/cmd/notchhinge/state_test.go
@@ -288,3 +288,17 @@
 		t.Errorf("a wrong command line: exit code %d\n%s", code, out)
 	}
 }
+
+func TestCompletion(t *testing.T) {
+	for line, want := range map[string]string{"notchhinge eng": "engines", "notchhinge config ro": "rollback", "notchhinge fleet status --con": "--control"} {
+		c := command(goodConfig)
+		c.Env = append(c.Env, "COMP_LINE="+line)
+		out, err := c.Output()
+		if err != nil || strings.TrimSpace(string(out)) != want {
+			t.Errorf("%q: %q, %v", line, out, err)
+		}
+	}
+	if code, out := run(t, "", "version"); code != 0 || !strings.Contains(out, "notchhinge") {
+		t.Errorf("without a shell that asks: %d %s", code, out)
+	}
+}
