Lab: routers and engines in simulated time, beside baselines on the same requests

Ruled out: real sockets at that size; baselines in the router. The change: internal/lab/sim drives the program's brokers with their modules and engines as arithmetic by one seeded clock; figures repeat by seed, beside other runs too.

--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,75 @@
+package sim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func small(variant string) Options {
+	return Options{Variant: variant, Seed: 3, Routers: 4, Engines: 12, Zones: 3, Load: 0.5, Length: 6 * time.Second, News: time.Second, Skew: 0.5}
+}
+
+func TestSameFiguresEveryTime(t *testing.T) {
+	for _, v := range Variants {
+		o := small(v)
+		o.Crash = 0.1
+		a, err := Run(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := make(chan Figures)
+		go func() { // beside another run
+			b, _ := Run(o)
+			again <- b
+		}()
+		Run(small("random"))
+		if b := <-again; !cmp.Equal(a, b) {
+			t.Errorf("%s: %s", v, cmp.Diff(a, b))
+		}
+		o.Seed++
+		if c, _ := Run(o); cmp.Equal(a, c) {
+			t.Errorf("%s: another seed, the same figures", v)
+		}
+	}
+}
+
+func TestWhatIsExpected(t *testing.T) {
+	got := map[string]Figures{}
+	for _, v := range Variants {
+		f, err := Run(small(v))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[v] = f
+		t.Logf("%-7s %+v", v, f)
+		if sum := f.InAim + f.Late + f.Refused + f.Failed; sum < 0.999 || sum > 1.001 || f.Asked != got["design"].Asked {
+			t.Errorf("%s: %+v does not add up", v, f)
+		}
+	}
+	// Half of what can be served: most is in time, and who keeps beginnings together reads less. (That the design is later than
+	// its baselines here is a finding: ROADMAP.)
+	for _, v := range []string{"design", "hash", "oracle"} {
+		if f := got[v]; f.InAim < 0.8 || f.Kept <= got["random"].Kept {
+			t.Errorf("%s: %+v; at random %+v", v, f, got["random"])
+		}
+	}
+	if got["oracle"].InAim+0.02 < got["random"].InAim {
+		t.Errorf("who knows all is worse than chance: %+v", got)
+	}
+}
+
+func TestOverloadIsRefusedNotLost(t *testing.T) {
+	for _, v := range Variants {
+		o := small(v)
+		o.Load = 4
+		f, err := Run(o)
+		if err != nil || f.Refused+f.Failed+f.Late < 0.2 {
+			t.Errorf("%s at four times what can be served: %+v, %v", v, f, err)
+		}
+	}
+	if _, err := Run(Options{Variant: "none"}); err == nil {
+		t.Error("no options, and it runs")
+	}
+}
