--- a/internal/control/ballot/ballot.go
+++ b/internal/control/ballot/ballot.go
@@ -9,6 +9,8 @@
 import (
 	"bytes"
 	"cmp"
+	"fmt"
+	"maps"
 )
 
 // Number orders attempts. The zero Number is below all others. No two attempts ever have the same, or two values could be
@@ -233,5 +235,17 @@
 	return why
 }
 
+// Clone returns a round that goes its own way from here on, for who walks through every order of things.
+func (r *Round) Clone() *Round {
+	n := *r
+	n.granted, n.failed = maps.Clone(r.granted), maps.Clone(r.failed)
+	return &n
+}
+
+// Key names where a round stands: two with one key go on alike.
+func (r *Round) Key() string {
+	return fmt.Sprintf("%d %v %v %q %v %v", r.Place, r.Number, r.accepting, r.Value, r.granted, r.failed)
+}
+
 // Majority is the quorum of n members.
 func Majority(n int) int { return n/2 + 1 }
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -77,17 +77,17 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("store: %w", err)
 	}
-	return openOn(func() (storage.Storage, error) {
+	return OpenOn(func() (storage.Storage, error) {
 		files, err := storage.OpenFile(path, false)
 		if err != nil {
 			return nil, err
 		}
-		return named{files, func() error { return syncDir(path) }}, nil
+		return Named(files, func() error { return syncDir(path) }), nil
 	}, fresh)
 }
 
-// openOn opens a store on files.
-func openOn(files func() (storage.Storage, error), fresh Identity) (*Store, *Kept, error) {
+// OpenOn opens a store on files, which may be a disk of one's own.
+func OpenOn(files func() (storage.Storage, error), fresh Identity) (*Store, *Kept, error) {
 	s := &Store{files: files}
 	if err := s.open(); err != nil {
 		return nil, nil, err
@@ -100,8 +100,10 @@
 	return s, k, nil
 }
 
-// named makes a file's name durable as the file is made. The database syncs a journal's bytes, and its folder only with the
+// Named returns files whose journals' names are durable as they are made; sync is of the folder. The database syncs a journal's bytes, and its folder only with the
 // next manifest: what is written to a new journal before that would be gone with its name if the power were lost.
+func Named(files storage.Storage, sync func() error) storage.Storage { return named{files, sync} }
+
 type named struct {
 	storage.Storage
 	sync func() error // of the folder
--- /dev/null
+++ b/internal/lab/check/check.go
@@ -0,0 +1,101 @@
+package check
+
+import (
+	"fmt"
+	"io"
+
+	"notchhinge/internal/control/ballot"
+)
+
+// Walk is a walk through lives.
+type Walk struct {
+	Name string
+	// Far returns what was found wrong ("" = nothing) and how many lives, states or points it has met.
+	Far func(lives int) (found string, met int)
+}
+
+// Walks are all walks, none of which may find anything.
+func Walks() []Walk {
+	return []Walk{
+		{"ballots, at random", func(lives int) (string, int) { return deep(func(*world) {}, lives) }},
+		{"ballots, every order of messages and of a crash", func(int) (string, int) { return explore(1, 9) }},
+		{"members, at random", func(lives int) (string, int) { return deepLives(func(*core) {}, lives, 60) }},
+		{"members, every life of six steps", func(int) (string, int) {
+			return everyLife(newCore(), bounds{rounds: 2, wipes: 1, places: 2, depth: 6})
+		}},
+		{"founding, with cuts", func(lives int) (string, int) {
+			for seed := range lives {
+				if sets := found(draws(seed), 3+seed%3, 3, func(set int) int { return set }); len(sets) > 1 {
+					return fmt.Sprintf("seed %d: two cores: %v", seed, sets), seed
+				}
+			}
+			return "", lives
+		}},
+		{"power lost at every step of a store's life", func(int) (string, int) {
+			faults, points := powerLost(false, 1)
+			return first(faults), points
+		}},
+		{"writes refused at every second step", func(int) (string, int) { return first(refused(2)), 0 }},
+	}
+}
+
+// Broken are the same with a rule broken: each must find it.
+func Broken() []Walk {
+	members := func(breaks func(*core)) func(int) (string, int) {
+		return func(lives int) (string, int) { return deepLives(breaks, lives, 60) }
+	}
+	ballots := func(breaks func(*world)) func(int) (string, int) {
+		return func(lives int) (string, int) { return deep(breaks, lives) }
+	}
+	return []Walk{
+		{"votes after a wipe", ballots(func(w *world) { w.forgets = true })},
+		{"answers before the sync", ballots(func(w *world) { w.skipDisk = true })},
+		{"counts its rounds anew", ballots(func(w *world) { w.again = true })},
+		{"a wiped machine goes on under its number", members(func(c *core) { c.forget = true })},
+		{"a change counts before it is chosen", members(func(c *core) { c.eager = true })},
+		{"a majority founds", func(lives int) (string, int) {
+			for seed := range lives {
+				if sets := found(draws(seed), 5, 3, ballot.Majority); len(sets) > 1 {
+					return fmt.Sprint(sets), seed
+				}
+			}
+			return "", lives
+		}},
+		{"a journal's name is not durable", func(int) (string, int) {
+			faults, points := powerLost(true, 5)
+			return first(faults), points
+		}},
+	}
+}
+
+func first(faults []error) string {
+	if len(faults) == 0 {
+		return ""
+	}
+	return faults[0].Error()
+}
+
+// All walks all walks so many lives far, says what comes of each, and tells whether all is as it must be.
+func All(lives int, out io.Writer) bool {
+	good := true
+	say := func(w Walk, wanted bool) {
+		found, met := w.Far(lives)
+		verdict := "as it must be"
+		if (found != "") != wanted {
+			verdict, good = "WRONG", false
+		}
+		fmt.Fprintf(out, "%-50s %9d  %s", w.Name, met, verdict)
+		if found != "" {
+			fmt.Fprintf(out, ": found %.150s", found)
+		}
+		fmt.Fprintln(out)
+	}
+	for _, w := range Walks() {
+		say(w, false)
+	}
+	fmt.Fprintln(out, "with a rule broken, which must be found:")
+	for _, w := range Broken() {
+		say(w, true)
+	}
+	return good
+}
--- a/internal/control/store/disk_test.go
+++ b/internal/lab/check/disk.go
@@ -1,4 +1,4 @@
-package store
+package check
 
 import (
 	"bytes"
@@ -9,12 +9,12 @@
 	"os"
 	"sync"
 	"syscall"
-	"testing"
 
 	"github.com/syndtr/goleveldb/leveldb/storage"
 
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/store"
 )
 
 // disk is a disk of our own under the database: what is written is in a cache until it is synced, a file's bytes and its
@@ -56,7 +56,7 @@
 	if d.noNames {
 		return diskFiles{d}, nil
 	}
-	return named{diskFiles{d}, d.syncNames}, nil
+	return store.Named(diskFiles{d}, d.syncNames), nil
 }
 
 func (d *disk) syncNames() error {
@@ -246,7 +246,7 @@
 }
 
 // is tells whether a start has found just that.
-func (m moment) is(k *Kept) bool {
+func (m moment) is(k *store.Kept) bool {
 	return bytes.Equal(m.state.Encode(), k.State.Encode()) && m.vote.Place == k.Vote.Place && m.vote.Promised == k.Vote.Promised &&
 		m.vote.Accepted == k.Vote.Accepted && bytes.Equal(m.vote.Value, k.Vote.Value)
 }
@@ -275,9 +275,9 @@
 // play plays the script on a disk until a write fails, and returns how many were acknowledged. With mend, the store is
 // opened anew then and told all that stands, as a keeper does, and goes on.
 func play(d *disk, all []moment, values [][]byte, mend bool) (acknowledged int, err error) {
-	s, _, err := openOn(d.open, Identity{ID: 7, Founder: true})
+	s, _, err := store.OpenOn(d.open, store.Identity{ID: 7, Founder: true})
 	for try := 0; mend && err != nil && try < 50; try++ {
-		s, _, err = openOn(d.open, Identity{ID: 7, Founder: true})
+		s, _, err = store.OpenOn(d.open, store.Identity{ID: 7, Founder: true})
 	}
 	if err != nil {
 		return 0, err
@@ -308,7 +308,7 @@
 
 // check looks at what a start finds: no less than what was acknowledged, and nothing that was never written.
 func check(d *disk, all []moment, acknowledged int) error {
-	s, k, err := openOn(d.open, Identity{ID: 99})
+	s, k, err := store.OpenOn(d.open, store.Identity{ID: 99})
 	if err != nil {
 		return fmt.Errorf("it does not open: %w", err)
 	}
@@ -350,32 +350,10 @@
 	}
 }
 
-func TestPowerLostAtEveryWrite(t *testing.T) {
-	t.Parallel()
-	faults, points := powerLost(false, 2)
-	for _, err := range faults {
-		t.Error(err)
-	}
-	if points < 300 {
-		t.Errorf("only %d points", points)
-	}
-	t.Logf("%d points", points)
-}
-
-func TestNamesThatAreNotSyncedAreFoundOut(t *testing.T) {
-	// As the database does by itself: a journal's name is durable with the next manifest only.
-	t.Parallel()
-	if faults, points := powerLost(true, 5); len(faults) == 0 {
-		t.Errorf("a check that can't fail: nothing found at %d points", points)
-	}
-}
-
-func TestRefusedAtEveryWrite(t *testing.T) {
-	// The disk is full, or fails, for a while from any step on. Nothing that was acknowledged is lost, the life goes on as soon
-	// as the disk takes writes again, and all of it is there in the end, after a power loss too.
-	t.Parallel()
+// refused has the disk refuse writes for a while from steps on, and returns what was found wrong.
+func refused(stride int) (faults []error) {
 	all, values := script()
-	for at, done := 1, false; !done; at += 7 {
+	for at, done := 1, false; !done; at += stride {
 		for _, fails := range []int{1, 4} {
 			d := newDisk()
 			d.failAt, d.fails, d.err = at, fails, syscall.ENOSPC
@@ -385,12 +363,13 @@
 			n, err := play(d, all, values, true)
 			done = d.steps < at
 			if n != len(all) || err != nil {
-				t.Errorf("refused %d times from step %d: it ends after %d writes: %v", fails, at, n, err)
+				faults = append(faults, fmt.Errorf("refused %d times from step %d: it ends after %d writes: %w", fails, at, n, err))
 				continue
 			}
 			if err := check(d.after(leavesNothing, uint64(at)), all, n); err != nil {
-				t.Errorf("refused %d times from step %d: %v", fails, at, err)
+				faults = append(faults, fmt.Errorf("refused %d times from step %d: %w", fails, at, err))
 			}
 		}
 	}
+	return faults
 }
--- a/internal/control/ballot/members_test.go
+++ b/internal/lab/check/members.go
@@ -1,10 +1,11 @@
-package ballot
+package check
 
 import (
 	"fmt"
 	"slices"
 	"strings"
-	"testing"
+
+	"notchhinge/internal/control/ballot"
 )
 
 // core is three machines that hold a chain whose values change who its members are, as keepers do: a machine that lost its
@@ -22,20 +23,20 @@
 
 type box struct {
 	id  int
-	acc Acceptor
+	acc ballot.Acceptor
 	log []string
 }
 
 type opened struct {
-	Round
-	ask Ask
+	ballot.Round
+	ask ballot.Ask
 }
 
 func newCore() *core {
 	c := &core{chosen: map[int]map[string]bool{}, nextID: 4, open: make([]*opened, 3)}
 	for i := range 3 {
 		b := &box{id: i + 1}
-		b.acc = Acceptor{Voter: true, Chosen: b.at}
+		b.acc = ballot.Acceptor{Voter: true, Chosen: b.at}
 		c.boxes = append(c.boxes, b)
 	}
 	return c
@@ -104,11 +105,11 @@
 	if c.eager {
 		known = append(slices.Clone(known), own)
 	}
-	r := &opened{Round: Round{Place: uint64(len(b.log)), Number: Number{c.count, c.count}, Own: []byte(own)}}
+	r := &opened{Round: ballot.Round{Place: uint64(len(b.log)), Number: ballot.Number{Round: c.count, Node: c.count}, Own: []byte(own)}}
 	for _, id := range members(known) {
 		r.Members = append(r.Members, uint64(id))
 	}
-	r.Need = Majority(len(r.Members))
+	r.Need = ballot.Majority(len(r.Members))
 	c.open[p] = nil
 	next, _ := c.turn(r, r.Begin(), mask)
 	if next != nil {
@@ -121,11 +122,11 @@
 func (c *core) accept(p, mask int) {
 	r := c.open[p]
 	_, out := c.turn(r, r.ask, mask)
-	if out == Pending {
+	if out == ballot.Pending {
 		return
 	}
 	c.open[p] = nil
-	if out != Chosen {
+	if out != ballot.Chosen {
 		return
 	}
 	at := int(r.Place)
@@ -139,10 +140,10 @@
 	}
 }
 
-func (c *core) turn(r *opened, ask Ask, mask int) (next *Ask, out Outcome) {
+func (c *core) turn(r *opened, ask ballot.Ask, mask int) (next *ballot.Ask, out ballot.Outcome) {
 	accepting := r.Accepting()
 	for i, b := range c.boxes {
-		if mask&(1<<i) == 0 || !slices.Contains(r.Members, uint64(b.id)) || next != nil || out != Pending {
+		if mask&(1<<i) == 0 || !slices.Contains(r.Members, uint64(b.id)) || next != nil || out != ballot.Pending {
 			continue
 		}
 		ans, _ := b.acc.Handle(ask)
@@ -167,7 +168,7 @@
 	} else {
 		c.nextID++
 	}
-	b.acc = Acceptor{Voter: c.forget || c.eager, Chosen: b.at}
+	b.acc = ballot.Acceptor{Voter: c.forget || c.eager, Chosen: b.at}
 	c.boxes[i], c.open[i] = b, nil
 }
 
@@ -192,10 +193,7 @@
 	for i, b := range c.boxes {
 		fmt.Fprintf(&sb, "%d %v %q %d %v %q;", b.id, b.acc.Voter, b.log, b.acc.Vote.Promised.Round, b.acc.Vote.Accepted.Round, b.acc.Vote.Value)
 		if r := c.open[i]; r != nil {
-			fmt.Fprintf(&sb, "%d %d %q %v", r.Place, r.Number.Round, r.Value, len(r.granted))
-			for id := range uint64(8) {
-				fmt.Fprint(&sb, r.granted[id], r.failed[id])
-			}
+			sb.WriteString(r.Key())
 		}
 	}
 	fmt.Fprint(&sb, c.count, c.chosen)
@@ -214,13 +212,7 @@
 	for _, r := range c.open {
 		if r != nil {
 			x := *r
-			x.granted, x.failed = map[uint64]bool{}, map[uint64]bool{}
-			for k, v := range r.granted {
-				x.granted[k] = v
-			}
-			for k, v := range r.failed {
-				x.failed[k] = v
-			}
+			x.Round = *r.Clone()
 			r = &x
 		}
 		n.open = append(n.open, r)
@@ -291,26 +283,12 @@
 	return found, len(seen)
 }
 
-func TestEveryChangeOfMembers(t *testing.T) {
-	found, states := everyLife(newCore(), bounds{rounds: 2, wipes: 1, places: 2, depth: 6})
-	if found != "" || states < 40000 {
-		t.Errorf("%q in %d states", found, states)
-	}
-	t.Logf("%d states", states)
-}
-
 // deepLives plays random lives with a seed each, and returns the first in which something is broken.
 func deepLives(breaks func(*core), lives, steps int) (string, int) {
 	for seed := range lives {
 		c := newCore()
 		breaks(c)
-		x := uint64(seed)*0x9e3779b97f4a7c15 + 1
-		draw := func(n int) int {
-			x ^= x << 13
-			x ^= x >> 7
-			x ^= x << 17
-			return int(x % uint64(n))
-		}
+		draw := draws(seed)
 		for range steps {
 			p := draw(3)
 			switch k := draw(16); {
@@ -333,22 +311,3 @@
 	}
 	return "", lives
 }
-
-func TestBrokenMembersAreFound(t *testing.T) {
-	for name, breaks := range map[string]func(*core){
-		"a wiped machine goes on under its number": func(c *core) { c.forget = true },
-		"a change counts before it is chosen":      func(c *core) { c.eager = true },
-	} {
-		if found, lives := deepLives(breaks, 20000, 60); found == "" {
-			t.Errorf("%s: not found in %d lives", name, lives)
-		}
-	}
-	broken := newCore()
-	broken.forget = true
-	if found, states := everyLife(broken, bounds{rounds: 3, wipes: 1, places: 1, depth: 7}); found == "" {
-		t.Errorf("a wiped machine that goes on under its number: not found in %d states", states)
-	}
-	if found, seed := deepLives(func(*core) {}, 3000, 60); found != "" {
-		t.Errorf("%s with seed %d", found, seed)
-	}
-}
