One way to ask a control address; the module's settings for the fleet in one place

Reread: five commands asked and read for themselves, and the lab had the node's module settings once more (with another grace). Behaviour kept, but that engines and status say what an address answers with an error; a value was returned beside the call that fills it.

--- a/cmd/notchhinge/configs.go
+++ b/cmd/notchhinge/configs.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -307,25 +306,15 @@
 
 // Run lists what was taken.
 func (c configHistory) Run() error {
-	resp, err := (&http.Client{Timeout: 5 * time.Second}).Get("http://" + c.Control + "/fleet/history")
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	b, err := answered(resp)
-	if err != nil {
-		return err
-	}
 	var all []struct {
 		Revision uint64 `json:"revision"`
 		Digest   string `json:"digest"`
 	}
-	if err := json.Unmarshal(b, &all); err != nil {
+	if err := askJSON(c.Control, "/fleet/history", &all); err != nil {
 		return err
 	}
 	if c.Output == "json" {
-		_, err := io.Copy(os.Stdout, bytes.NewReader(b))
-		return err
+		return asJSON(all)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "REVISION\tDIGEST")
--- a/cmd/notchhinge/fleet.go
+++ b/cmd/notchhinge/fleet.go
@@ -49,6 +49,20 @@
 	return nil
 }
 
+// askJSON asks a control address for JSON.
+func askJSON(addr, path string, to any) error {
+	resp, err := (&http.Client{Timeout: 5 * time.Second}).Get("http://" + addr + path)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	b, err := answered(resp)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, to)
+}
+
 // answered reads an answer of the control plane; one that is not 200 is an error with what it says.
 func answered(resp *http.Response) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, declared.MostBytes+1))
@@ -72,20 +86,15 @@
 
 // Run asks each address. One that does not answer is a line of its own, and makes the exit code 1.
 func (c fleetStatus) Run() error {
-	client := http.Client{Timeout: 3 * time.Second}
 	var all []map[string]any
 	silent := 0
 	for _, addr := range c.Control {
-		s := map[string]any{"address": addr}
-		resp, err := client.Get("http://" + addr + "/fleet/status")
-		if err == nil {
-			err = json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&s)
-			resp.Body.Close()
-		}
+		s, err := status(addr)
 		if err != nil {
-			s["error"] = err.Error()
+			s = map[string]any{"error": err.Error()}
 			silent++
 		}
+		s["address"] = addr
 		all = append(all, s)
 	}
 	if c.Output == "json" {
@@ -121,10 +130,9 @@
 
 // Run prints what differs from the look before.
 func (c fleetWatch) Run() error {
-	client := http.Client{Timeout: 3 * time.Second}
 	before, began := map[string]any{}, time.Now()
 	for {
-		now, err := status(&client, c.Control)
+		now, err := status(c.Control)
 		if err != nil {
 			now = map[string]any{"error": err.Error()}
 		}
@@ -149,14 +157,9 @@
 	"error", "node", "zone", "ready", "revision", "place", "newest_place", "peers", "keepers", "engines", "members", "votes", "holder", "fence",
 }
 
-func status(client *http.Client, addr string) (map[string]any, error) {
-	resp, err := client.Get("http://" + addr + "/fleet/status")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	s := map[string]any{}
-	return s, json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&s)
+func status(addr string) (s map[string]any, err error) {
+	err = askJSON(addr, "/fleet/status", &s) // before s is read
+	return s, err
 }
 
 type enginesCmd struct {
@@ -171,12 +174,8 @@
 }
 
 func (t toFleet) engines() (all []node.EngineView, err error) {
-	resp, err := (&http.Client{Timeout: 3 * time.Second}).Get("http://" + t.Control + "/fleet/engines")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	return all, json.NewDecoder(io.LimitReader(resp.Body, 64<<20)).Decode(&all)
+	err = askJSON(t.Control, "/fleet/engines", &all)
+	return all, err
 }
 
 // Run lists engines.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,6 +114,21 @@
 	return c
 }
 
+// How long an engine may take to be as fast as others, and what share of that it has at first: what a beat says beyond that
+// counts as that.
+const (
+	WarmUp   = 4 * time.Second
+	ColdFrom = 0.4
+)
+
+// Settings are those of a service's module. grace is how long a known session may go to an engine that drains.
+func Settings(classes []policy.Class, grace time.Duration, attempts int) policy.Settings {
+	return policy.Settings{
+		Gateways: 1, Zones: 1, Classes: classes, Weights: policy.NoWeights, DrainGrace: grace, ColdFrom: ColdFrom, WarmUp: WarmUp,
+		Limits: policy.Limits{Cancel: true, RetryAfter: true, MaxAttempts: attempts, MaxRetryAfter: time.Second},
+	}
+}
+
 // silent is how long clients of the platform wait for the next sign of a stream: two seconds, or four times the aim.
 func silent(r *declared.Route) time.Duration {
 	if r.Type != declared.Streaming {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"notchhinge/internal/broker"
+	"notchhinge/internal/edge"
 	"notchhinge/internal/lab/model"
 	"notchhinge/internal/limits"
 	"notchhinge/policy"
@@ -246,16 +247,12 @@
 		}
 		lim := limits.NewNode(limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 1 << 16})
 		r.b = broker.New(lim)
-		// As a node sets its modules up (internal/node).
-		m, err := policy.New(policy.Settings{
-			Gateways: 1, Zones: 1, Weights: policy.NoWeights, DrainGrace: 750 * time.Millisecond, ColdFrom: 0.4, WarmUp: 4 * time.Second,
-			Classes: []policy.Class{{Name: "chat", Aim: aim, Deadline: 12 * time.Second, Worth: 1, LateWorth: 1, Effect: policy.Unsafe, Streaming: true, MaxAttempts: attempts}},
-			Limits:  policy.Limits{Cancel: true, RetryAfter: true, MaxAttempts: attempts, MaxRetryAfter: time.Second},
-		}, mix(w.Seed, uint64(i)+100))
+		class := policy.Class{Name: "chat", Aim: aim, Deadline: 12 * time.Second, Worth: 1, LateWorth: 1, Effect: policy.Unsafe, Streaming: true, MaxAttempts: attempts}
+		m, err := policy.New(edge.Settings([]policy.Class{class}, limits.DrainGrace(3*time.Second), attempts), mix(w.Seed, uint64(i)+100))
 		if err != nil {
 			return fmt.Errorf("sim: %w", err)
 		}
-		w.reduce(i, broker.PoolSet{Pool: 1, Name: "s", Module: m, WarmUp: 4 * time.Second, ColdFrom: 0.4, Attempts: attempts, RetryAfter: time.Second})
+		w.reduce(i, broker.PoolSet{Pool: 1, Name: "s", Module: m, WarmUp: edge.WarmUp, ColdFrom: edge.ColdFrom, Attempts: attempts, RetryAfter: time.Second})
 		w.list(i)
 	}
 	beginnings := 2 * w.Engines
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -49,12 +49,6 @@
 	poke    chan struct{}
 }
 
-// warmUp is how long an engine may take to be as fast as others; what a beat says beyond that counts as that.
-const (
-	warmUp   = 4 * time.Second
-	coldFrom = 0.4
-)
-
 func newData(log *slog.Logger, lim limits.Limits, grace time.Duration, seed uint64, list func(string) []roster.Engine) *data {
 	d := &data{
 		spent: &account.Book{}, log: log, lim: lim, grace: grace, seed: seed, list: list, next: 1, modules: map[pool.ID]*policy.Balancer{},
@@ -120,14 +114,6 @@
 	delete(d.classes, id)
 }
 
-// settings of the module of a service.
-func (d *data) settings(classes []policy.Class) policy.Settings {
-	return policy.Settings{
-		Gateways: 1, Zones: 1, Classes: classes, Weights: policy.NoWeights, DrainGrace: d.grace, ColdFrom: coldFrom, WarmUp: warmUp,
-		Limits: policy.Limits{Cancel: true, RetryAfter: true, MaxAttempts: d.lim.Attempts, MaxRetryAfter: time.Second},
-	}
-}
-
 // apply takes a configuration over, if it is newer than the present one. Requests that have begun keep theirs.
 func (d *data) apply(place uint64, c *declared.Config) error {
 	d.mu.Lock()
@@ -182,7 +168,7 @@
 		d.classes[s.ID] = len(s.Classes)
 		return nil
 	}
-	m, err := policy.New(d.settings(classes), d.seed^uint64(s.ID))
+	m, err := policy.New(edge.Settings(classes, d.grace, d.lim.Attempts), d.seed^uint64(s.ID))
 	if err != nil {
 		return err
 	}
@@ -190,7 +176,7 @@
 	d.issuer.Set(s.ID, issuer.Reports{}, share.Claim{})
 	d.front.Set(s.ID, share.Claim{}, share.Claim{})
 	e := broker.PoolSet{
-		Pool: s.ID, Name: s.Name, Module: m, WarmUp: warmUp, ColdFrom: coldFrom, Attempts: d.lim.Attempts, RetryAfter: d.lim.SpareAnswer,
+		Pool: s.ID, Name: s.Name, Module: m, WarmUp: edge.WarmUp, ColdFrom: edge.ColdFrom, Attempts: d.lim.Attempts, RetryAfter: d.lim.SpareAnswer,
 	}
 	if d.repeats.Window > 0 {
 		own := d.repeats
@@ -214,7 +200,7 @@
 				h.State = policy.Draining
 			}
 			if left := time.Duration(e.WarmAt-now) * time.Millisecond; left > 0 {
-				h.BornAt = clock + min(left, warmUp) - warmUp
+				h.BornAt = clock + min(left, edge.WarmUp) - edge.WarmUp
 			}
 			l.Hosts = append(l.Hosts, h)
 		}
