Operators' calls are sent to keepers with 307, before their body is read

Cause: a router passed a configuration on inside. Change: calls that concern the state get 307 to a keeper that answers; reports of routers, which are calls, show which do.

--- a/cmd/notchhinge/state_test.go
+++ b/cmd/notchhinge/state_test.go
@@ -146,6 +146,7 @@
 	asked   int
 }
 
+func (f *fakeFleet) Elsewhere() string { return "" }
 func (f *fakeFleet) Replace(_ context.Context, on uint64, text []byte) api.Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -54,6 +54,9 @@
 
 // Handler does what calls ask for. Each method may wait for as long as its context lasts.
 type Handler interface {
+	// Elsewhere is the control address that settles what concerns the state, where this process does not hold it; "" = it
+	// does, or nobody is known who does. The caller is sent there before its body is read.
+	Elsewhere() string
 	Beat(ctx context.Context, b *Beat) error
 	SignOff(ctx context.Context, id string) error
 	Replace(ctx context.Context, on uint64, text []byte) Result
@@ -98,13 +101,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Instances.Heartbeat/{id}", s.beat)
 	mux.HandleFunc("POST /Instances.Deregister/{id}", s.signOff)
-	mux.HandleFunc("POST /Configuration.Replace", s.replace)
-	mux.HandleFunc("GET /Configuration.Describe", s.describe)
+	mux.HandleFunc("POST /Configuration.Replace", s.settled(s.replace))
+	mux.HandleFunc("GET /Configuration.Describe", s.settled(s.describe))
 	mux.HandleFunc("GET /fleet/status", s.status)
-	mux.HandleFunc("GET /fleet/history", s.history)
+	mux.HandleFunc("GET /fleet/history", s.settled(s.history))
 	mux.HandleFunc("GET /fleet/engines", s.engines)
 	mux.HandleFunc("POST /fleet/explain", s.explain)
-	mux.HandleFunc("DELETE /fleet/members/{name}", s.dismiss)
+	mux.HandleFunc("DELETE /fleet/members/{name}", s.settled(s.dismiss))
 	return mux
 }
 
@@ -186,6 +189,28 @@
 	answer(w, http.StatusOK, map[string]string{})
 }
 
+// settled sends calls that concern the state to who holds it. A configuration may be as large as what the link of a machine
+// that carries traffic takes in a second: it must not go over it, let alone twice. The answer goes out before the body is
+// read; what comes of that all the same is taken in, lest its sender be reset before it has seen the answer.
+func (s *server) settled(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		to := s.h.Elsewhere()
+		if to == "" {
+			next(w, r)
+			return
+		}
+		rc := http.NewResponseController(w)
+		if err := rc.EnableFullDuplex(); err != nil {
+			w.Header().Set("Connection", "close")
+		}
+		w.Header().Set("Location", "http://"+to+r.URL.RequestURI())
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusTemporaryRedirect)
+		rc.Flush()
+		io.Copy(io.Discard, io.LimitReader(r.Body, declared.MostBytes)) // ReadTimeout bounds it
+	}
+}
+
 func (s *server) replace(w http.ResponseWriter, r *http.Request) {
 	on, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get("X-Revision-Match")), 10, 64)
 	if err != nil {
--- a/internal/control/api/api_test.go
+++ b/internal/control/api/api_test.go
@@ -1,13 +1,17 @@
 package api
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -21,8 +25,11 @@
 	on    uint64
 	text  []byte
 	fail  error
+	other string
 }
 
+func (h *handler) Elsewhere() string { return h.other }
+
 func (h *handler) Beat(_ context.Context, b *Beat) error {
 	h.beats = append(h.beats, *b)
 	return h.fail
@@ -133,3 +140,32 @@
 		t.Errorf("%d", w.Code)
 	}
 }
+
+// TestSentElsewhereBeforeItsBody: a large configuration does not go over the link of a machine that cannot settle it. Its
+// sender is told where to go while nearly all of the body is still to come, and again on the same connection.
+func TestSentElsewhereBeforeItsBody(t *testing.T) {
+	h := &handler{other: "10.0.0.4:8080"}
+	web := httptest.NewServer(Handle(h))
+	defer web.Close()
+	c, err := net.Dial("tcp4", web.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	br := bufio.NewReader(c)
+	for _, head := range []string{
+		"POST /Configuration.Replace HTTP/1.1\r\nHost: x\r\nX-Revision-Match: 3\r\nContent-Length: 300000\r\n\r\nbegin",
+		strings.Repeat("x", 300000-5) + "GET /Configuration.Describe?whole HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		io.WriteString(c, head)
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		to := resp.Header.Get("Location")
+		if resp.StatusCode != http.StatusTemporaryRedirect || !strings.HasPrefix(to, "http://10.0.0.4:8080/Configuration.") || h.text != nil {
+			t.Errorf("%d, %q, handled here: %v", resp.StatusCode, to, h.text != nil)
+		}
+	}
+}
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -46,6 +46,11 @@
 	Heard struct{ Sign Sign }
 	// Seeds are addresses where others may be found.
 	Seeds struct{ Addrs []netip.AddrPort }
+	// Called: a call to a peer has been answered, or has not.
+	Called struct {
+		ID uint64
+		OK bool
+	}
 )
 
 func (Packet) event()  {}
@@ -53,6 +58,7 @@
 func (Publish) event() {}
 func (Heard) event()   {}
 func (Seeds) event()   {}
+func (Called) event()  {}
 
 // Effect is something to be done.
 type Effect interface{ effect() }
@@ -88,6 +94,7 @@
 	heard time.Duration // last packet from it
 	asked time.Duration // the first unanswered question; 0 = none
 	known time.Duration // since when it is here
+	mute  bool          // the last call to it was not answered
 }
 
 // pending is urgent news that waits for words back.
@@ -153,6 +160,12 @@
 	case Seeds:
 		n.seeds = e.Addrs
 		n.join()
+	case Called:
+		if k := n.keepers[e.ID]; k != nil {
+			if k.mute = !e.OK; e.OK {
+				k.heard = n.now
+			}
+		}
 	}
 	n.due()
 	return n.out
@@ -295,7 +308,7 @@
 			n.keepers[p.ID] = &entry{Peer: p, known: n.now}
 		}
 		if k := n.keepers[p.ID]; k != nil && direct {
-			k.heard = n.now
+			k.heard, k.mute = n.now, false
 		}
 	}
 	e := n.view[p.ID]
@@ -552,7 +565,7 @@
 	clear(n.signs)
 }
 
-// Keepers lists those that hold the state, the ones heard from lately first, those of one's own zone before others.
+// Keepers lists those that hold the state: the ones that answer first, those of one's own zone before others.
 func (n *Node) Keepers() (all []Peer) {
 	ids := sorted(n.keepers)
 	slices.SortStableFunc(ids, func(x, y uint64) int {
@@ -562,7 +575,7 @@
 			if e.Zone != n.self.Zone {
 				s++
 			}
-			if e.heard != 0 && n.now-e.heard > 2*deaf {
+			if !n.answers(e) {
 				s += 2
 			}
 			return s
@@ -575,6 +588,19 @@
 	return all
 }
 
+// answers tells whether a keeper is likely to answer. One that nothing was heard of yet may.
+func (n *Node) answers(e *entry) bool { return !e.mute && (e.heard == 0 || n.now-e.heard <= 2*deaf) }
+
+// Answering lists the keepers that are likely to answer.
+func (n *Node) Answering() (all []Peer) {
+	for _, id := range sorted(n.keepers) {
+		if k := n.keepers[id]; n.answers(k) {
+			all = append(all, k.Peer)
+		}
+	}
+	return all
+}
+
 // Peers lists the view.
 func (n *Node) Peers() (all []Peer) {
 	for _, id := range sorted(n.view) {
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -377,3 +377,28 @@
 		})
 	}
 }
+
+// TestKeepersThatAnswerComeFirst: in a large fleet a keeper's own packets come seldom; what its calls show counts, too.
+func TestKeepersThatAnswerComeFirst(t *testing.T) {
+	f := newFleet(60, 5)
+	f.pass(4 * time.Second)
+	n := f.nodes[30]
+	if len(n.Keepers()) != 3 {
+		t.Fatalf("%d keepers are known", len(n.Keepers()))
+	}
+	first := n.Keepers()[0].ID
+	f.do(30, Called{ID: first, OK: false})
+	if all := n.Answering(); len(all) != 2 || n.Keepers()[2].ID != first {
+		t.Errorf("one that has not answered a call: %v, the last is %v", all, n.Keepers()[2].ID)
+	}
+	f.do(30, Called{ID: first, OK: true})
+	if n.Keepers()[0].ID != first {
+		t.Error("one that answers again does not come first")
+	}
+	for _, k := range n.Keepers() {
+		f.do(30, Called{ID: k.ID, OK: false})
+	}
+	if len(n.Answering()) != 0 || len(n.Keepers()) != 3 {
+		t.Error("where none answers nobody is sent there, and this node still tries all")
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -15,14 +15,12 @@
 	callState                     // the whole state, where it is further than a place
 	callIdentity                  // who a keeper is and how far it has come
 	callFetch                     // the newest configuration, where it is newer than a place
-	callReplace                   // the operator's, passed on
-	callDescribe                  // likewise
+	_                             // was the operator's, passed on
+	_                             // likewise
 	callReport                    // a router's counts and loads: duty.Report
 	callBook                      // what a keeper has heard of these, from a window on
 	callJoin                      // a keeper wants to be a member: identity
 	callRenew                     // the holder asks for more time: its fence and its member
-	callDismiss                   // the operator's, passed on: a member's name
-	callHistory                   // likewise, without anything
 )
 
 // causeOf is what a call is for.
@@ -30,7 +28,7 @@
 	switch kind {
 	case callAsk, callLearn:
 		return account.Ballots
-	case callFetch, callReplace, callDescribe, callHistory:
+	case callFetch:
 		return account.Configs
 	case callReport, callBook:
 		return account.Reports
@@ -125,20 +123,3 @@
 	i = identity{Member: chain.Member{ID: r.Word(), Name: r.String(256), Addr: r.String(256)}, next: r.Uint(), founder: r.Byte() == 1}
 	return i, r.End()
 }
-
-// result is the answer to an operator's call that was passed on.
-func encodeResult(status int, says string, rev uint64, body []byte) []byte {
-	w := form.Writer{}
-	w.Uint(uint64(status))
-	w.String(says)
-	w.Uint(rev)
-	w.Bytes(body)
-	return w.B
-}
-
-func decodeResult(b []byte) (status int, says string, rev uint64, body []byte, err error) {
-	r := form.Reader{B: b}
-	status, says, rev = int(r.Uint()), r.String(1<<16), r.Uint()
-	body = optional(r.Bytes(declared.MostBytes))
-	return status, says, rev, body, r.End()
-}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -75,7 +75,8 @@
 		go func() {
 			one, cancel := context.WithTimeout(context.Background(), limits.NodePass)
 			defer cancel()
-			n.net.Call(one, k.Addr, callReport, text)
+			_, err := n.net.Call(one, k.Addr, callReport, text)
+			n.news.called(k.ID, err == nil)
 		}()
 	}
 }
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -32,7 +32,8 @@
 	roster *roster.Roster
 	hashes map[uint64]string // of engines' ids
 	wake   chan struct{}
-	dirty  bool // engines have changed since others were told
+	until  time.Duration // the timer is set to it
+	dirty  bool          // engines have changed since others were told
 
 	engines func()                               // told, without the lock, that engines have changed; it must not wait
 	config  func(place uint64, from gossip.Peer) // told that there is a configuration
@@ -86,13 +87,16 @@
 		n.dirty = false
 		then = append(then, n.engines)
 	}
+	sooner := n.gossip.Next() < n.until
 	n.mu.Unlock()
 	for _, f := range then {
 		f()
 	}
-	select {
-	case n.wake <- struct{}{}:
-	default:
+	if sooner {
+		select {
+		case n.wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -184,6 +188,18 @@
 	return n.gossip.Keepers()
 }
 
+// reachable lists the keepers that are likely to answer.
+func (n *news) reachable() []gossip.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gossip.Answering()
+}
+
+// called notes whether a keeper has answered a call.
+func (n *news) called(id uint64, ok bool) {
+	n.turn(gossip.Called{ID: id, OK: ok})
+}
+
 // peers lists the others that are known.
 func (n *news) peers() []gossip.Peer {
 	n.mu.Lock()
@@ -210,9 +226,9 @@
 	nextSweep := n.clock()
 	for {
 		n.mu.Lock()
-		next := min(n.gossip.Next(), nextSweep)
+		n.until = min(n.gossip.Next(), nextSweep)
 		n.mu.Unlock()
-		timer.Reset(max(next-n.clock(), time.Millisecond))
+		timer.Reset(max(n.until-n.clock(), time.Millisecond))
 		select {
 		case <-ctx.Done():
 			return
@@ -227,9 +243,5 @@
 			n.mu.Unlock()
 		}
 		n.turn(gossip.Tick{})
-		select {
-		case <-n.wake: // turn's own
-		default:
-		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	texts    texts
 	wanted   atomic.Uint64 // of the newest that is known of
 	asked    atomic.Bool   // a keeper has said what the newest is
+	sent     atomic.Uint32 // callers that were sent to a keeper
 	fetching chan gossip.Peer
 	stopping atomic.Bool
 }
@@ -465,34 +466,6 @@
 		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 		defer cancel()
 		return nil, k.admit(ctx, i)
-	case callReplace:
-		on, text, err := decodePlace(body)
-		if err != nil {
-			return nil, err
-		}
-		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-		defer cancel()
-		r := k.put(ctx, on, append([]byte(nil), text...))
-		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
-	case callDismiss:
-		_, name, err := decodePlace(body)
-		if err != nil {
-			return nil, err
-		}
-		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-		defer cancel()
-		r := k.dismiss(ctx, string(name))
-		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
-	case callHistory:
-		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-		defer cancel()
-		r := k.history(ctx)
-		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
-	case callDescribe:
-		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-		defer cancel()
-		r := k.get(ctx)
-		return encodeResult(r.Status, r.Says, r.Rev, r.Body), nil
 	}
 	if d := n.duties; d != nil {
 		switch kind {
@@ -552,74 +525,53 @@
 // Replace implements api.Handler.
 func (n *Node) Replace(ctx context.Context, on uint64, text []byte) api.Result {
 	began := time.Now()
-	r := n.settle(ctx, on, text)
+	r := n.held(ctx, func(k *keeper, ctx context.Context) api.Result { return k.put(ctx, on, text) })
 	n.log.Info("configuration call", "on", on, "bytes", len(text), "status", r.Status, "says", r.Says, "revision", r.Rev,
 		"took", time.Since(began).Round(time.Millisecond).String())
 	return r
 }
 
-// settle has a configuration settled here, or by a keeper.
-func (n *Node) settle(ctx context.Context, on uint64, text []byte) api.Result {
-	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-	defer cancel()
+// noKeeper is what is said where nobody who holds the state is in reach.
+var noKeeper = api.Result{Status: http.StatusServiceUnavailable, Says: "no keeper answers"}
+
+// Elsewhere implements api.Handler: a keeper that was heard of lately, each in its turn, so that who comes again meets
+// another. On all machines control has the same port.
+func (n *Node) Elsewhere() string {
 	if n.keeper != nil {
-		return n.keeper.put(ctx, on, text)
+		return ""
 	}
-	// What is invalid needs no keeper to say so.
-	c, _, err := declared.Decode(text)
-	if err == nil {
-		err = c.Check()
+	all := n.news.reachable()
+	own, err := netip.ParseAddrPort(n.cfg.Listeners.Control)
+	if len(all) == 0 || err != nil {
+		return ""
 	}
-	if err != nil {
-		return api.Result{Status: http.StatusBadRequest, Says: err.Error()}
-	}
-	return n.pass(ctx, callReplace, encodePlace(on, text))
+	to := all[int(n.sent.Add(1))%len(all)]
+	return netip.AddrPortFrom(to.Addr.Addr(), own.Port()).String()
 }
 
 // Describe implements api.Handler.
 func (n *Node) Describe(ctx context.Context) api.Result {
-	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-	defer cancel()
-	if n.keeper != nil {
-		return n.keeper.get(ctx)
-	}
-	return n.pass(ctx, callDescribe, nil)
+	return n.held(ctx, (*keeper).get)
 }
 
 // History implements api.Handler.
 func (n *Node) History(ctx context.Context) api.Result {
-	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-	defer cancel()
-	if n.keeper != nil {
-		return n.keeper.history(ctx)
-	}
-	return n.pass(ctx, callHistory, nil)
+	return n.held(ctx, (*keeper).history)
 }
 
 // Dismiss implements api.Handler.
 func (n *Node) Dismiss(ctx context.Context, name string) api.Result {
-	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
-	defer cancel()
-	if n.keeper != nil && n.keeper.member() {
-		return n.keeper.dismiss(ctx, name)
-	}
-	return n.pass(ctx, callDismiss, encodePlace(0, []byte(name)))
+	return n.held(ctx, func(k *keeper, ctx context.Context) api.Result { return k.dismiss(ctx, name) })
 }
 
-// pass passes a call of the operator on to a keeper, and to the next if that one does not answer.
-func (n *Node) pass(ctx context.Context, kind uint8, body []byte) api.Result {
-	for _, p := range n.news.keepers() {
-		one, cancel := context.WithTimeout(ctx, limits.NodePass)
-		b, err := n.net.Call(one, p.Addr, kind, body)
-		cancel()
-		if err != nil {
-			continue
-		}
-		if status, says, rev, text, err := decodeResult(b); err == nil && status != http.StatusServiceUnavailable {
-			return api.Result{Status: status, Says: says, Rev: rev, Body: text}
-		}
+// held has a call of the operator answered by the keeper here.
+func (n *Node) held(ctx context.Context, f func(*keeper, context.Context) api.Result) api.Result {
+	if n.keeper == nil {
+		return noKeeper
 	}
-	return api.Result{Status: http.StatusServiceUnavailable, Says: "no keeper has settled it"}
+	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
+	defer cancel()
+	return f(n.keeper, ctx)
 }
 
 // Status implements api.Handler.
