Answers of engines are told by their X-Request-Id, and surplus ones are read past

Cause: an answer was taken for a request's own because it came next on its connection. An engine that stutters sends a second one, and between the look at a parked line and the first byte of the answer nothing was checked: customers could get somebody else's answer. Ruled out: parking with bytes at rest (was noticed), streams (framed).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,6 +36,7 @@
 	tenantHeader   = "X-Tenant"
 	expectHeader   = "X-Expect-Instance"
 	notRunHeader   = "X-Not-Executed"
+	idHeader       = "X-Request-Id"
 )
 
 // Compiled is a configuration as requests are led by it. It does not change; a request keeps the one it began with.
@@ -312,7 +313,7 @@
 	}
 	m.Order = issuer.Order{
 		Method: req.Method, Target: w.Target, Host: w.Host, Body: body, Until: r.until, Header: passedOn(req.Header, r.tenant),
-		Counted: req.ContentLength != 0 || len(req.TransferEncoding) > 0,
+		Counted: req.ContentLength != 0 || len(req.TransferEncoding) > 0, CallID: req.Header.Get(idHeader),
 	}
 	return m, nil
 }
@@ -464,6 +465,18 @@
 	return append(b, o.Body...)
 }
 
+// Whose implements issuer.Dialect: engines repeat the id of the request. One that came without any has an engine's word of
+// that (400), which repeats none.
+func (Legs) Whose(o *issuer.Order, resp *http.Response) issuer.Whose {
+	switch ids := resp.Header[idHeader]; {
+	case len(ids) == 0 && o.CallID == "", len(ids) == 1 && ids[0] == o.CallID:
+		return issuer.Own
+	case len(ids) == 1:
+		return issuer.Others
+	}
+	return issuer.Nobodys
+}
+
 // Judge implements issuer.Dialect.
 func (Legs) Judge(resp *http.Response) policy.Result {
 	switch {
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -52,6 +53,8 @@
 type Dialect interface {
 	// Head writes an order out, body and all, with the time that is left of its budget and the span that it belongs to.
 	Head(o *Order, e *broker.SendLeg, left time.Duration, span *trace.Context) []byte
+	// Whose tells what an answer is an answer to: a host that stutters sends others than the one to this order.
+	Whose(o *Order, resp *http.Response) Whose
 	// Judge says what an answer's head makes of the leg; what it calls OK is passed on.
 	Judge(resp *http.Response) policy.Result
 	// Streams tells whether an answer that is passed on is a series of events.
@@ -62,6 +65,16 @@
 	Probe(r *Reports) string
 }
 
+// Whose says what an answer is an answer to.
+type Whose uint8
+
+// This order; another one; it does not say, so that it may be either.
+const (
+	Own Whose = iota
+	Others
+	Nobodys
+)
+
 // Config is what a Client is made of.
 type Config struct {
 	Lim     limits.Limits
@@ -295,7 +308,7 @@
 	if l.times != nil {
 		l.stamp(&l.times.Written, time.Now())
 	}
-	resp, first, err := c.readResponse(ln, time.Time{})
+	resp, first, err := c.readResponse(ln, customer.Order(), time.Time{})
 	if l.times != nil && !first.IsZero() {
 		l.stamp(&l.times.First, first)
 	}
@@ -562,7 +575,7 @@
 		ln.Close()
 		return policy.ConnectFailed, policy.Report{}
 	}
-	resp, _, err := c.readResponse(ln, until)
+	resp, _, err := c.readResponse(ln, nil, until)
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, int64(c.Lim.ReadBuffer)))
@@ -603,10 +616,11 @@
 	return policy.Error
 }
 
-// readResponse reads the head of an answer, past a few interim ones. How long it is silent before that is the
-// broker's to bound, or until's; from the answer's first byte to its first event it has AnswerWait.
-// first is when its first byte was there.
-func (c *Client) readResponse(ln *line, until time.Time) (_ *http.Response, first time.Time, _ error) {
+// readResponse reads the head of the answer to an order (nil: to a probe), past a few interim ones and past whole answers to
+// something else: a host that stutters sends one more than it was asked for, and it may come where the next is due. The
+// line of such a host is not used again. How long it is silent before the answer is the broker's to bound, or until's;
+// from the answer's first byte to its first event it has AnswerWait. first is when its first byte was there.
+func (c *Client) readResponse(ln *line, o *Order, until time.Time) (_ *http.Response, first time.Time, _ error) {
 	for range c.Lim.Interim + 1 {
 		if _, err := ln.br.Peek(1); err != nil {
 			return nil, first, err
@@ -628,7 +642,20 @@
 			return nil, first, fmt.Errorf("%w: %w", errSpoilt, err)
 		}
 		if resp.StatusCode >= 200 {
-			return resp, first, nil
+			whose := Own
+			if o != nil {
+				whose = c.Dialect.Whose(o, resp)
+			}
+			if whose == Own {
+				return resp, first, nil
+			}
+			ln.stutters = true
+			if whose == Nobodys {
+				return nil, first, errSpoilt
+			}
+			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limits.Surplus)); err != nil || n == limits.Surplus || resp.Close {
+				return nil, first, cmp.Or(err, errSpoilt) // nothing more comes, or too much
+			}
 		}
 		ln.SetReadDeadline(until)
 	}
--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -24,8 +24,10 @@
 	number uint64 // under which it is parked
 	since  time.Time
 	idle   time.Duration // so long it may wait for its next order; 0 = as the limits say
-	once   sync.Once
-	closed func()
+	// stutters: an answer came on it that nobody had asked for.
+	stutters bool
+	once     sync.Once
+	closed   func()
 }
 
 // Close closes the line; further calls do nothing.
@@ -170,7 +172,7 @@
 // put parks a line that can serve again; the broker has it hung up before the host would.
 func (p *lines) put(l *line) {
 	p.mu.Lock()
-	if l.br.Buffered() > 0 || l.idle < 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
+	if l.br.Buffered() > 0 || l.stutters || l.idle < 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
 		p.mu.Unlock()
 		l.Close()
 		return
--- a/internal/issuer/platform.go
+++ b/internal/issuer/platform.go
@@ -32,6 +32,9 @@
 	return policy.Error
 }
 
+// Whose implements Dialect: the platform's answers do not say.
+func (platform) Whose(*Order, *http.Response) Whose { return Own }
+
 // Streams implements Dialect.
 func (platform) Streams(*http.Response) bool { return true }
 
--- a/internal/lab/system/parts.go
+++ b/internal/lab/system/parts.go
@@ -98,6 +98,7 @@
 // ServeHTTP runs a request that names this engine.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Keep-Alive", "timeout=10")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	if r.Header.Get("X-Expect-Instance") != e.id {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -196,6 +196,9 @@
 	Memory    int64 // soft limit of the Go heap
 }
 
+// Surplus is how much of an answer that nobody asked for is read past, to get to the one that was.
+const Surplus = 1 << 20
+
 // Whole is the room of a process that is alone.
 func (l *Limits) Whole() Room { return Room{l.AcquirerConns, l.IssuerConns, l.MemoryBytes} }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -250,6 +250,7 @@
 	}
 	e.addr = ln.Addr().String()
 	e.web = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		if r.Header.Get("X-Expect-Instance") != e.id {
 			w.Header().Set("X-Not-Executed", "1")
 			w.WriteHeader(http.StatusMisdirectedRequest)
