Engines' calls concern keepers alone, and a drain is acknowledged once others know

And a drain was acknowledged after 0.3 s whoever had heard it, or at once where it came again. Change: internal/control/news joins gossip and roster as one reducer (it was in internal/node, among locks and sockets). Beats name a keeper of the engine's zone; keepers in touch judge silence; a drain waits for words of a router and of another zone, else 503; comparisons begin with one number; engines and keepers that are gone are forgotten. notchlab check plays engines that leave with who hears of it dying at any point: it found that two keepers were taken for enough, and that digests once a second were too slow with many routers.

--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -57,7 +57,8 @@
 	// Elsewhere is the control address that settles what concerns the state, where this process does not hold it; "" = it
 	// does, or nobody is known who does. The caller is sent there before its body is read.
 	Elsewhere() string
-	Beat(ctx context.Context, b *Beat) error
+	// Beat returns the address for the engine's later beats; "" = any.
+	Beat(ctx context.Context, b *Beat) (home string, err error)
 	SignOff(ctx context.Context, id string) error
 	Replace(ctx context.Context, on uint64, text []byte) Result
 	Describe(ctx context.Context) Result
@@ -166,11 +167,16 @@
 		refuse(w, http.StatusBadRequest, "address: an address with a port is wanted")
 		return
 	}
-	if err := s.h.Beat(r.Context(), beat); err != nil {
+	home, err := s.h.Beat(r.Context(), beat)
+	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	answer(w, http.StatusOK, map[string]string{})
+	says := map[string]string{}
+	if home != "" {
+		says["heartbeat_url"] = home
+	}
+	answer(w, http.StatusOK, says)
 }
 
 func (s *server) signOff(w http.ResponseWriter, r *http.Request) {
--- a/internal/control/gossip/format.go
+++ b/internal/control/gossip/format.go
@@ -46,8 +46,10 @@
 	peers []Peer
 	// Of a digest: the hash of each bucket of items. Of want: the buckets that differ, with the versions in them.
 	buckets []uint64
+	root    uint64
 	wants   []want
-	confirm uint64 // of urgent news: the number that the answer carries
+	confirm uint64   // of urgent news: the number that the answer carries
+	hears   []uint64 // of signs from a keeper: the keepers that it has heard lately
 }
 
 // want is a bucket as its sender has it.
@@ -61,8 +63,8 @@
 	version uint64
 }
 
-// The kinds of packets: news; a digest; the answer to one; peers to shuffle and the answer; news that wants a word back,
-// and that word.
+// The kinds of packets: news; a digest by buckets; the answer to one; peers to shuffle and the answer; news that wants a word back,
+// and that word; signs of life; a digest of all at once.
 const (
 	kindNews uint8 = iota + 1
 	kindDigest
@@ -71,10 +73,12 @@
 	kindShuffled
 	kindUrgent
 	kindConfirm
+	kindSigns
+	kindRoot
 )
 
 const (
-	formVersion = 1
+	formVersion = 2
 	buckets     = 32
 	// MostPacket is the longest datagram: below what any link here splits up.
 	MostPacket = 1400
@@ -128,6 +132,11 @@
 		for i := range p.items {
 			writeItem(&w, &p.items[i])
 		}
+	case kindSigns:
+		w.Uint(uint64(len(p.hears)))
+		for _, id := range p.hears {
+			w.Word(id)
+		}
 		w.Uint(uint64(len(p.signs)))
 		for _, s := range p.signs {
 			w.Word(s.Key)
@@ -136,6 +145,8 @@
 		}
 	case kindConfirm:
 		w.Uint(p.confirm)
+	case kindRoot:
+		w.Word(p.root)
 	case kindDigest:
 		for _, b := range p.buckets {
 			w.Word(b)
@@ -174,11 +185,17 @@
 			i.Body = append([]byte(nil), r.Bytes(mostBody)...)
 			p.items = append(p.items, i)
 		}
+	case kindSigns:
+		for range r.Count(mostPeers, 8) {
+			p.hears = append(p.hears, r.Word())
+		}
 		for range r.Count(mostSigns, 10) {
 			p.signs = append(p.signs, Sign{r.Word(), r.Uint(), r.Uint()})
 		}
 	case kindConfirm:
 		p.confirm = r.Uint()
+	case kindRoot:
+		p.root = r.Word()
 	case kindDigest:
 		for range buckets {
 			p.buckets = append(p.buckets, r.Word())
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -1,11 +1,14 @@
 // Package gossip brings news to every process without anybody knowing all of them. It owns a partial view of the others,
 // shuffled between neighbours; the items of news that are kept, passed on to a few others when they are new and compared by
-// digests so that gaps are mended; and signs of life, which are passed on once and not compared. It is a reducer: pure,
-// given clock and seed. What an item means is its kind's owner's.
+// digests so that gaps are mended; and signs of life, which go to the keepers alone, once, and are not compared: there are as
+// many as engines, and few need each of them. It is a reducer: pure, given clock and seed. What an item means is its kind's
+// owner's.
 package gossip
 
 import (
 	"bytes"
+	"cmp"
+	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -20,11 +23,16 @@
 	viewSize   = 16 // peers in the view
 	shuffled   = 6  // of them in one shuffle
 	Every      = 400 * time.Millisecond
-	compare    = time.Second            // between two digests
+	compare    = 400 * time.Millisecond // between two digests: of those whom news has missed, few must be left after a second
 	shuffleGap = 2 * time.Second        // between two shuffles
 	deaf       = 4 * time.Second        // a peer that was asked and has said nothing for so long leaves the view
-	confirmFor = 300 * time.Millisecond // urgent news waits so long for words back
+	confirmFor = 300 * time.Millisecond // urgent news waits so long for words back, and then asks others
+	urges      = 2                      // times that it asks: an engine waits a second
 	mostQueue  = 4096
+	touch      = 4 * Every        // keepers that have not heard each other for so long are out of touch
+	keeperGone = 3 * time.Minute  // one that nothing was heard of for so long is forgotten
+	keeperTold = 30 * time.Second // others are told only of one that was heard here so lately
+	oddKeeper  = 8                // one of so many digests goes to a keeper
 )
 
 // Event is something that happened.
@@ -35,15 +43,17 @@
 	Packet struct{ Bytes []byte }
 	// Tick: something may be due.
 	Tick struct{}
-	// Publish brings news of this node's. Urgent news goes out at once.
+	// Publish brings news of this node's. Urgent news goes out at once, known here or not.
 	Publish struct {
 		Items  []Item
 		Urgent bool
 		Of     any // with Urgent: Confirmed comes back with it
-		Need   int // words wanted before that
+		Need   int // words wanted before that; 0 = none, and no Confirmed
 	}
-	// Heard is a sign of life that this node has heard itself.
+	// Heard is a sign of life that this node has heard itself; keepers are told of it.
 	Heard struct{ Sign Sign }
+	// Members are the keepers that vote, by their ids.
+	Members struct{ IDs []uint64 }
 	// Seeds are addresses where others may be found.
 	Seeds struct{ Addrs []netip.AddrPort }
 	// Called: a call to a peer has been answered, or has not.
@@ -59,6 +69,7 @@
 func (Heard) event()   {}
 func (Seeds) event()   {}
 func (Called) event()  {}
+func (Members) event() {}
 
 // Effect is something to be done.
 type Effect interface{ effect() }
@@ -74,12 +85,14 @@
 		Item Item
 		From Peer
 	}
-	// Alive: a sign of life from elsewhere. Its owner answers with Heard if it is new.
+	// Alive: a sign of life from elsewhere.
 	Alive struct{ Sign Sign }
-	// Confirmed: urgent news has reached as many as were wanted, or nobody has answered in time.
+	// Confirmed: urgent news has reached N others. With Enough these are as many as were wanted, or all there are; else too
+	// few have answered in time.
 	Confirmed struct {
-		Of any
-		N  int
+		Of     any
+		N      int
+		Enough bool
 	}
 )
 
@@ -95,13 +108,18 @@
 	asked time.Duration // the first unanswered question; 0 = none
 	known time.Duration // since when it is here
 	mute  bool          // the last call to it was not answered
+	signs time.Duration // a keeper's: last signs from it
+	hears time.Duration // a keeper's: last word of it that it has signs from here
 }
 
 // pending is urgent news that waits for words back.
 type pending struct {
 	of    any
+	items []Item
 	need  int
 	got   map[uint64]bool
+	asked map[uint64]*entry
+	tries int
 	until time.Duration
 }
 
@@ -111,6 +129,8 @@
 	rnd     *rand.Rand
 	view    map[uint64]*entry
 	keepers map[uint64]*entry // the few that hold the state are known beside the view
+	voters  []uint64          // the keepers that vote; nil = not known yet
+	since   time.Duration     // in touch with a majority of them; -1 = not
 	seeds   []netip.AddrPort
 	items   map[string]*Item
 	hashes  [buckets]uint64 // of the items in each
@@ -124,6 +144,8 @@
 	confirm uint64
 	waiting map[uint64]*pending
 	out     []Effect
+	// Stale tells of an item that is over, so that it is not taken in from others any more; nil = none is.
+	Stale func(*Item) bool
 	// SentBytes and SentPackets count what has left.
 	SentBytes, SentPackets uint64
 }
@@ -132,7 +154,7 @@
 func New(self Peer, seed uint64) *Node {
 	n := &Node{
 		self: self, rnd: rand.New(rand.NewPCG(seed, self.ID)), view: map[uint64]*entry{}, keepers: map[uint64]*entry{},
-		items: map[string]*Item{}, signs: map[uint64]*Sign{}, waiting: map[uint64]*pending{},
+		items: map[string]*Item{}, signs: map[uint64]*Sign{}, waiting: map[uint64]*pending{}, since: -1,
 	}
 	for i := range n.members {
 		n.members[i] = map[string]bool{}
@@ -143,6 +165,14 @@
 // Hash names a key in digests and signs of life.
 func Hash(key string) uint64 { return xxhash.Sum64String(key) }
 
+// Mix makes one number of two, for choices that all make alike.
+func Mix(a, b uint64) uint64 {
+	var x [16]byte
+	binary.BigEndian.PutUint64(x[:8], a)
+	binary.BigEndian.PutUint64(x[8:], b)
+	return xxhash.Sum64(x[:])
+}
+
 // Reduce takes an event in. The effects are valid until the next call.
 func (n *Node) Reduce(now time.Duration, e Event) []Effect {
 	n.now = max(n.now, now)
@@ -157,6 +187,8 @@
 		n.publish(e)
 	case Heard:
 		n.sign(e.Sign)
+	case Members:
+		n.voters = e.IDs
 	case Seeds:
 		n.seeds = e.Addrs
 		n.join()
@@ -174,7 +206,7 @@
 // Next tells when the node wants a Tick.
 func (n *Node) Next() time.Duration {
 	next := min(n.nextCmp, n.nextShf)
-	if len(n.fresh) > 0 || len(n.signs) > 0 {
+	if n.pending() {
 		next = min(next, n.nextNew)
 	}
 	for _, p := range n.waiting {
@@ -186,19 +218,23 @@
 func (n *Node) due() {
 	for id, p := range n.waiting {
 		if n.now >= p.until {
-			delete(n.waiting, id)
-			n.out = append(n.out, Confirmed{p.of, len(p.got)})
+			n.urge(id, p)
 		}
 	}
-	if n.now >= n.nextNew && (len(n.fresh) > 0 || len(n.signs) > 0) {
+	if n.now >= n.nextNew && n.pending() {
 		n.nextNew = n.now + Every
 		n.spread()
+		n.tellKeepers()
 	}
 	if n.now >= n.nextCmp {
 		n.nextCmp = n.now + compare/2 + time.Duration(n.rnd.Int64N(int64(compare)))
-		if p := n.pick(1); len(p) > 0 {
+		p := n.pick(1)
+		if ids := sorted(n.keepers); len(ids) > 0 && n.rnd.IntN(oddKeeper) == 0 {
+			p = []*entry{n.keepers[ids[n.rnd.IntN(len(ids))]]}
+		}
+		if len(p) > 0 {
 			n.ask(p[0])
-			n.send(p[0].Peer, &packet{kind: kindDigest, buckets: n.hashes[:]})
+			n.send(p[0].Peer, &packet{kind: kindRoot, root: n.root()})
 		} else {
 			n.join()
 		}
@@ -210,6 +246,65 @@
 	}
 }
 
+// pending tells whether there is something to pass on. Keepers always have each other to tell that they are there.
+func (n *Node) pending() bool {
+	return len(n.fresh) > 0 || len(n.signs) > 0 || n.self.Flags&Keeper != 0 && len(n.keepers) > 0
+}
+
+// tellKeepers sends the signs of life that have come since the last time to every keeper.
+func (n *Node) tellKeepers() {
+	signs := make([]Sign, 0, len(n.signs))
+	for _, s := range n.signs {
+		signs = append(signs, Sign{s.Key, s.Count, uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))})
+	}
+	slices.SortFunc(signs, func(x, y Sign) int { return cmp.Compare(x.Key, y.Key) })
+	clear(n.signs)
+	var hears []uint64
+	for _, id := range sorted(n.keepers) {
+		if k := n.keepers[id]; n.self.Flags&Keeper != 0 && k.signs != 0 && n.now-k.signs <= touch && len(hears) < mostPeers {
+			hears = append(hears, id)
+		}
+	}
+	for _, id := range sorted(n.keepers) {
+		for rest := signs; ; {
+			some := rest[:min(len(rest), 80)]
+			n.send(n.keepers[id].Peer, &packet{kind: kindSigns, hears: hears, signs: some})
+			if rest = rest[len(some):]; len(rest) == 0 {
+				break
+			}
+		}
+	}
+	n.feel()
+}
+
+// feel finds out whether this keeper is in touch: it hears a majority of those that vote, and they hear it.
+func (n *Node) feel() {
+	good := 0
+	for _, id := range n.voters {
+		if k := n.keepers[id]; id == n.self.ID || k != nil && k.signs != 0 && n.now-k.signs <= touch && k.hears != 0 && n.now-k.hears <= touch {
+			good++
+		}
+	}
+	switch {
+	case len(n.voters) > 0 && good <= len(n.voters)/2:
+		n.since = -1
+	case n.since < 0:
+		n.since = n.now
+	}
+}
+
+// InTouch tells for how long a keeper has been in touch with a majority of keepers, both ways; false = it is not. Before it
+// knows who they are it counts as being.
+func (n *Node) InTouch() (d time.Duration, ok bool) {
+	if len(n.voters) == 0 {
+		return 0, true
+	}
+	if n.since < 0 {
+		return 0, false
+	}
+	return n.now - n.since, true
+}
+
 // join asks the seeds for peers.
 func (n *Node) join() {
 	for _, addr := range n.seeds {
@@ -224,6 +319,11 @@
 			delete(n.view, id)
 		}
 	}
+	for id, k := range n.keepers {
+		if n.now-max(k.heard, k.known) > keeperGone {
+			delete(n.keepers, id)
+		}
+	}
 	if len(n.view) < 2 {
 		n.join()
 	}
@@ -257,7 +357,7 @@
 		all = append(all, p.Peer)
 	}
 	for _, id := range sorted(n.keepers) { // few, and wanted by all
-		if k := n.keepers[id]; !slices.ContainsFunc(all, func(p Peer) bool { return p.ID == k.ID }) && len(all) < mostPeers {
+		if k := n.keepers[id]; k.heard != 0 && n.now-k.heard <= keeperTold && !slices.ContainsFunc(all, func(p Peer) bool { return p.ID == k.ID }) && len(all) < mostPeers {
 			all = append(all, k.Peer)
 		}
 	}
@@ -308,7 +408,7 @@
 			n.keepers[p.ID] = &entry{Peer: p, known: n.now}
 		}
 		if k := n.keepers[p.ID]; k != nil && direct {
-			k.heard, k.mute = n.now, false
+			k.heard, k.mute, k.asked = n.now, false, 0
 		}
 	}
 	e := n.view[p.ID]
@@ -336,24 +436,34 @@
 	switch p.kind {
 	case kindNews, kindUrgent:
 		for _, i := range p.items {
-			if n.take(i) {
+			if (n.Stale == nil || !n.Stale(&i)) && n.take(i) {
 				n.out = append(n.out, Learnt{i, p.from})
 				n.pass(i)
 			}
 		}
-		for _, s := range p.signs {
-			n.out = append(n.out, Alive{s})
-		}
 		if p.kind == kindUrgent {
 			n.send(p.from, &packet{kind: kindConfirm, confirm: p.confirm})
 			n.spreadItems(p.from.ID) // urgent news is passed on at once
 		}
+	case kindSigns:
+		if k := n.keepers[p.from.ID]; k != nil {
+			if k.signs, k.hears = n.now, 0; slices.Contains(p.hears, n.self.ID) {
+				k.hears = n.now
+			}
+		}
+		for _, s := range p.signs {
+			n.out = append(n.out, Alive{s})
+		}
 	case kindConfirm:
 		if w := n.waiting[p.confirm]; w != nil {
-			if w.got[p.from.ID] = true; len(w.got) >= w.need {
-				delete(n.waiting, p.confirm)
-				n.out = append(n.out, Confirmed{w.of, len(w.got)})
-			}
+			w.got[p.from.ID] = true
+			n.confirmed(p.confirm, w)
+		}
+	case kindRoot:
+		if p.root != n.root() {
+			n.send(p.from, &packet{kind: kindDigest, buckets: n.hashes[:]})
+		} else {
+			n.send(p.from, &packet{kind: kindConfirm}) // a sign that it was heard
 		}
 	case kindDigest:
 		var wants []want
@@ -436,6 +546,14 @@
 	}
 }
 
+// root stands for all items at once. Most comparisons find nothing, and should cost little.
+func (n *Node) root() (sum uint64) {
+	for _, h := range n.hashes {
+		sum = Mix(sum, h)
+	}
+	return sum
+}
+
 func (n *Node) keysOf(bucket int) []string {
 	keys := make([]string, 0, len(n.members[bucket]))
 	for k := range n.members[bucket] {
@@ -491,18 +609,91 @@
 		n.fresh = append(n.fresh, fresh...)
 		return
 	}
-	to := n.pick(Fanout + 1)
-	if len(to) == 0 {
-		n.fresh = append(n.fresh, fresh...)
-		n.out = append(n.out, Confirmed{e.Of, 0})
-		return
+	others := len(n.view)
+	for id := range n.keepers {
+		if n.view[id] == nil {
+			others++
+		}
 	}
+	p := &pending{of: e.Of, items: e.Items, need: min(e.Need, max(others, 1)), got: map[uint64]bool{}, asked: map[uint64]*entry{}}
 	n.confirm++
-	n.waiting[n.confirm] = &pending{of: e.Of, need: min(e.Need, len(to)), got: map[uint64]bool{}, until: n.now + confirmFor}
-	for _, p := range to {
-		n.ask(p)
-		n.sendItems(p.Addr, fresh, kindUrgent, n.confirm)
+	if e.Need > 0 {
+		n.waiting[n.confirm] = p
 	}
+	n.urge(n.confirm, p)
+}
+
+// urge sends urgent news to some who have not been sent it, or ends the wait for their words.
+func (n *Node) urge(id uint64, p *pending) {
+	to := n.abroad(Fanout+2, p.asked)
+	if n.confirmed(id, p); p.tries >= urges || len(to) == 0 && p.tries > 0 {
+		if n.waiting[id] != nil {
+			delete(n.waiting, id)
+			n.out = append(n.out, Confirmed{p.of, len(p.got), false})
+		}
+		return
+	}
+	p.tries++
+	p.until = n.now + confirmFor
+	for _, x := range to {
+		p.asked[x.ID] = x
+		n.ask(x)
+		n.sendItems(x.Addr, p.items, kindUrgent, id)
+	}
+}
+
+// confirmed ends the wait for words if there are enough: as many as are wanted, and not of keepers alone nor of this node's
+// zone alone if others were asked, since all keepers, or a zone, may end at once. Who is alone in the world needs none.
+func (n *Node) confirmed(id uint64, p *pending) {
+	var carries, away, router, abroad bool // others were asked; they have answered
+	for of, e := range p.asked {
+		isRouter, isAway := e.Flags&Keeper == 0, e.Zone != n.self.Zone
+		carries, away = carries || isRouter, away || isAway
+		if p.got[of] {
+			router, abroad = router || isRouter, abroad || isAway
+		}
+	}
+	alone := len(n.view) == 0 && len(n.keepers) == 0 && !slices.ContainsFunc(n.seeds, func(a netip.AddrPort) bool { return a != n.self.Addr })
+	if n.waiting[id] != nil && (alone || len(p.got) >= p.need && router == carries && abroad == away) {
+		delete(n.waiting, id)
+		n.out = append(n.out, Confirmed{p.of, len(p.got), true})
+	}
+}
+
+// abroad draws up to k who were not asked: a keeper, one of the others, and then as many zones as there are, so that what
+// takes down all keepers, or a zone, leaves somebody who knows.
+func (n *Node) abroad(k int, but map[uint64]*entry) (all []*entry) {
+	var ids []uint64
+	for _, m := range []map[uint64]*entry{n.view, n.keepers} {
+		for _, id := range sorted(m) {
+			if but[id] == nil && !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	n.rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	zones := map[uint32]bool{n.self.Zone: true}
+	for _, want := range []func(e *entry) bool{
+		func(e *entry) bool { return e.Flags&Keeper != 0 && n.answers(e) },
+		func(e *entry) bool { return e.Flags&Keeper == 0 },
+		func(e *entry) bool { return !zones[e.Zone] },
+		func(e *entry) bool { return !zones[e.Zone] },
+		func(e *entry) bool { return true },
+		func(e *entry) bool { return true },
+		func(e *entry) bool { return true },
+	} {
+		for i, id := range ids {
+			e := n.view[id]
+			if e == nil {
+				e = n.keepers[id]
+			}
+			if len(all) < k && want(e) {
+				all, ids, zones[e.Zone] = append(all, e), slices.Delete(ids, i, i+1), true
+				break
+			}
+		}
+	}
+	return all
 }
 
 // pass keeps an item to be passed on.
@@ -538,31 +729,14 @@
 
 // spread passes on what has come since the last time.
 func (n *Node) spread() {
-	keys := make([]uint64, 0, len(n.signs))
-	for k := range n.signs {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	signs := make([]Sign, 0, len(keys))
-	for _, k := range keys {
-		s := *n.signs[k]
-		s.AgeMS = uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))
-		signs = append(signs, s)
-	}
 	to := n.pick(Fanout)
 	if len(to) == 0 {
 		return // kept for when there is somebody
 	}
 	for _, p := range to {
 		n.sendItems(p.Addr, n.fresh, kindNews, 0)
-		for rest := signs; len(rest) > 0; {
-			k := min(len(rest), 80)
-			n.send(p.Peer, &packet{kind: kindNews, signs: rest[:k]})
-			rest = rest[k:]
-		}
 	}
 	n.fresh = nil
-	clear(n.signs)
 }
 
 // Keepers lists those that hold the state: the ones that answer first, those of one's own zone before others.
@@ -637,7 +811,7 @@
 		return Spreads
 	}
 	switch b[3] {
-	case kindDigest, kindWant:
+	case kindDigest, kindWant, kindRoot:
 		return Compares
 	case kindShuffle, kindShuffled:
 		return Shuffles
@@ -645,6 +819,17 @@
 	return Spreads
 }
 
+// Item returns an item that is kept.
+func (n *Node) Item(key string) (Item, bool) {
+	if i := n.items[key]; i != nil {
+		return *i, true
+	}
+	return Item{}, false
+}
+
+// KnowsVoters tells whether the node knows which keepers vote.
+func (n *Node) KnowsVoters() bool { return len(n.voters) > 0 }
+
 // Items tells how many items are kept.
 func (n *Node) Items() int { return len(n.items) }
 
--- /dev/null
+++ b/internal/control/news/news.go
@@ -0,0 +1,345 @@
+// Package news owns what a process hears and makes known: which engines there are, by their own calls and by what others
+// pass on, which of them have fallen silent, and that there is a configuration. It joins gossip and roster and keeps two
+// promises. An engine's word that it leaves is answered only once others know of it, so that the promise outlives this
+// process. And an engine's calls concern the keepers alone: they hear of each, judge together who has fallen silent, and only
+// that is news to everybody, so that what a router sends does not grow with the engines. It is a reducer: pure, given a
+// steady clock, the time of day in ms and a seed; what its effects say is done by its owner.
+package news
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"notchhinge/internal/control/form"
+	"notchhinge/internal/control/gossip"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/limits"
+)
+
+// The kinds of items, and the beginnings of their keys.
+const (
+	itemEngine uint8 = iota + 1 // e/ID: an engine's record
+	itemConfig                  // there is a configuration at a place of the chain
+	itemSilent                  // q/ID: the version is a call_count, and one bit more: whether calls have stopped after it
+
+	configKey = "configuration"
+	engineKey = "e/"
+	silentKey = "q/"
+)
+
+// Event is something that happened: one of gossip's, or one of these.
+type Event any
+
+type (
+	// Beat is an engine's call; an Answer comes back with Of.
+	Beat struct {
+		Record roster.Record
+		Of     any
+	}
+	// SignOff is an engine's last call; likewise.
+	SignOff struct {
+		ID string
+		Of any
+	}
+	// Config: a configuration is held here.
+	Config struct{ Place uint64 }
+)
+
+// Effect is something to be done: a gossip.Send, or one of these.
+type Effect any
+
+type (
+	// Answer a call: acknowledged, or not. Home is a keeper for the engine's later calls; the zero one = no matter.
+	Answer struct {
+		Of   any
+		Err  error
+		Home netip.AddrPort
+	}
+	// Engines: those that may be used have changed.
+	Engines struct{}
+	// Configured: there is a configuration, which From has told.
+	Configured struct {
+		Place uint64
+		From  gossip.Peer
+	}
+)
+
+// Errors of answers. The caller goes on to another router.
+var (
+	ErrUnheard = errors.New("no others have heard it in time")
+	ErrAlone   = errors.New("this keeper is out of touch with the others")
+	ErrFull    = errors.New("too many engines are known here")
+)
+
+// Node is one process's part. It is not safe for concurrent use.
+type Node struct {
+	Gossip *gossip.Node
+	Roster *roster.Roster
+	self   gossip.Peer
+	names  map[uint64]string       // of engines' ids, by their hashes
+	sure   map[string]roster.State // what others have of an engine that leaves, as they have said to this one
+	zone   func(string) uint32
+	sweep  time.Duration
+	now    time.Duration
+	wall   int64
+	dirty  bool
+	queue  []gossip.Event
+	out    []Effect
+}
+
+// wait is an engine's word that waits until others have heard it.
+type wait struct {
+	of     any
+	id     string
+	record roster.Record
+}
+
+// New returns a node that knows nobody. silence is how long an engine may say nothing; zone hashes a zone's name as peers
+// tell theirs.
+func New(self gossip.Peer, seed uint64, silence time.Duration, zone func(string) uint32) *Node {
+	n := &Node{
+		Gossip: gossip.New(self, seed), Roster: roster.New(silence), self: self, names: map[uint64]string{},
+		sure: map[string]roster.State{}, zone: zone,
+	}
+	n.Gossip.Stale = func(i *gossip.Item) bool {
+		if i.Kind != itemEngine {
+			return false
+		}
+		r, err := roster.Decode(i.Body)
+		return err != nil || engineKey+r.ID != i.Key || r.Stale(n.wall)
+	}
+	return n
+}
+
+// Next tells when the node wants a gossip.Tick.
+func (n *Node) Next() time.Duration { return min(n.Gossip.Next(), n.sweep) }
+
+// Reduce takes an event in. The effects are valid until the next call.
+func (n *Node) Reduce(now time.Duration, wall int64, e Event) []Effect {
+	n.now, n.wall = max(n.now, now), wall
+	clear(n.out)
+	n.out = n.out[:0]
+	switch e := e.(type) {
+	case Beat:
+		n.beat(e)
+	case SignOff:
+		n.signOff(e)
+	case Config:
+		w := form.Writer{}
+		w.Uint(e.Place)
+		n.publish(gossip.Item{Kind: itemConfig, Key: configKey, Version: e.Place, Body: w.B})
+	case gossip.Event:
+		n.queue = append(n.queue, e)
+	}
+	n.turn()
+	if n.now >= n.sweep {
+		n.sweep = n.now + limits.NodeSweep
+		n.tidy()
+		n.turn()
+	}
+	if n.dirty {
+		n.dirty = false
+		n.out = append(n.out, Engines{})
+	}
+	return n.out
+}
+
+// turn has gossip take in what is queued, and follows from that.
+func (n *Node) turn() {
+	for len(n.queue) > 0 {
+		e := n.queue[0]
+		n.queue = n.queue[1:]
+		for _, f := range n.Gossip.Reduce(n.now, e) {
+			switch f := f.(type) {
+			case gossip.Send:
+				n.out = append(n.out, f)
+			case gossip.Learnt:
+				n.learnt(f)
+			case gossip.Alive:
+				if id, ok := n.names[f.Sign.Key]; ok {
+					n.heard(id, func() bool {
+						return n.Roster.Alive(n.now, id, f.Sign.Count, time.Duration(f.Sign.AgeMS)*time.Millisecond)
+					})
+				}
+			case gossip.Confirmed:
+				n.confirmed(f)
+			}
+		}
+	}
+	n.queue = nil
+}
+
+// publish tells others of items at once.
+func (n *Node) publish(items ...gossip.Item) {
+	if len(items) > 0 {
+		n.queue = append(n.queue, gossip.Publish{Urgent: true, Items: items})
+	}
+}
+
+// engineItem makes an engine's record news.
+func engineItem(r *roster.Record) gossip.Item {
+	return gossip.Item{Kind: itemEngine, Key: engineKey + r.ID, Version: r.Calls<<2 | uint64(r.State), Body: r.Encode()}
+}
+
+// silentItem says that an engine's calls have stopped, or go on.
+func silentItem(id string, calls uint64, silent bool) gossip.Item {
+	i := gossip.Item{Kind: itemSilent, Key: silentKey + id, Version: calls << 1}
+	if silent {
+		i.Version |= 1
+	}
+	return i
+}
+
+// learnt takes in an item from elsewhere.
+func (n *Node) learnt(l gossip.Learnt) {
+	switch i := &l.Item; i.Kind {
+	case itemEngine:
+		r, err := roster.Decode(i.Body)
+		if err != nil {
+			return // it was read before it was taken
+		}
+		if len(n.Roster.Merge(n.now, r)) > 0 {
+			n.dirty = true
+			n.names[gossip.Hash(r.ID)] = r.ID
+		}
+		if q, ok := n.Gossip.Item(silentKey + r.ID); ok { // it may have come before
+			n.hush(r.ID, q.Version)
+		}
+	case itemSilent:
+		n.hush(i.Key[len(silentKey):], i.Version)
+	case itemConfig:
+		n.out = append(n.out, Configured{i.Version, l.From})
+	}
+}
+
+// hush takes in others' word that an engine is silent, or is not. Who knows better says so.
+func (n *Node) hush(id string, version uint64) {
+	n.dirty = n.Roster.Hush(id, version>>1, version&1 > 0) || n.dirty
+	if e := n.Roster.Find(id); e != nil && version&1 > 0 && e.Newest > version>>1 && !e.Silent && e.State != roster.Gone {
+		n.publish(silentItem(id, e.Newest, false))
+	}
+}
+
+// heard notes a sign of life. Of one that was held for silent it is news.
+func (n *Node) heard(id string, take func() bool) {
+	e := n.Roster.Find(id)
+	was := e != nil && e.Silent
+	if take(); was && !e.Silent {
+		n.dirty = true
+		n.publish(silentItem(id, e.Newest, false))
+	}
+}
+
+// beat takes an engine's call in.
+func (n *Node) beat(b Beat) {
+	if _, ok := n.Gossip.InTouch(); !ok { // its sign of life would reach nobody who judges, and its word nobody who acts on it
+		n.out = append(n.out, Answer{Of: b.Of, Err: ErrAlone})
+		return
+	}
+	r := &b.Record
+	n.heard(r.ID, func() bool {
+		news, fresh := n.Roster.Beat(n.now, *r, n.wall)
+		n.names[gossip.Hash(r.ID)] = r.ID
+		for i := range news {
+			n.dirty = true
+			if c := &news[i]; c.ID != r.ID || c.State == roster.Ready { // of one that leaves others are told below
+				n.publish(engineItem(c))
+			}
+		}
+		if fresh {
+			n.queue = append(n.queue, gossip.Heard{Sign: gossip.Sign{Key: gossip.Hash(r.ID), Count: r.Calls}})
+		}
+		return fresh
+	})
+	switch e := n.Roster.Find(r.ID); {
+	case e == nil:
+		n.out = append(n.out, Answer{Of: b.Of, Err: ErrFull})
+	case r.State != roster.Ready && e.State != roster.Ready:
+		n.assure(&e.Record, b.Of)
+	default:
+		n.out = append(n.out, Answer{Of: b.Of, Home: n.home(r)})
+	}
+}
+
+// signOff takes an engine's last call in.
+func (n *Node) signOff(s SignOff) {
+	if _, ok := n.Gossip.InTouch(); !ok {
+		n.out = append(n.out, Answer{Of: s.Of, Err: ErrAlone})
+		return
+	}
+	n.dirty = len(n.Roster.SignOff(n.now, s.ID, n.wall)) > 0 || n.dirty
+	e := n.Roster.Find(s.ID)
+	if e == nil {
+		n.out = append(n.out, Answer{Of: s.Of, Err: ErrFull})
+		return
+	}
+	n.assure(&e.Record, s.Of)
+}
+
+// assure answers once enough others have an engine's record. It has them told each time until they have said so to this
+// process, whoever told them first: he may be dead by now, and they with him.
+func (n *Node) assure(r *roster.Record, of any) {
+	if n.sure[r.ID] >= r.State {
+		n.out = append(n.out, Answer{Of: of, Home: n.home(r)})
+		return
+	}
+	n.queue = append(n.queue, gossip.Publish{
+		Urgent: true, Of: &wait{of, r.ID, *r}, Need: limits.NodeHeard, Items: []gossip.Item{engineItem(r)},
+	})
+}
+
+// confirmed answers a call that waited for others.
+func (n *Node) confirmed(f gossip.Confirmed) {
+	w, ok := f.Of.(*wait)
+	switch {
+	case !ok:
+	case !f.Enough:
+		n.out = append(n.out, Answer{Of: w.of, Err: ErrUnheard})
+	default:
+		n.sure[w.id] = max(n.sure[w.id], w.record.State)
+		n.out = append(n.out, Answer{Of: w.of, Home: n.home(&w.record)})
+	}
+}
+
+// home is the keeper that an engine ought to call: one of its own zone that answers, or none. Each has its own, so that they
+// share the work; and a keeper hears it all itself, where calls at any router have to be passed on.
+func (n *Node) home(r *roster.Record) (at netip.AddrPort) {
+	zone, best := n.zone(r.Zone), uint64(0)
+	consider := func(p gossip.Peer) {
+		if score := gossip.Mix(p.ID, gossip.Hash(r.ID)); p.Zone == zone && (!at.IsValid() || score > best) {
+			at, best = p.Addr, score
+		}
+	}
+	if n.self.Flags&gossip.Keeper != 0 {
+		consider(n.self)
+	}
+	for _, p := range n.Gossip.Answering() {
+		consider(p)
+	}
+	return at
+}
+
+// tidy looks for engines that have fallen silent, and forgets what is over. Only a keeper judges, and only once it has heard
+// for as long as that takes what the others hear.
+func (n *Node) tidy() {
+	d, ok := n.Gossip.InTouch()
+	judge := ok && n.self.Flags&gossip.Keeper != 0 && (d >= n.Roster.Silence() || !n.Gossip.KnowsVoters())
+	silent, lost, forgotten := n.Roster.Sweep(n.now, judge)
+	for _, id := range silent {
+		n.dirty = true
+		n.publish(silentItem(id, n.Roster.Find(id).Newest, true))
+	}
+	for _, id := range lost {
+		for _, r := range n.Roster.Lose(n.now, id, n.wall) {
+			n.dirty = true
+			n.publish(engineItem(&r))
+		}
+	}
+	for _, id := range forgotten {
+		n.Gossip.Forget(engineKey + id)
+		n.Gossip.Forget(silentKey + id)
+		delete(n.names, gossip.Hash(id))
+		delete(n.sure, id)
+	}
+}
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -32,7 +32,7 @@
 	Slots    uint64
 	State    State
 	Calls    uint64 // its call_count when it first said this
-	WarmAt   int64  // when it is no longer slow, ms of true time; 0 = it never was
+	WarmAt   int64  // when it is no longer slow, ms of true time; 0 = it never was. Of one that is gone: since when
 }
 
 // Bounds of what is read.
@@ -41,6 +41,7 @@
 	tombstone  = 1 << 62 // Calls of one that has signed off
 	mostSlots  = 1 << 20
 	forgetGone = 60 * time.Second // far past any late beat
+	staleGone  = forgetGone / 2   // one that has been gone for so long is not taken in any more, or it would go round for ever
 	// Most engines; beyond that new ones are not taken.
 	Most = 20_000
 )
@@ -103,9 +104,9 @@
 	return &Roster{byID: map[string]*Engine{}, byAddr: map[string]string{}, silence: silence}
 }
 
-// Beat takes a call of an engine in. With changed, what others know of it is not what they ought to, and the record
+// Beat takes a call of an engine in; wall is the time of day in ms. With changed, what others know of it is not what they ought to, and the record
 // returned is news; fresh says that it is a sign of life that was not known.
-func (s *Roster) Beat(now time.Duration, r Record) (news []Record, fresh bool) {
+func (s *Roster) Beat(now time.Duration, r Record, wall int64) (news []Record, fresh bool) {
 	e := s.byID[r.ID]
 	switch {
 	case e == nil:
@@ -115,11 +116,11 @@
 		// be taken for this; it has called more often than one that has just started.
 		if before != nil && before.ID != r.ID && before.State != Gone &&
 			(r.Calls < before.Newest || now-before.Heard > s.silence/2) {
-			news = append(news, s.SignOff(now, before.ID)...)
+			news = append(news, s.SignOff(now, before.ID, wall)...)
 			s.byAddr[r.Addr] = r.ID
 		}
 		return news, true
-	case e.State == Gone || r.Calls <= e.Newest && !(r.State > e.State && r.Calls >= e.Calls):
+	case e.Calls == tombstone || r.Calls <= e.Newest && !(r.State > e.State && r.Calls >= e.Calls):
 		return nil, false // late
 	}
 	s.heard(now, e, r.Calls, 0)
@@ -129,16 +130,25 @@
 	return s.Merge(now, r), true
 }
 
-// SignOff takes an engine's last call in. Of one that was never known it is kept as well: a late beat may follow.
-func (s *Roster) SignOff(now time.Duration, id string) (news []Record) {
-	r := Record{ID: id, State: Gone, Calls: tombstone}
+// SignOff takes an engine's last call in; wall is the time of day in ms. Of one that was never known it is kept as well: a
+// late beat may follow.
+func (s *Roster) SignOff(now time.Duration, id string, wall int64) (news []Record) {
+	r := Record{ID: id}
 	if e := s.byID[id]; e != nil {
+		if e.Calls == tombstone {
+			return nil
+		}
 		r = e.Record
-		r.State, r.Calls = Gone, tombstone
 	}
+	r.State, r.Calls, r.WarmAt = Gone, tombstone, wall
 	return s.Merge(now, r)
 }
 
+// Stale tells whether a record is of one that has been gone for so long that nobody needs to hear of it any more.
+func (r *Record) Stale(wall int64) bool {
+	return r.State == Gone && wall-r.WarmAt > staleGone.Milliseconds()
+}
+
 // Merge takes a record in, from wherever it comes, and returns it if it has changed anything. That an engine has followed
 // another at its address is told by a call alone (Beat): of two records nobody can say which is older.
 func (s *Roster) Merge(now time.Duration, r Record) (news []Record) {
@@ -181,6 +191,17 @@
 	return false
 }
 
+// Hush takes others' word in that an engine's calls have stopped after its call number calls, or go on. It tells whether
+// that changes anything.
+func (s *Roster) Hush(id string, calls uint64, silent bool) bool {
+	e := s.byID[id]
+	if e == nil || e.State == Gone || calls < e.Newest || silent == e.Silent {
+		return false
+	}
+	e.Newest, e.Silent = calls, silent
+	return true
+}
+
 // Alive takes a sign of life in: an engine's call number calls was heard age ago. It tells whether that is new.
 func (s *Roster) Alive(now time.Duration, id string, calls uint64, age time.Duration) bool {
 	e := s.byID[id]
@@ -198,28 +219,41 @@
 	e.Silent = false
 }
 
-// Sweep finds engines whose calls have stopped and forgets what is long over. It tells whether anything changed. Silence is
-// measured against the last that was heard of any engine: one who is cut off hears nothing, and must not take that for
-// the end of all.
-func (s *Roster) Sweep(now time.Duration) (changed bool) {
+// Sweep forgets what is long over and, with judge, finds engines whose calls have stopped: silent lists those of which this
+// is new, lost those that have been silent for so long that they count as gone. Silence is measured against the last that
+// was heard of any engine: one who is cut off hears nothing, and must not take that for the end of all.
+func (s *Roster) Sweep(now time.Duration, judge bool) (silent, lost, forgotten []string) {
 	for id, e := range s.byID {
 		switch {
 		case e.State == Gone:
 			if now-e.GoneAt > forgetGone {
 				delete(s.byID, id)
+				forgotten = append(forgotten, id)
 			}
+		case !judge:
 		case s.newest-e.Heard > forgetGone:
-			delete(s.byID, id)
-			if s.byAddr[e.Addr] == id {
-				delete(s.byAddr, e.Addr)
-			}
-			changed = true
+			lost = append(lost, id)
 		case !e.Silent && s.newest-e.Heard > s.silence:
 			e.Silent = true
-			changed = true
+			silent = append(silent, id)
 		}
 	}
-	return changed
+	slices.Sort(silent)
+	slices.Sort(lost)
+	slices.Sort(forgotten)
+	return silent, lost, forgotten
+}
+
+// Lose holds an engine for gone that has been silent for long. Unlike one that has signed off it may come back, with a
+// later call.
+func (s *Roster) Lose(now time.Duration, id string, wall int64) (news []Record) {
+	e := s.byID[id]
+	if e == nil || e.State == Gone {
+		return nil
+	}
+	r := e.Record
+	r.State, r.Calls, r.WarmAt = Gone, e.Newest, wall
+	return s.Merge(now, r)
 }
 
 // Engines lists the engines of a service that are not over, ordered by id.
@@ -243,5 +277,8 @@
 	}
 }
 
+// Silence is how long an engine may say nothing.
+func (s *Roster) Silence() time.Duration { return s.silence }
+
 // Len tells how many engines are known.
 func (s *Roster) Len() int { return len(s.byID) }
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -31,6 +31,7 @@
 			}
 			return "", lives
 		}},
+		{"engines that leave, and who hears of it dies", func(lives int) (string, int) { return leaving(lives, false) }},
 		{"power lost at every step of a store's life", func(int) (string, int) {
 			faults, points := powerLost(false, 1)
 			return first(faults), points
@@ -61,6 +62,7 @@
 			}
 			return "", lives
 		}},
+		{"a drain is acknowledged before others know", func(lives int) (string, int) { return leaving(lives, true) }},
 		{"a journal's name is not durable", func(int) (string, int) {
 			faults, points := powerLost(true, 5)
 			return first(faults), points
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -151,3 +151,14 @@
 		t.Error("a check that can't fail: no life in which a majority founds was found out")
 	}
 }
+
+// TestAcknowledgedDrainsHold: whoever dies between hearing that an engine leaves and answering, or right after it with all
+// keepers, a zone, or all who knew, nobody sends it work once its time is over. Answered as it comes, the walk finds it out.
+func TestAcknowledgedDrainsHold(t *testing.T) {
+	if found, seed := leaving(150, false); found != "" {
+		t.Errorf("seed %d: %s", seed, found)
+	}
+	if found, lives := leaving(150, true); found == "" {
+		t.Errorf("answered before anybody else has heard it: not found in %d lives", lives)
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -286,6 +286,7 @@
 // The fleet's times. What adds up to a promise is checked by a test.
 const (
 	NodeSilence   = 3                      // beats that may be missed, and a half, before an engine is held for crashed
+	NodeHeard     = 2                      // others that know that an engine leaves before it is acknowledged: one is left if two end
 	NodeSweep     = 500 * time.Millisecond // between two looks for silent engines
 	NodeAsk       = 400 * time.Millisecond // one member's answer in a ballot
 	NodeSettle    = 900 * time.Millisecond // a call of the operator; a second is what it waits
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -17,6 +17,7 @@
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/duty"
 	"notchhinge/internal/control/form"
+	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/platform"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
@@ -76,7 +77,7 @@
 			one, cancel := context.WithTimeout(context.Background(), limits.NodePass)
 			defer cancel()
 			_, err := n.net.Call(one, k.Addr, callReport, text)
-			n.news.called(k.ID, err == nil)
+			n.news.turn(gossip.Called{ID: k.ID, OK: err == nil})
 		}()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"notchhinge/internal/control/duty"
 	"notchhinge/internal/control/form"
 	"notchhinge/internal/control/gossip"
+	"notchhinge/internal/control/news"
 	"notchhinge/internal/control/peer"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
@@ -39,7 +40,7 @@
 	cfg    *boot.Settings
 	log    *slog.Logger
 	net    *peer.Net
-	news   *news
+	news   *hearsay
 	keeper *keeper // nil where there is no disk
 	data   *data   // nil where no traffic is carried
 	duties *duties // nil where there is no disk
@@ -119,7 +120,7 @@
 		self.Flags |= gossip.Edge
 	}
 	silence := n.cfg.Beat()*limits.NodeSilence + n.cfg.Beat()/2
-	n.news = newNews(n.net, self, rand.Uint64(), silence)
+	n.news = newHearsay(n.net, self, rand.Uint64(), silence)
 	n.news.config = n.heardOf
 	n.net.Counted = n.counted
 	return nil
@@ -230,13 +231,13 @@
 	const headers = 28 // of a datagram
 	if kind == 0 {
 		// The lock of the news is held: datagrams are sent by its turn only.
-		zone, known := n.news.gossip.ZoneOf(to.Addr())
+		zone, known := n.news.node.Gossip.ZoneOf(to.Addr())
 		cause := map[gossip.Use]account.Cause{gossip.Compares: account.Digests, gossip.Shuffles: account.Shuffles, gossip.Spreads: account.News}
 		n.spent.Add(cause[gossip.UseOf(datagram)], bytes+headers, known && zone != hash32(n.cfg.Zone))
 		return
 	}
 	n.news.mu.Lock()
-	zone, known := n.news.gossip.ZoneOf(to.Addr())
+	zone, known := n.news.node.Gossip.ZoneOf(to.Addr())
 	n.news.mu.Unlock()
 	n.spent.Add(causeOf(kind), bytes, known && zone != hash32(n.cfg.Zone))
 }
@@ -307,6 +308,11 @@
 
 // changed follows the state of a keeper. It must not wait.
 func (n *Node) changed(s *chain.State) {
+	var ids []uint64
+	for _, m := range s.Members {
+		ids = append(ids, gossip.Hash(m.Name))
+	}
+	n.news.turn(gossip.Members{IDs: ids})
 	if s.Text != nil {
 		n.hold(s.ConfigPlace, s.Text)
 	}
@@ -332,7 +338,7 @@
 	n.place.Store(place)
 	for w := n.wanted.Load(); w < place && !n.wanted.CompareAndSwap(w, place); w = n.wanted.Load() {
 	}
-	go n.news.announce(place)
+	go n.news.turn(news.Config{Place: place})
 }
 
 // heardOf is told that there is a configuration.
@@ -502,7 +508,7 @@
 }
 
 // Beat implements api.Handler.
-func (n *Node) Beat(ctx context.Context, b *api.Beat) error {
+func (n *Node) Beat(ctx context.Context, b *api.Beat) (home string, err error) {
 	r := roster.Record{
 		ID: b.ID, Service: b.Service, Addr: b.Addr, Zone: b.Zone, Revision: b.Revision, Slots: uint64(max(b.Slots, 0)), Calls: b.Calls,
 	}
@@ -512,14 +518,17 @@
 	if b.ColdMS > 0 {
 		r.WarmAt = time.Now().UnixMilli() + int64(min(b.ColdMS, 3.6e6))
 	}
-	n.news.beat(ctx, r)
-	return nil
+	a, err := n.news.call(ctx, func(of chan news.Answer) news.Event { return news.Beat{Record: r, Of: of} })
+	if err != nil || !a.Home.IsValid() {
+		return "", err
+	}
+	return n.control(a.Home), nil
 }
 
 // SignOff implements api.Handler.
 func (n *Node) SignOff(ctx context.Context, id string) error {
-	n.news.signOff(ctx, id)
-	return nil
+	_, err := n.news.call(ctx, func(of chan news.Answer) news.Event { return news.SignOff{ID: id, Of: of} })
+	return err
 }
 
 // Replace implements api.Handler.
@@ -535,18 +544,25 @@
 var noKeeper = api.Result{Status: http.StatusServiceUnavailable, Says: "no keeper answers"}
 
 // Elsewhere implements api.Handler: a keeper that was heard of lately, each in its turn, so that who comes again meets
-// another. On all machines control has the same port.
+// another.
 func (n *Node) Elsewhere() string {
 	if n.keeper != nil {
 		return ""
 	}
 	all := n.news.reachable()
+	if len(all) == 0 {
+		return ""
+	}
+	return n.control(all[int(n.sent.Add(1))%len(all)].Addr)
+}
+
+// control is the control address of the process at an inner one, on all machines control has the same port. "" = it can't be told.
+func (n *Node) control(inner netip.AddrPort) string {
 	own, err := netip.ParseAddrPort(n.cfg.Listeners.Control)
-	if len(all) == 0 || err != nil {
+	if err != nil {
 		return ""
 	}
-	to := all[int(n.sent.Add(1))%len(all)]
-	return netip.AddrPortFrom(to.Addr.Addr(), own.Port()).String()
+	return netip.AddrPortFrom(inner.Addr(), own.Port()).String()
 }
 
 // Describe implements api.Handler.
@@ -614,7 +630,7 @@
 	}
 	n.news.mu.Lock()
 	defer n.news.mu.Unlock()
-	s.Peers, s.Keepers = len(n.news.gossip.Peers()), len(n.news.gossip.Keepers())
-	s.Engines, s.Items = n.news.roster.Len(), n.news.gossip.Items()
+	s.Peers, s.Keepers = len(n.news.node.Gossip.Peers()), len(n.news.node.Gossip.Keepers())
+	s.Engines, s.Items = n.news.node.Roster.Len(), n.news.node.Gossip.Items()
 	return s
 }
--- a/internal/node/staff.go
+++ b/internal/node/staff.go
@@ -32,7 +32,7 @@
 	defer n.news.mu.Unlock()
 	now, wall := n.news.clock(), time.Now().UnixMilli()
 	all := []EngineView{}
-	n.news.roster.All(func(e *roster.Engine) {
+	n.news.node.Roster.All(func(e *roster.Engine) {
 		v := EngineView{
 			ID: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Addr, Revision: e.Revision, Slots: e.Slots,
 			HeardS: (now - e.Heard).Seconds(), WarmInS: max(float64(e.WarmAt-wall)/1000, 0),
