Reports hold what a keeper lacks; the budget for repeats is split among the routers there are

Books of keepers that do not hold the duties were never forgotten. Ruled out: fewer reports (counts of the last half second are what a killed router loses). Change: a keeper's answer names its book and how many lives of routers it has heard; the next report holds what that book lacks, and the parts follow the lives. The holder gathers windows that are not agreed, up to the newest. Books are bounded. Tests: TestReportsOfTheRest, TestBooksAreBounded, TestPartOfTheBudgetChanges.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -170,6 +170,12 @@
 		if p := b.pools[e.Pool]; p != nil {
 			p.leaving, b.leaving = true, true
 		}
+	case RepeatsExtra:
+		for _, p := range b.pools {
+			if p.repeats != nil {
+				p.repeats.Extra = float64(e)
+			}
+		}
 	case Parked:
 		b.due.Add(b.now+e.Idle, due{line: e.Line})
 	case Remind:
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"notchhinge/internal/limits"
+	"notchhinge/internal/share"
 	"notchhinge/policy"
 )
 
@@ -311,3 +312,23 @@
 		t.Errorf("left in its stream: %+v", r.counts)
 	}
 }
+
+// TestPartOfTheBudgetChanges: a router is told how many share what may be sent again; it holds from the next repeat on.
+func TestPartOfTheBudgetChanges(t *testing.T) {
+	r := newRig(t, 3, nil)
+	r.Reduce(r.now, PoolSet{Repeats: &share.Repeats{Extra: 5, Window: 10 * sec}})
+	r.expect(0, taken("a", r.now, 4*sec), "send 1.0 for 4s")
+	if again := r.turn(0, LegEnded{Leg: LegID{1, 0}, Result: policy.Full}); len(again) != 1 || again[0] != "send 1.1 for 4s" {
+		t.Fatalf("within its part: %v", again)
+	}
+	r.Reduce(r.now, RepeatsExtra(1.9)) // one was sent already
+	r.expect(sec, taken("b", r.now+sec, 4*sec), "send 2.0 for 4s")
+	if again := r.turn(sec, LegEnded{Leg: LegID{2, 0}, Result: policy.Full}); len(again) != 1 || !strings.HasPrefix(again[0], "decline b ") {
+		t.Errorf("beyond its part: %v", again)
+	}
+	for lives := 1; lives < 2000; lives++ { // all start anew within a window: the old ones' parts and the new ones'
+		if sum := float64(lives)/limits.RetryParts(lives) + float64(lives)/limits.RetryParts(2*lives); sum > 1.0001 {
+			t.Fatalf("%d routers that start anew may send %.2f of the whole", lives, sum)
+		}
+	}
+}
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -130,6 +130,8 @@
 	}
 	// PoolEnd: nothing more is routed to a pool. PoolGone follows once nothing of its is open.
 	PoolEnd struct{ Pool pool.ID }
+	// RepeatsExtra is what each pool's part of the common budget for repeats has beyond its share of requests, from now on.
+	RepeatsExtra float64
 	// Recall asks for what the modules have learnt.
 	Recall struct{ Of any }
 	// Taught gives a pool's module what another process's had learnt.
@@ -143,26 +145,27 @@
 	Note string
 )
 
-func (Taken) event()    {}
-func (Declined) event() {}
-func (Departed) event() {}
-func (LegBegan) event() {}
-func (LegEnded) event() {}
-func (Probed) event()   {}
-func (Listed) event()   {}
-func (Parked) event()   {}
-func (Remind) event()   {}
-func (Answered) event() {}
-func (Drain) event()    {}
-func (Flush) event()    {}
-func (Tick) event()     {}
-func (PoolSet) event()  {}
-func (PoolEnd) event()  {}
-func (Classes) event()  {}
-func (Recall) event()   {}
-func (Taught) event()   {}
-func (Audit) event()    {}
-func (Note) event()     {}
+func (Taken) event()        {}
+func (Declined) event()     {}
+func (Departed) event()     {}
+func (LegBegan) event()     {}
+func (LegEnded) event()     {}
+func (Probed) event()       {}
+func (Listed) event()       {}
+func (Parked) event()       {}
+func (Remind) event()       {}
+func (Answered) event()     {}
+func (Drain) event()        {}
+func (Flush) event()        {}
+func (Tick) event()         {}
+func (PoolSet) event()      {}
+func (PoolEnd) event()      {}
+func (RepeatsExtra) event() {}
+func (Classes) event()      {}
+func (Recall) event()       {}
+func (Taught) event()       {}
+func (Audit) event()        {}
+func (Note) event()         {}
 
 // Effect is something to be done. Doing it must not wait.
 type Effect interface{ effect() }
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +15,8 @@
 
 // Bounds of what is read and kept.
 const (
-	mostWindows = 16
+	mostWindows = 16 // in one report
+	keptWindows = 64 // of one life in a book
 	mostTenants = 4096
 	mostSources = 4096
 	mostName    = 256
@@ -149,6 +151,64 @@
 	return p
 }
 
+// Word is a keeper's answer to a report.
+type Word struct {
+	Book  uint64 // a life of the keeper's book: another one has nothing of what was reported before
+	Lives uint64 // of routers that have reported lately, this one's among them
+}
+
+// Encode writes a word.
+func (a *Word) Encode() []byte {
+	w := form.Writer{}
+	w.Word(a.Book)
+	w.Uint(a.Lives)
+	return w.B
+}
+
+// DecodeWord reads a word.
+func DecodeWord(b []byte) (a Word, err error) {
+	r := form.Reader{B: b}
+	a = Word{Book: r.Word(), Lives: r.Uint()}
+	return a, r.End()
+}
+
+// Told is what a keeper has said that it has of a router's counts. It is told what is more than that, so that a report does
+// not grow with all that was counted, and all of it once its book is another.
+type Told struct {
+	book uint64
+	has  Tally
+}
+
+// Rest returns what it lacks of a tally.
+func (t *Told) Rest(all *Tally) Tally {
+	rest := Tally{}
+	for number, counts := range all.Windows {
+		for tenant, n := range counts {
+			if n > t.has.Windows[number][tenant] {
+				rest.Add(number, tenant, n)
+			}
+		}
+	}
+	return rest
+}
+
+// Heard notes its answer to a report of so much.
+func (t *Told) Heard(a Word, sent *Tally) {
+	if a.Book != t.book {
+		t.book, t.has = a.Book, Tally{}
+	}
+	for number, counts := range sent.Windows {
+		for tenant, n := range counts {
+			if more := n - min(n, t.has.Windows[number][tenant]); more > 0 {
+				t.has.Add(number, tenant, more)
+			}
+		}
+	}
+}
+
+// Forget drops windows before a number.
+func (t *Told) Forget(before uint64) { t.has.Forget(before) }
+
 // Book is what a keeper knows of all routers: of each life its newest report. Books merge in any order.
 type Book struct {
 	sources map[uint64]*source
@@ -182,6 +242,9 @@
 			mine[tenant] = max(mine[tenant], n)
 		}
 	}
+	for len(s.Tally.Windows) > keptWindows { // one that sends nonsense must not fill the memory
+		delete(s.Tally.Windows, slices.Min(slices.Collect(maps.Keys(s.Tally.Windows))))
+	}
 	if fresh {
 		s.at, s.Loads = now, p.Loads
 	}
@@ -223,23 +286,34 @@
 	return sum
 }
 
-// Encode writes what a book holds of the windows from a number on, for another keeper.
-func (b *Book) Encode(from uint64) []byte {
-	w := form.Writer{}
-	ids := make([]uint64, 0, len(b.sources))
-	for id := range b.sources {
-		ids = append(ids, id)
+// Lives tells how many lives of routers have been heard of within a time.
+func (b *Book) Lives(now, within time.Duration) (n int) {
+	for _, s := range b.sources {
+		if now-s.at <= within {
+			n++
+		}
 	}
-	slices.Sort(ids)
-	w.Uint(uint64(len(ids)))
-	for _, id := range ids {
-		some := Report{Source: id, Zone: b.sources[id].Zone, Tally: Tally{Windows: map[uint64]map[string]uint64{}}}
-		for k, x := range b.sources[id].Tally.Windows {
-			if k >= from {
-				some.Tally.Windows[k] = x
+	return n
+}
+
+// Encode writes what a book holds of the windows from a number up to before another, for another keeper.
+func (b *Book) Encode(from, to uint64) []byte {
+	w := form.Writer{}
+	some := map[uint64]map[uint64]map[string]uint64{}
+	for id, s := range b.sources {
+		for k, x := range s.Tally.Windows {
+			if k >= from && k < to && len(x) > 0 {
+				if some[id] == nil {
+					some[id] = map[uint64]map[string]uint64{}
+				}
+				some[id][k] = x
 			}
 		}
-		w.Bytes(some.Encode())
+	}
+	w.Uint(uint64(len(some)))
+	for _, id := range slices.Sorted(maps.Keys(some)) {
+		r := Report{Source: id, Zone: b.sources[id].Zone, Tally: Tally{Windows: some[id]}}
+		w.Bytes(r.Encode())
 	}
 	return w.B
 }
--- a/internal/control/duty/duty_test.go
+++ b/internal/control/duty/duty_test.go
@@ -44,11 +44,10 @@
 			p := Report{Source: uint64(r + 1), Tally: routers[r]}
 			books[r%2].Take(sec, &p, true)
 		}
-		if err := books[0].Merge(sec, books[1].Encode(0)); err != nil {
-			t.Fatal(err)
-		}
-		if err := books[0].Merge(sec, books[1].Encode(0)); err != nil {
-			t.Fatal(err)
+		for range 2 {
+			if err := books[0].Merge(sec, books[1].Encode(9, 10)); err != nil {
+				t.Fatal(err)
+			}
 		}
 		if diff := cmp.Diff(want, books[0].Sum(9)); diff != "" {
 			t.Fatalf("(-want +got):\n%s", diff)
@@ -56,6 +55,70 @@
 	})
 }
 
+// TestReportsOfTheRest: a router tells a keeper only what that has not said it has. Reports and answers are lost, the keeper
+// starts anew with an empty book, and after a report that is answered its book has all.
+func TestReportsOfTheRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var book Book
+		var told Told
+		life := uint64(1)
+		all := Tally{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				book, life = Book{}, life+1
+			case 1, 2:
+				all.Add(uint64(rapid.IntRange(7, 9).Draw(t, "window")), rapid.SampledFrom([]string{"k", "l"}).Draw(t, "tenant"), 1)
+			default:
+				rest := told.Rest(&all)
+				if rapid.Bool().Draw(t, "lost") {
+					continue
+				}
+				got, err := DecodeReport((&Report{Source: 1, Tally: rest}).Encode())
+				if err != nil {
+					t.Fatal(err)
+				}
+				book.Take(sec, got, true)
+				if rapid.Bool().Draw(t, "the answer is lost") {
+					continue
+				}
+				word, err := DecodeWord((&Word{Book: life, Lives: uint64(book.Lives(sec, sec))}).Encode())
+				if err != nil || word.Lives != 1 {
+					t.Fatal(word, err)
+				}
+				told.Heard(word, &rest)
+				rest = told.Rest(&all) // what a book that is new lacks goes with the next one
+				book.Take(sec, &Report{Source: 1, Tally: rest}, true)
+				told.Heard(word, &rest)
+				for number, counts := range all.Windows {
+					if diff := cmp.Diff(counts, book.Sum(number)); diff != "" {
+						t.Fatalf("window %d (-want +got):\n%s", number, diff)
+					}
+				}
+				if len(told.Rest(&all).Windows) > 0 {
+					t.Fatal("what it has said that it has is told again")
+				}
+			}
+		}
+	})
+}
+
+// TestBooksAreBounded: a book is kept for ever, whoever forgets or not.
+func TestBooksAreBounded(t *testing.T) {
+	var b Book
+	for window := range uint64(1000) {
+		tally := Tally{}
+		tally.Add(window, "k", 1)
+		b.Take(sec, &Report{Source: 1, Tally: tally}, true)
+	}
+	if n := len(b.sources[1].Tally.Windows); n != keptWindows || b.Sum(999)["k"] != 1 {
+		t.Errorf("%d windows are kept", n)
+	}
+	if b.Lives(sec+time.Minute, time.Minute) != 1 || b.Lives(2*time.Minute, time.Minute) != 0 {
+		t.Error("lives")
+	}
+}
+
 // TestOneHolderAtATime plays members with leases and candidates: whoever counts on its lease, no other may be voted in by a
 // majority, whatever the members' starts.
 func TestOneHolderAtATime(t *testing.T) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -303,9 +303,11 @@
 	// arrive after that.
 	NodeLeaseMargin = 300 * time.Millisecond
 	NodeLeaseCall   = 300 * time.Millisecond
-	// What may be sent again beyond a share of all requests is split into so many parts. A router has one; those that start
-	// anew within a window have another, so that there are to be half as many routers at the most.
-	NodeRetryParts = 40
+	// What may be sent again beyond a share of all requests is split among the routers, and those that started anew within a
+	// window: a router has one of this many parts until it is told how many lives of routers there are, then one of half as
+	// many again as there are, so that all may start anew at once.
+	NodeRetryParts = 400
+	NodeLately     = 10 * time.Second       // a router that has reported so lately counts as there
 	NodeReopen     = 300 * time.Millisecond // between two tries to open a disk anew that has refused a write
 	NodeJoin       = 300 * time.Millisecond // between two tries to be taken in as a member
 	NodeMembers    = 9                      // keepers that vote, at the most
@@ -320,6 +322,9 @@
 // the news to reach every router, and for a request to reach its engine.
 func DrainGrace(drain time.Duration) time.Duration { return drain / 4 }
 
+// RetryParts is into how many parts the common extra of repeats is split, where there are so many lives of routers.
+func RetryParts(lives int) float64 { return 1.5 * float64(max(lives, 1)) }
+
 // Scale says how engines are counted. docs/design/scaling.md has what each figure costs.
 type Scale struct {
 	Share     float64       // of an engine's slots that are wanted to be in use
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -17,8 +17,8 @@
 	callFetch                     // the newest configuration, where it is newer than a place
 	_                             // was the operator's, passed on
 	_                             // likewise
-	callReport                    // a router's counts and loads: duty.Report
-	callBook                      // what a keeper has heard of these, from a window on
+	callReport                    // a router's counts and loads: duty.Report, answered by duty.Word
+	callBook                      // what a keeper has heard of these, from a window up to another
 	callJoin                      // a keeper wants to be a member: identity
 	callRenew                     // the holder asks for more time: its fence and its member
 )
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -38,6 +38,7 @@
 	spent   *account.Book
 	zone    string        // this machine's
 	repeats share.Repeats // of each service; no Window = there is no such budget
+	extra   float64       // of all routers together, beyond the ratio
 
 	at      atomic.Pointer[edge.Compiled]
 	bounds  atomic.Pointer[limits.Bounds]     // of the present configuration
@@ -186,6 +187,18 @@
 	return nil
 }
 
+// parts takes in how many lives of routers share what may be sent again.
+func (d *data) parts(lives int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	extra := d.extra / limits.RetryParts(lives)
+	if d.repeats.Window == 0 || lives == 0 || extra == d.repeats.Extra {
+		return
+	}
+	d.repeats.Extra = extra
+	d.loop.Post(broker.RepeatsExtra(extra))
+}
+
 // feed tells the modules which engines there are. The lock is held.
 func (d *data) feed(at *edge.Compiled) {
 	now, clock := time.Now().UnixMilli(), d.loop.Now()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -31,6 +31,7 @@
 
 	mu    sync.Mutex
 	tally duty.Tally
+	told  map[uint64]*duty.Told // by keeper
 }
 
 // began counts a request.
@@ -67,19 +68,40 @@
 	case <-ctx.Done():
 		return
 	}
+	keepers := n.news.keepers()
+	before := duty.Window(time.Now().Add(-limits.NodeUsageKept), c.length)
 	c.mu.Lock()
-	c.tally.Forget(duty.Window(time.Now().Add(-limits.NodeUsageKept), c.length))
-	p.Tally = c.tally
-	text := p.Encode()
-	c.mu.Unlock()
-	for _, k := range n.news.keepers() {
+	defer c.mu.Unlock()
+	c.tally.Forget(before)
+	for _, k := range keepers {
+		told := c.told[k.ID]
+		if told == nil {
+			told = &duty.Told{}
+			c.told[k.ID] = told
+		}
+		told.Forget(before)
+		p.Tally = told.Rest(&c.tally)
+		sent, text := p.Tally, p.Encode()
 		go func() {
 			one, cancel := context.WithTimeout(context.Background(), limits.NodePass)
 			defer cancel()
-			_, err := n.net.Call(one, k.Addr, callReport, text)
+			b, err := n.net.Call(one, k.Addr, callReport, text)
 			n.news.turn(gossip.Called{ID: k.ID, OK: err == nil})
+			word, bad := duty.DecodeWord(b)
+			if err != nil || bad != nil {
+				return
+			}
+			n.data.parts(int(word.Lives))
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			told.Heard(word, &sent)
 		}()
 	}
+	for id := range c.told {
+		if !slices.ContainsFunc(keepers, func(p gossip.Peer) bool { return p.ID == id }) {
+			delete(c.told, id)
+		}
+	}
 }
 
 // duties does, at a keeper, what one router at a time must do.
@@ -96,6 +118,8 @@
 
 	mu     sync.Mutex
 	book   duty.Book
+	life   uint64 // of the book
+	lately time.Duration
 	grants duty.Grants
 
 	held    duty.Held
@@ -115,7 +139,7 @@
 		k: n.keeper, log: n.log, cfg: n.cfg, cloud: platform.New(n.cfg.Cloud.Address, n.cfg.Node), clock: n.news.clock,
 		spent: &n.spent, others: n.keeper.others, list: n.news.list, config: n.config, sent: map[uint64]bool{}, scalers: map[string]*duty.Scaler{},
 		before: map[string]duty.Load{}, ordered: map[string]int{},
-		held: duty.Held{Lease: lease, Margin: limits.NodeLeaseMargin},
+		life: rand.Uint64(), lately: max(time.Duration(n.cfg.Bounds.RetryWindowS*float64(time.Second)), limits.NodeLately), held: duty.Held{Lease: lease, Margin: limits.NodeLeaseMargin},
 		rank: time.Duration(n.keeper.self.ID%1000) * time.Millisecond,
 	}
 	// A machine whose disk was wiped may have granted a lease before: only at the very first start there was none.
@@ -158,6 +182,7 @@
 			return
 		case <-tick.C:
 		}
+		d.forget()
 		s := d.k.at()
 		if s.Next == 0 || s.Member(d.k.self.ID) == nil {
 			continue
@@ -248,14 +273,17 @@
 	}
 }
 
-// gather takes in what other keepers have heard of the windows from a number on.
-func (d *duties) gather(ctx context.Context, from uint64) {
+// gather takes in what other keepers have heard of the windows from a number up to before another.
+func (d *duties) gather(ctx context.Context, from, to uint64) {
+	w := form.Writer{}
+	w.Uint(from)
+	w.Uint(to)
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, to := range d.others() {
 		wait.Go(func() {
-			b, err := d.k.call(ctx, to, callBook, encodePlace(from, nil))
+			b, err := d.k.call(ctx, to, callBook, w.B)
 			if err != nil {
 				return
 			}
@@ -271,13 +299,8 @@
 
 // usage has the figures of windows that are over agreed, and sends them until the platform has taken them.
 func (d *duties) usage(ctx context.Context) {
-	length := time.Duration(d.cfg.Bounds.UsageWindowS * float64(time.Second))
-	delay := time.Duration(d.cfg.Bounds.UsageDelayS * float64(time.Second))
-	now := time.Now()
-	newest := duty.Window(now.Add(-delay*3/10), length)     // over for a while: what was counted last has come
-	due := duty.Window(now.Add(-delay-length), length)      // from here on all keepers are asked what they have heard
-	oldest := duty.Window(now.Add(-3*delay-length), length) // what the platform has not taken by then nobody sends any more
-	asked := false
+	newest, oldest := d.spans()
+	due, asked := newest-min(newest, 3), false // what was heard of windows before that is known here
 	for number := oldest; number < newest; number++ {
 		if d.sent[number] {
 			continue
@@ -286,7 +309,7 @@
 		w := s.Agreed(number)
 		if w == nil {
 			if number >= due && !asked {
-				d.gather(ctx, due)
+				d.gather(ctx, number, newest)
 				asked = true
 			}
 			d.mu.Lock()
@@ -331,9 +354,23 @@
 			}
 		}
 	}
+}
+
+// forget drops from the book what nobody will send any more. Every keeper does, whoever holds the duties.
+func (d *duties) forget() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, oldest := d.spans()
 	d.book.Forget(d.clock(), oldest)
-	d.mu.Unlock()
+}
+
+// spans are the window from which on usage is not due yet, and the oldest that is sent still.
+func (d *duties) spans() (newest, oldest uint64) {
+	length := time.Duration(d.cfg.Bounds.UsageWindowS * float64(time.Second))
+	delay := time.Duration(d.cfg.Bounds.UsageDelayS * float64(time.Second))
+	now := time.Now()
+	return duty.Window(now.Add(-delay*3/10), length), // over for a while: what was counted last has come
+		duty.Window(now.Add(-3*delay-length), length) // what the platform has not taken by then nobody sends any more
 }
 
 // scale orders engines.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,6 +147,7 @@
 		drain := time.Duration(n.cfg.Bounds.DrainMS) * time.Millisecond
 		n.data = newData(n.log, lim, limits.DrainGrace(drain), rand.Uint64(), n.news.list)
 		if b := n.cfg.Bounds; b.RetryWindowS > 0 {
+			n.data.extra = b.RetryExtra
 			n.data.repeats = share.Repeats{
 				Ratio: b.RetryRatio / 2, Window: time.Duration(b.RetryWindowS * float64(time.Second)), Extra: b.RetryExtra / limits.NodeRetryParts,
 			}
@@ -154,7 +155,7 @@
 		n.data.spent, n.data.zone = &n.spent, n.cfg.Zone
 		n.news.engines = n.data.engines
 		go n.data.run(ctx)
-		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone}
+		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone, told: map[uint64]*duty.Told{}}
 		n.data.dialect.Began = c.began
 		if n.cfg.Cloud.Address != "" {
 			go n.reports(ctx, c)
@@ -481,17 +482,20 @@
 				return nil, err
 			}
 			d.mu.Lock()
-			d.book.Take(d.clock(), p, true)
-			d.mu.Unlock()
-			return nil, nil
+			defer d.mu.Unlock()
+			now := d.clock()
+			d.book.Take(now, p, true)
+			word := duty.Word{Book: d.life, Lives: uint64(d.book.Lives(now, d.lately))}
+			return word.Encode(), nil
 		case callBook:
-			window, _, err := decodePlace(body)
-			if err != nil {
+			r := form.Reader{B: body}
+			from, to := r.Uint(), r.Uint()
+			if err := r.End(); err != nil {
 				return nil, err
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			return d.book.Encode(window), nil
+			return d.book.Encode(from, to), nil
 		case callRenew:
 			r := form.Reader{B: body}
 			place, node := r.Uint(), r.Word()
