Model of two operators upon one version, with cuts; a call is judged by the chain itself

Need: the operators saw two changes confirmed in a cut. Whether it can happen here was not walked through. Ruled out by it: 20,000 lives of five keepers with cuts one way and both, proposers that die, changes of members, disks lost or come back old, repeats elsewhere: nothing found. A ballot that was won taken for one's own is found within 3,000 lives. Change: chain.State.Stands judges an operator's call (it stood in the keeper); the walk is part of notchlab check.

--- a/internal/control/chain/chain.go
+++ b/internal/control/chain/chain.go
@@ -208,6 +208,32 @@
 	}
 }
 
+// Standing is what becomes of an operator's configuration upon a state.
+type Standing uint8
+
+// It may be proposed; it was taken, now or before; another version is current than the one it builds on; its number is not
+// above the current one.
+const (
+	Open Standing = iota
+	Was
+	Late
+	Low
+)
+
+// Stands tells the standing of a configuration that builds on a version. Whoever proposes it asks again after each ballot:
+// that one was won says nothing, since what was chosen may be another's.
+func (s *State) Stands(on, revision uint64, d declared.Digest) Standing {
+	switch {
+	case s.Was(revision, d):
+		return Was
+	case s.Revision != on:
+		return Late
+	case revision <= s.Revision:
+		return Low
+	}
+	return Open
+}
+
 // Agreed returns a usage window, if its figures are agreed and still kept.
 func (s *State) Agreed(number uint64) *Window {
 	for i := range s.Windows {
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -31,6 +31,7 @@
 			}
 			return "", lives
 		}},
+		{"two operators upon one version, with cuts", func(lives int) (string, int) { return races(lives, false) }},
 		{"engines that leave, and who hears of it dies", func(lives int) (string, int) { return leaving(lives, false) }},
 		{"power lost at every step of a store's life", func(int) (string, int) {
 			faults, points := powerLost(false, 1)
@@ -62,6 +63,7 @@
 			}
 			return "", lives
 		}},
+		{"a ballot that was won is taken for one's own", func(lives int) (string, int) { return races(lives, true) }},
 		{"a drain is acknowledged before others know", func(lives int) (string, int) { return leaving(lives, true) }},
 		{"a journal's name is not durable", func(int) (string, int) {
 			faults, points := powerLost(true, 5)
--- a/internal/lab/check/members.go
+++ b/internal/lab/check/members.go
@@ -17,6 +17,7 @@
 	chosen map[int]map[string]bool
 	nextID int
 	count  uint64 // rounds so far
+	first  []int  // the founders
 	forget bool   // a machine whose disk is gone goes on under its number: must be found out
 	eager  bool   // a change of members counts in the ballot that decides it, and who is to be taken in votes: likewise
 }
@@ -32,12 +33,14 @@
 	ask ballot.Ask
 }
 
-func newCore() *core {
-	c := &core{chosen: map[int]map[string]bool{}, nextID: 4, open: make([]*opened, 3)}
-	for i := range 3 {
+func newCore() *core { return newCoreOf(3) }
+
+func newCoreOf(n int) *core {
+	c := &core{chosen: map[int]map[string]bool{}, nextID: n + 1, open: make([]*opened, n)}
+	for i := range n {
 		b := &box{id: i + 1}
 		b.acc = ballot.Acceptor{Voter: true, Chosen: b.at}
-		c.boxes = append(c.boxes, b)
+		c.boxes, c.first = append(c.boxes, b), append(c.first, b.id)
 	}
 	return c
 }
@@ -50,8 +53,8 @@
 }
 
 // members are those that a chain names.
-func members(log []string) []int {
-	at := []int{1, 2, 3}
+func (c *core) members(log []string) []int {
+	at := c.first
 	for _, v := range log {
 		if list, ok := strings.CutPrefix(v, "m "); ok {
 			at = at[:0:0]
@@ -67,7 +70,7 @@
 
 func (c *core) follow(b *box) {
 	b.acc.Next = uint64(len(b.log))
-	b.acc.Voter = slices.Contains(members(b.log), b.id) || c.eager
+	b.acc.Voter = slices.Contains(c.members(b.log), b.id) || c.eager
 }
 
 // names writes a change of members.
@@ -76,7 +79,7 @@
 // wishes lists what a machine may propose: a value, taking one in that has lost its disk and caught up, taking one out.
 func (c *core) wishes(p int) (all []string) {
 	b := c.boxes[p]
-	now := members(b.log)
+	now := c.members(b.log)
 	all = append(all, fmt.Sprintf("d%d", c.count))
 	for i, x := range c.boxes {
 		if !slices.Contains(now, x.id) && len(x.log) >= len(b.log) {
@@ -106,12 +109,12 @@
 		known = append(slices.Clone(known), own)
 	}
 	r := &opened{Round: ballot.Round{Place: uint64(len(b.log)), Number: ballot.Number{Round: c.count, Node: c.count}, Own: []byte(own)}}
-	for _, id := range members(known) {
+	for _, id := range c.members(known) {
 		r.Members = append(r.Members, uint64(id))
 	}
 	r.Need = ballot.Majority(len(r.Members))
 	c.open[p] = nil
-	next, _ := c.turn(r, r.Begin(), mask)
+	next, _ := c.turn(r, r.Begin(), mask, -1)
 	if next != nil {
 		r.ask = *next
 		c.open[p] = r
@@ -121,7 +124,7 @@
 // accept has p's round go on.
 func (c *core) accept(p, mask int) {
 	r := c.open[p]
-	_, out := c.turn(r, r.ask, mask)
+	_, out := c.turn(r, r.ask, mask, -1)
 	if out == ballot.Pending {
 		return
 	}
@@ -140,13 +143,17 @@
 	}
 }
 
-func (c *core) turn(r *opened, ask ballot.Ask, mask int) (next *ballot.Ask, out ballot.Outcome) {
+// turn has a phase reach those of a mask; answers come from those of another.
+func (c *core) turn(r *opened, ask ballot.Ask, mask, back int) (next *ballot.Ask, out ballot.Outcome) {
 	accepting := r.Accepting()
 	for i, b := range c.boxes {
 		if mask&(1<<i) == 0 || !slices.Contains(r.Members, uint64(b.id)) || next != nil || out != ballot.Pending {
 			continue
 		}
 		ans, _ := b.acc.Handle(ask)
+		if back&(1<<i) == 0 {
+			continue
+		}
 		next, out = r.Take(uint64(b.id), accepting, ans)
 	}
 	return next, out
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -445,17 +445,17 @@
 		}
 	}
 	err = k.propose(ctx, func(s *chain.State) []byte {
-		switch {
-		case s.Was(c.Revision, digest):
+		switch s.Stands(on, c.Revision, digest) {
+		case chain.Open:
+			return value
+		case chain.Was:
 			res = api.Result{Status: http.StatusOK, Rev: c.Revision}
-		case s.Revision != on:
+		case chain.Late:
 			res = api.Result{Status: http.StatusPreconditionFailed, Rev: s.Revision,
 				Says: fmt.Sprintf("X-Revision-Match: version %d is current, not %d", s.Revision, on)}
-		case c.Revision <= s.Revision:
+		case chain.Low:
 			res = api.Result{Status: http.StatusBadRequest,
 				Says: fmt.Sprintf("revision: %d is not above the current one, %d", c.Revision, s.Revision)}
-		default:
-			return value
 		}
 		return nil
 	})
