Lines to engines end where a machine does not even acknowledge; more callers than connections

Weighed: between our processes every call has a shorter deadline, so it stays away there; on lines to engines it tells a dark machine from a slow one. Also: a process took 128 connections of others and refused more, which 86 routers with two each are beyond; now 1024, and the one that was used longest ago makes room.

--- a/internal/control/peer/peer.go
+++ b/internal/control/peer/peer.go
@@ -18,7 +18,7 @@
 // The bounds.
 const (
 	MostFrame  = 9 << 20          // a configuration with what goes around it
-	mostConns  = 128              // from others at once
+	mostConns  = 1024             // from others at once: two of each of 500; then the one that was used longest ago goes
 	idle       = 20 * time.Second // a connection on which nothing is asked
 	keptIdle   = 15 * time.Second // the same at the caller's, who must be first
 	dialWait   = 600 * time.Millisecond
@@ -43,7 +43,8 @@
 
 	mu    sync.Mutex
 	idle  map[netip.AddrPort][]*kept
-	conns map[net.Conn]struct{} // from others
+	conns map[net.Conn]time.Time // from others, by when they were last used; zero = a call is under way
+	most  int                    // of them
 	shut  bool
 }
 
@@ -67,7 +68,7 @@
 		ln.Close()
 		return nil, fmt.Errorf("peer: %w", err)
 	}
-	return &Net{udp: udp, ln: ln, handle: h, idle: map[netip.AddrPort][]*kept{}, conns: map[net.Conn]struct{}{}}, nil
+	return &Net{udp: udp, ln: ln, handle: h, idle: map[netip.AddrPort][]*kept{}, conns: map[net.Conn]time.Time{}, most: mostConns}, nil
 }
 
 // Addr is where the sockets are.
@@ -127,9 +128,9 @@
 			continue
 		}
 		n.mu.Lock()
-		full := n.shut || len(n.conns) >= mostConns
+		full := n.shut || len(n.conns) >= n.most && !n.makeRoom()
 		if !full {
-			n.conns[c] = struct{}{}
+			n.conns[c] = time.Now()
 		}
 		n.mu.Unlock()
 		if full {
@@ -148,6 +149,31 @@
 	}
 }
 
+// makeRoom closes the connection that was used longest ago; its caller finds another. The lock is held.
+func (n *Net) makeRoom() bool {
+	var oldest net.Conn
+	for c, used := range n.conns {
+		if !used.IsZero() && (oldest == nil || used.Before(n.conns[oldest])) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.Close()
+	delete(n.conns, oldest)
+	return true
+}
+
+// used notes that a call begins or ends on a connection.
+func (n *Net) used(c net.Conn, at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, there := n.conns[c]; there {
+		n.conns[c] = at
+	}
+}
+
 // answer answers the calls of a connection.
 func (n *Net) answer(ctx context.Context, c *net.TCPConn) {
 	from := c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
@@ -157,6 +183,7 @@
 		if err != nil {
 			return
 		}
+		n.used(c, time.Time{})
 		out, err := n.handle(ctx, kind, from, body)
 		if err != nil {
 			kind, out = 0, []byte(err.Error())
@@ -165,6 +192,7 @@
 		if write(c, kind, out) != nil {
 			return
 		}
+		n.used(c, time.Now())
 	}
 }
 
@@ -204,8 +232,7 @@
 }
 
 // Call asks another and waits for its answer, within the context's time: who is cut off is noticed by that, and its
-// connection is not used again. (TCP_USER_TIMEOUT would notice as well; the bench comes to a standstill when it strikes on a
-// link that is cut, docs/questions.md.)
+// connection is not used again. (TCP_USER_TIMEOUT would notice later than any call here may take.)
 func (n *Net) Call(ctx context.Context, to netip.AddrPort, kind uint8, body []byte) ([]byte, error) {
 	c, again, err := n.get(ctx, to)
 	if err != nil {
--- a/internal/control/peer/peer_test.go
+++ b/internal/control/peer/peer_test.go
@@ -122,3 +122,28 @@
 	f.Add(b.Bytes())
 	f.Fuzz(func(t *testing.T, b []byte) { read(bytes.NewReader(b)) })
 }
+
+// TestMoreCallersThanConnections: with all connections taken, the one that was used longest ago makes room, and whoever had it
+// calls again without noticing.
+func TestMoreCallersThanConnections(t *testing.T) {
+	b := open(t, echo)
+	b.mu.Lock()
+	b.most = 3
+	b.mu.Unlock()
+	var callers []*Net
+	for range 8 {
+		callers = append(callers, open(t, echo))
+	}
+	for round := range 3 {
+		for i, a := range callers {
+			if _, err := a.Call(t.Context(), b.Addr(), 1, nil); err != nil {
+				t.Errorf("round %d, caller %d: %v", round, i, err)
+			}
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.conns) > 3 {
+		t.Errorf("%d connections", len(b.conns))
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -307,15 +307,16 @@
 	// window: a router has one of this many parts until it is told how many lives of routers there are, then one of half as
 	// many again as there are, so that all may start anew at once.
 	NodeRetryParts = 400
-	NodeLately     = 10 * time.Second       // a router that has reported so lately counts as there
-	NodeReopen     = 300 * time.Millisecond // between two tries to open a disk anew that has refused a write
-	NodeJoin       = 300 * time.Millisecond // between two tries to be taken in as a member
-	NodeMembers    = 9                      // keepers that vote, at the most
-	NodeFounding   = 150 * time.Millisecond // between two tries to found the core
-	NodeAccount    = 5 * time.Second        // between two accounts in the log, at level debug
-	NodeTexts      = 4                      // configurations that are kept so that differences to them can be sent
-	NodeTextBytes  = 16 << 20               // of them, at the most
-	NodeStable     = 500 * time.Millisecond // no further keeper has come for so long
+	NodeLately     = 10 * time.Second        // a router that has reported so lately counts as there
+	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
+	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
+	NodeMembers    = 9                       // keepers that vote, at the most
+	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
+	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
+	NodeAccount    = 5 * time.Second         // between two accounts in the log, at level debug
+	NodeTexts      = 4                       // configurations that are kept so that differences to them can be sent
+	NodeTextBytes  = 16 << 20                // of them, at the most
+	NodeStable     = 500 * time.Millisecond  // no further keeper has come for so long
 )
 
 // DrainGrace is how long a known session may still go to an engine that drains: what is left of the platform's time is for
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"notchhinge/internal/acquirer"
@@ -22,6 +23,8 @@
 	"notchhinge/internal/service"
 	"notchhinge/internal/share"
 	"notchhinge/policy"
+
+	"golang.org/x/sys/unix"
 )
 
 // data is the data plane of a node: the front, the legs, and a module for each service.
@@ -71,7 +74,7 @@
 
 // dial opens a connection to an engine, and has it counted.
 func (d *data) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
+	c, err := (&net.Dialer{KeepAlive: -1, Control: unheard}).DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -82,6 +85,14 @@
 	return d.spent.Counted(account.Engines, c, zone != d.zone), nil
 }
 
+// unheard has a connection end once what was sent on it has not even been received for so long: a machine that is dark or cut
+// off does not acknowledge, one that is merely slow does.
+func unheard(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) { // where a kernel does not know it, requests wait for their deadlines as they would without
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limits.NodeUnheard.Milliseconds()))
+	})
+}
+
 // closer is what every authorisation of this front is.
 type closer interface {
 	Close(why broker.Verdict, retryAfter time.Duration, mayHaveRun bool)
--- a/internal/node/data_test.go
+++ b/internal/node/data_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
@@ -228,3 +231,23 @@
 		t.Errorf("%+v %q %v: a broken stream must not look complete", resp, body, err)
 	}
 }
+
+// TestUnheardIsSet: a line to an engine ends once its machine has not even received what was sent on it for so long.
+func TestUnheardIsSet(t *testing.T) {
+	e := newRawEngine(t, says("HTTP/1.1 200 OK\nContent-Length: 0\n\n"))
+	p := newPlane(t, 1, at("i-1", "s", e))
+	c, err := p.d.dial(t.Context(), "tcp", e.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		if ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT); err != nil || ms != int(limits.NodeUnheard.Milliseconds()) {
+			t.Errorf("%d ms, %v", ms, err)
+		}
+	})
+}
