--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -762,8 +762,11 @@
 	return all
 }
 
-// answers tells whether a keeper is likely to answer. One that nothing was heard of yet may.
-func (n *Node) answers(e *entry) bool { return !e.mute && (e.heard == 0 || n.now-e.heard <= 2*deaf) }
+// answers tells whether a keeper is likely to answer: nothing that it was asked has stayed without an answer. In a large
+// fleet it is seldom heard otherwise.
+func (n *Node) answers(e *entry) bool {
+	return !e.mute && (e.asked == 0 || n.now-e.asked <= deaf) && n.now-max(e.heard, e.known) <= keeperGone
+}
 
 // Answering lists the keepers that are likely to answer.
 func (n *Node) Answering() (all []Peer) {
--- a/internal/control/news/news.go
+++ b/internal/control/news/news.go
@@ -19,13 +19,15 @@
 
 // The kinds of items, and the beginnings of their keys.
 const (
-	itemEngine uint8 = iota + 1 // e/ID: an engine's record
-	itemConfig                  // there is a configuration at a place of the chain
-	itemSilent                  // q/ID: the version is a call_count, and one bit more: whether calls have stopped after it
+	itemEngine  uint8 = iota + 1 // e/ID: an engine's record
+	itemConfig                   // there is a configuration at a place of the chain
+	itemForgets                  // engines forget connections that rest: the version is the time of day in ms of the last that is known
+	itemSilent                   // q/ID: the version is a call_count, and one bit more: whether calls have stopped after it
 
-	configKey = "configuration"
-	engineKey = "e/"
-	silentKey = "q/"
+	configKey  = "configuration"
+	forgetsKey = "forgets"
+	engineKey  = "e/"
+	silentKey  = "q/"
 )
 
 // Event is something that happened: one of gossip's, or one of these.
@@ -44,6 +46,8 @@
 	}
 	// Config: a configuration is held here.
 	Config struct{ Place uint64 }
+	// Forgot: an engine has forgotten a connection that rested.
+	Forgot struct{}
 )
 
 // Effect is something to be done: a gossip.Send, or one of these.
@@ -58,6 +62,8 @@
 	}
 	// Engines: those that may be used have changed.
 	Engines struct{}
+	// Forgets: somewhere an engine has forgotten a connection that rested; others may do so, too.
+	Forgets struct{}
 	// Configured: there is a configuration, which From has told.
 	Configured struct {
 		Place uint64
@@ -81,6 +87,7 @@
 	sure   map[string]roster.State // what others have of an engine that leaves, as they have said to this one
 	zone   func(string) uint32
 	sweep  time.Duration
+	forgot time.Duration // when others were last told, or told this one, that engines forget
 	now    time.Duration
 	wall   int64
 	dirty  bool
@@ -129,6 +136,12 @@
 		w := form.Writer{}
 		w.Uint(e.Place)
 		n.publish(gossip.Item{Kind: itemConfig, Key: configKey, Version: e.Place, Body: w.B})
+	case Forgot:
+		n.out = append(n.out, Forgets{})
+		if last, _ := n.Gossip.Item(forgetsKey); n.forgot == 0 || n.now-n.forgot > limits.NodeForgetsNews {
+			n.forgot = n.now
+			n.publish(gossip.Item{Kind: itemForgets, Key: forgetsKey, Version: max(last.Version+1, uint64(max(n.wall, 0)))})
+		}
 	case gossip.Event:
 		n.queue = append(n.queue, e)
 	}
@@ -208,6 +221,9 @@
 		}
 	case itemSilent:
 		n.hush(i.Key[len(silentKey):], i.Version)
+	case itemForgets:
+		n.forgot = n.now
+		n.out = append(n.out, Forgets{})
 	case itemConfig:
 		n.out = append(n.out, Configured{i.Version, l.From})
 	}
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -38,7 +38,7 @@
 // Bounds of what is read.
 const (
 	mostText   = 256
-	tombstone  = 1 << 62 // Calls of one that has signed off
+	tombstone  = 1 << 60 // Calls of one that has signed off; news needs a few bits more of a word
 	mostSlots  = 1 << 20
 	forgetGone = 60 * time.Second // far past any late beat
 	staleGone  = forgetGone / 2   // one that has been gone for so long is not taken in any more, or it would go round for ever
@@ -76,7 +76,7 @@
 		Revision: x.String(mostText), Slots: min(x.Uint(), mostSlots), State: State(x.Byte()), Calls: x.Uint(),
 		WarmAt: int64(x.Uint() &^ (1 << 63)),
 	}
-	if r.State > Gone && x.Err == nil {
+	if (r.State > Gone || r.Calls > tombstone) && x.Err == nil {
 		return r, form.ErrLong
 	}
 	return r, x.End()
@@ -109,6 +109,8 @@
 func (s *Roster) Beat(now time.Duration, r Record, wall int64) (news []Record, fresh bool) {
 	e := s.byID[r.ID]
 	switch {
+	case r.Calls >= tombstone:
+		return nil, false // no engine calls so often
 	case e == nil:
 		before := s.byID[s.byAddr[r.Addr]]
 		news = s.Merge(now, r)
@@ -164,6 +166,9 @@
 	case !newer(&r, &e.Record):
 		return nil
 	default:
+		if r.State == Gone && s.byAddr[e.Addr] == r.ID { // who signs it off may not know its address
+			delete(s.byAddr, e.Addr)
+		}
 		e.Record = r
 		if r.Calls != tombstone && r.Calls > e.Newest {
 			s.heard(now, e, r.Calls, 0)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -314,6 +314,7 @@
 	m.Order = issuer.Order{
 		Method: req.Method, Target: w.Target, Host: w.Host, Body: body, Until: r.until, Header: passedOn(req.Header, r.tenant),
 		Counted: req.ContentLength != 0 || len(req.TransferEncoding) > 0, CallID: req.Header.Get(idHeader),
+		Once: r.route.Type != declared.Idempotent,
 	}
 	return m, nil
 }
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -34,6 +34,7 @@
 	Header  []byte
 	Counted bool
 	Until   time.Time
+	Once    bool // it must not run twice, so that a line that turns out to be dead costs it its answer
 }
 
 // Customer is the acquirer as a leg sees it.
@@ -83,6 +84,12 @@
 	Post func(broker.Event)
 	Now  broker.Clock // for the times of traced legs
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Rest is how long a line may have rested at present that an order uses which must not run twice; 0 = no matter. nil =
+	// it never matters.
+	Rest func() time.Duration
+	// Forgot is told that a host has ended a line that rested, though it takes new ones: it may forget others as well. It
+	// must not wait; nil = nobody wants to know.
+	Forgot func()
 }
 
 // Client does what the broker asks of issuer hosts.
@@ -280,7 +287,12 @@
 		l.at = c.Now()
 		l.times.Begun = l.at
 	}
-	ln, err := c.lines.get(ctx, dest{e.Host, e.Dial, e.Pool}, min(c.Lim.ConnectWait, e.Wait))
+	customer := e.From.(Customer)
+	most := time.Duration(0)
+	if c.Rest != nil && customer.Order().Once {
+		most = c.Rest()
+	}
+	ln, err := c.lines.get(ctx, dest{e.Host, e.Dial, e.Pool}, min(c.Lim.ConnectWait, e.Wait), most)
 	if err != nil {
 		end.Result = policy.ConnectFailed
 		return
@@ -294,7 +306,6 @@
 	l.line = ln
 	dropped := l.dropped
 	c.mu.Unlock()
-	customer := e.From.(Customer)
 	if dropped {
 		end.Result = policy.ConnectFailed
 		return
@@ -348,9 +359,22 @@
 		return false
 	}
 	c.lines.clear(ln.to)
+	if c.Forgot != nil {
+		go c.forgot(ln.to)
+	}
 	return true
 }
 
+// forgot finds out whether a host that has ended a line takes new ones, or has ended itself. The new one is parked.
+func (c *Client) forgot(to dest) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Lim.ConnectWait)
+	defer cancel()
+	if ln, err := c.lines.get(ctx, to, c.Lim.ConnectWait, 0); err == nil {
+		c.lines.put(ln)
+		c.Forgot()
+	}
+}
+
 // Keeper is a customer that wants to see answers that are not passed on: should nothing better come, one of them may be
 // all that there is to tell. It reads the body, and tells whether it has come to its end.
 type Keeper interface {
@@ -564,7 +588,7 @@
 func (c *Client) probe(to dest, r *Reports) (policy.Result, policy.Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Lim.ProbeWait)
 	defer cancel()
-	ln, err := c.lines.get(ctx, to, c.Lim.ConnectWait)
+	ln, err := c.lines.get(ctx, to, c.Lim.ConnectWait, 0)
 	if err != nil {
 		return policy.ConnectFailed, policy.Report{}
 	}
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -25,11 +25,12 @@
 	got  []string
 	err  error // of Relay
 	body []byte
+	once bool
 }
 
 func (c *customer) Order() *Order {
 	return &Order{Method: "POST", Target: "/v1/chat/completions?q=%41", Host: "origin.svc", CallID: "9b1f03aa5c7e2d41",
-		ContentType: "application/json", Body: c.body}
+		ContentType: "application/json", Body: c.body, Once: c.once}
 }
 func (c *customer) Relay(events []byte) error { c.got = append(c.got, string(events)); return c.err }
 func (c *customer) Finish(whole bool) error {
@@ -223,6 +224,53 @@
 	})
 }
 
+// TestForgottenLines: a line that ends as it is used, at a host that takes new ones, is told as forgotten, and the new one is
+// kept; at a host that is gone it is not told. While lines may be forgotten, an order that must not run twice gets a new
+// line in place of one that has rested, which others go on using.
+func TestForgottenLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial, far := pipes()
+		gone, forgot := false, 0
+		d, c := newDesk(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if gone {
+				return nil, errors.New("refused")
+			}
+			return dial(ctx, network, addr)
+		}), &customer{body: []byte(`{"model":"chat"}`)}
+		d.Forgot = func() { forgot++ }
+		d.Rest = func() time.Duration { return 100 * time.Millisecond }
+		leg := 0
+		turn := func(conn net.Conn, says string) net.Conn {
+			t.Helper()
+			d.Send(send(leg, c))
+			leg++
+			if conn == nil {
+				conn = <-far
+			}
+			play(t, conn, says)
+			synctest.Wait()
+			return conn
+		}
+		first := turn(nil, "served")
+		c.once = true
+		turn(first, "served") // it has not rested
+		time.Sleep(200 * time.Millisecond)
+		second := turn(nil, "served")
+		c.once = false
+		time.Sleep(200 * time.Millisecond)
+		turn(second, "reset")
+		third := <-far
+		if forgot != 1 || len(far) != 0 || d.lines.open != 1 {
+			t.Errorf("told %d times, %d more connections, %d open", forgot, len(far), d.lines.open)
+		}
+		gone = true
+		turn(third, "reset")
+		if forgot != 1 || d.lines.open != 0 {
+			t.Errorf("told %d times of a host that is gone, %d lines open", forgot, d.lines.open)
+		}
+	})
+}
+
 func TestStaleLineTakesThoseBesideIt(t *testing.T) {
 	// Lines parked at the same time are likely as stale; the next leg gets a new one. A new line's end is no stale one's.
 	synctest.Test(t, func(t *testing.T) {
@@ -291,15 +339,15 @@
 		d := newDesk(dial)
 		d.lines.stock.Resize(1)
 		d.Set(0, d.Reports, share.Claim{Guarantee: 1})
-		first, err := d.lines.get(t.Context(), dest{1, "a", 0}, time.Second)
+		first, err := d.lines.get(t.Context(), dest{1, "a", 0}, time.Second, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := d.lines.get(t.Context(), dest{2, "a", 0}, time.Second); !errors.Is(err, errNoRoom) {
+		if _, err := d.lines.get(t.Context(), dest{2, "a", 0}, time.Second, 0); !errors.Is(err, errNoRoom) {
 			t.Errorf("a second line: %v", err)
 		}
 		d.lines.put(first)
-		second, err := d.lines.get(t.Context(), dest{2, "a", 0}, time.Second)
+		second, err := d.lines.get(t.Context(), dest{2, "a", 0}, time.Second, 0)
 		if err != nil || d.lines.open != 1 {
 			t.Fatalf("%v, %d open", err, d.lines.open)
 		}
@@ -385,14 +433,14 @@
 			d.Set(id, d.Reports, share.Claim{Guarantee: 1})
 		}
 		get := func(of pool.ID, host policy.ReplicaID) *line {
-			l, err := d.lines.get(t.Context(), dest{host, "a", of}, time.Second)
+			l, err := d.lines.get(t.Context(), dest{host, "a", of}, time.Second, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
 			return l
 		}
 		first, second := get(0, 1), get(0, 2)
-		if _, err := d.lines.get(t.Context(), dest{3, "a", 0}, time.Second); !errors.Is(err, errNoRoom) {
+		if _, err := d.lines.get(t.Context(), dest{3, "a", 0}, time.Second, 0); !errors.Is(err, errNoRoom) {
 			t.Errorf("a line of the other's guarantee: %v", err)
 		}
 		other := get(1, 1)
@@ -406,7 +454,7 @@
 		if d.Lines(0) != 1 || d.Lines(1) != 2 || d.lines.open != 3 {
 			t.Errorf("%d and %d lines, %d open", d.Lines(0), d.Lines(1), d.lines.open)
 		}
-		if _, err := d.lines.get(t.Context(), dest{4, "a", 1}, time.Second); !errors.Is(err, errNoRoom) {
+		if _, err := d.lines.get(t.Context(), dest{4, "a", 1}, time.Second, 0); !errors.Is(err, errNoRoom) {
 			t.Errorf("the guaranteed one went: %v", err)
 		}
 		more.Close()
--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -61,10 +61,10 @@
 
 var errNoRoom = errors.New("too many lines to issuer hosts")
 
-// get returns the line that was used last, or opens one.
-func (p *lines) get(ctx context.Context, to dest, wait time.Duration) (*line, error) {
+// get returns the line that was used last, or opens one. With most, one that has rested for longer is left for others.
+func (p *lines) get(ctx context.Context, to dest, wait, most time.Duration) (*line, error) {
 	for {
-		l, err := p.take(to)
+		l, err := p.take(to, most)
 		if err != nil {
 			return nil, err
 		}
@@ -90,7 +90,7 @@
 
 // take takes the latest idle line to a host. Where there is none, it makes room for a new one and counts
 // it; for that an idle line to another may have to go.
-func (p *lines) take(to dest) (*line, error) {
+func (p *lines) take(to dest, most time.Duration) (*line, error) {
 	var victims []*line
 	defer func() {
 		for _, l := range victims {
@@ -99,7 +99,7 @@
 	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.idle[to]; len(s) > 0 {
+	if s := p.idle[to]; len(s) > 0 && (most == 0 || time.Since(s[len(s)-1].since) < most) {
 		l := s[len(s)-1]
 		p.keep(to, s[:len(s)-1])
 		return l, nil
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -313,10 +313,16 @@
 	NodeMembers    = 9                       // keepers that vote, at the most
 	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
 	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
-	NodeAccount    = 5 * time.Second         // between two accounts in the log, at level debug
-	NodeTexts      = 4                       // configurations that are kept so that differences to them can be sent
-	NodeTextBytes  = 16 << 20                // of them, at the most
-	NodeStable     = 500 * time.Millisecond  // no further keeper has come for so long
+	// Once an engine has forgotten a connection that rested, for so long no request that must not run twice uses one that has
+	// rested for longer than this: others that may run again go on trying, and cost nothing where they fail. So often it
+	// is news.
+	NodeForgets     = 10 * time.Second
+	NodeRest        = 100 * time.Millisecond
+	NodeForgetsNews = 2 * time.Second
+	NodeAccount     = 5 * time.Second        // between two accounts in the log, at level debug
+	NodeTexts       = 4                      // configurations that are kept so that differences to them can be sent
+	NodeTextBytes   = 16 << 20               // of them, at the most
+	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
 )
 
 // DrainGrace is how long a known session may still go to an engine that drains: what is left of the platform's time is for
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -43,6 +43,8 @@
 	repeats share.Repeats // of each service; no Window = there is no such budget
 	extra   float64       // of all routers together, beyond the ratio
 
+	forgot  func()       // told that an engine has forgotten a connection; it must not wait
+	careful atomic.Int64 // until then, by the loop's clock, connections that have rested are not for every request
 	at      atomic.Pointer[edge.Compiled]
 	bounds  atomic.Pointer[limits.Bounds]     // of the present configuration
 	zones   atomic.Pointer[map[string]string] // of engines, by address
@@ -62,8 +64,9 @@
 	d.bounds.Store(&unsaid)
 	d.loop = broker.NewLoop(broker.New(lim), broker.UnixClock(), d.perform)
 	d.issuer = issuer.New(issuer.Config{
-		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: d.dial, Dialect: edge.Legs{},
+		Lim: lim, Post: d.loop.Post, Now: d.loop.Now, Dial: d.dial, Dialect: edge.Legs{}, Rest: d.rest, Forgot: func() { d.forgot() },
 	})
+	d.forgot = d.forgets
 	d.dialect = &edge.Dialect{Now: d.at.Load, Salt: seed, Conversation: rand.Uint64, Clock: d.loop.Now}
 	d.front = acquirer.New(acquirer.Options{
 		Lim: lim, Dialect: d.dialect, Routes: func() *service.Directory { return nil }, Post: d.loop.Post, Now: d.loop.Now,
@@ -198,6 +201,17 @@
 	return nil
 }
 
+// forgets takes in that engines forget connections that rest.
+func (d *data) forgets() { d.careful.Store(int64(d.loop.Now() + limits.NodeForgets)) }
+
+// rest is how long a connection may have rested that a request uses which must not run twice; 0 = no matter.
+func (d *data) rest() time.Duration {
+	if int64(d.loop.Now()) < d.careful.Load() {
+		return limits.NodeRest
+	}
+	return 0
+}
+
 // parts takes in how many lives of routers share what may be sent again.
 func (d *data) parts(lives int) {
 	d.mu.Lock()
--- a/internal/node/data_test.go
+++ b/internal/node/data_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -251,3 +253,41 @@
 		}
 	})
 }
+
+// TestForgottenConnections: engines answer one request on a connection and forget it as it rests. A request that may run again
+// meets that, is served all the same, and has those that may not use no line that has rested.
+func TestForgottenConnections(t *testing.T) {
+	var used sync.Map // connections that have had their answer
+	engines := make([]roster.Engine, 3)
+	for i := range engines {
+		engines[i] = at(fmt.Sprint("i-", i), "s", newRawEngine(t, func(c net.Conn, r *http.Request) bool {
+			if _, again := used.LoadOrStore(c, true); again {
+				c.(*net.TCPConn).SetLinger(0)
+				return false
+			}
+			return says("HTTP/1.1 200 OK\nKeep-Alive: timeout=10\nContent-Length: 4\n\ngood")(c, r)
+		}))
+	}
+	p := newPlane(t, 1, engines...)
+	told := make(chan bool, 1)
+	p.d.forgot = func() {
+		p.d.forgets()
+		select {
+		case told <- true:
+		default:
+		}
+	}
+	for i, known := 0, false; !known; i++ {
+		if again := many(t, p.addr, "/again/", 1, 1); again.served.Load() != 1 {
+			t.Fatalf("request %d, which may run again, was not served", i)
+		}
+		select {
+		case <-told:
+			known = true
+		default:
+		}
+	}
+	if d := p.d.rest(); d != limits.NodeRest {
+		t.Fatalf("a line may have rested for %v", d)
+	}
+}
--- a/internal/node/news.go
+++ b/internal/node/news.go
@@ -24,6 +24,7 @@
 	until time.Duration // the timer is set to it
 
 	engines func()                               // told, without the lock, that engines have changed; it must not wait
+	forgets func()                               // told that engines forget connections that rest
 	config  func(place uint64, from gossip.Peer) // told that there is a configuration
 }
 
@@ -31,7 +32,7 @@
 	start := time.Now()
 	return &hearsay{
 		net: n, clock: func() time.Duration { return time.Since(start) + time.Hour }, node: news.New(self, seed, silence, hash32),
-		wake: make(chan struct{}, 1), engines: func() {}, config: func(uint64, gossip.Peer) {},
+		wake: make(chan struct{}, 1), engines: func() {}, forgets: func() {}, config: func(uint64, gossip.Peer) {},
 	}
 }
 
@@ -54,6 +55,8 @@
 			f.Of.(chan news.Answer) <- f // it has room
 		case news.Engines:
 			then = append(then, n.engines)
+		case news.Forgets:
+			then = append(then, n.forgets)
 		case news.Configured:
 			then = append(then, func() { n.config(f.Place, f.From) })
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,7 +153,8 @@
 			}
 		}
 		n.data.spent, n.data.zone = &n.spent, n.cfg.Zone
-		n.news.engines = n.data.engines
+		n.news.engines, n.news.forgets = n.data.engines, n.data.forgets
+		n.data.forgot = func() { n.news.turn(news.Forgot{}) }
 		go n.data.run(ctx)
 		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone, told: map[uint64]*duty.Told{}}
 		n.data.dialect.Began = c.began
