A vote that a lease bars is no duel; a chosen value goes once to who has accepted it

Cause: 'a place is not settled in time' with 13 to 17 tries and number = higher: holders voted for while another's lease ran. Each member answered as if another's attempt stood in the way, and the proposer tried again at once, with a promise synced at five disks each time. Change: the verdict Barred and the outcome Held; members that have accepted are told the number under which it was chosen.

--- a/internal/control/ballot/ballot.go
+++ b/internal/control/ballot/ballot.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"time"
 )
 
 // Number orders attempts. The zero Number is below all others. No two attempts ever have the same, or two values could be
@@ -55,7 +56,8 @@
 type Verdict uint8
 
 // The verdicts: granted; a higher number was promised; the place is decided here, and Value is what was chosen; the member
-// does not know the places before it; it has no vote; it knows so much (to Query).
+// does not know the places before it; it has no vote; it knows so much (to Query); it must not accept this value at present,
+// whatever its number.
 const (
 	Granted Verdict = iota + 1
 	Refused
@@ -63,6 +65,7 @@
 	Behind
 	NoVote
 	Known
+	Barred
 )
 
 // Answer is what a member sends back.
@@ -114,7 +117,7 @@
 		return Answer{Verdict: Granted, Next: a.Next, Accepted: a.Vote.Accepted, Value: a.Vote.Value}, write
 	case Accept:
 		if a.Bars != nil && a.Bars(m.Value) {
-			return Answer{Verdict: Refused, Next: a.Next, Number: a.Vote.Promised}, false
+			return Answer{Verdict: Barred, Next: a.Next}, false
 		}
 		write = m.Number != a.Vote.Accepted || !bytes.Equal(m.Value, a.Vote.Value)
 		a.Vote.Promised, a.Vote.Accepted, a.Vote.Value = m.Number, m.Number, m.Value
@@ -136,6 +139,7 @@
 	Past
 	Lost
 	Unfit // what was accepted before (Round.Value) is not for these members
+	Held  // too many must not accept the value at present: another attempt at once is of no use
 )
 
 // Round is one attempt at a place, under one number.
@@ -157,6 +161,7 @@
 	accepting bool
 	granted   map[uint64]bool
 	failed    map[uint64]bool
+	barred    int // of those that failed
 }
 
 // Begin returns what is to be sent to every member first.
@@ -186,6 +191,11 @@
 			r.Higher = a.Number
 		}
 		return nil, r.fail(from, Overtaken)
+	case Barred:
+		if !r.failed[from] {
+			r.barred++
+		}
+		return nil, r.fail(from, Lost)
 	case Decided:
 		r.Value, r.Next = a.Value, a.Next
 		return nil, Past
@@ -210,6 +220,9 @@
 	return &Ask{Kind: Accept, Place: r.Place, Number: r.Number, Value: r.Value}, Pending
 }
 
+// Granted tells whether a member has granted the present phase: once a value is chosen, who has accepted it.
+func (r *Round) Granted(id uint64) bool { return r.granted[id] }
+
 // Accepting tells the phase, for Take.
 func (r *Round) Accepting() bool { return r.accepting }
 
@@ -229,7 +242,10 @@
 	if len(r.Members)-len(r.failed) >= r.Need {
 		return Pending
 	}
-	if r.Higher != (Number{}) {
+	switch {
+	case len(r.Members)-r.barred < r.Need:
+		return Held
+	case r.Higher != (Number{}):
 		return Overtaken
 	}
 	return why
@@ -247,5 +263,12 @@
 	return fmt.Sprintf("%d %v %v %q %v %v", r.Place, r.Number, r.accepting, r.Value, r.granted, r.failed)
 }
 
+// Wait is how long a proposer waits that was overtaken, by how many tries it has made; draw draws below a number. The waits
+// are short, since most of what is voted on is small, and grow until one large value has had its time
+// (internal/lab/contend).
+func Wait(draw func(n int64) int64, try int) time.Duration {
+	return time.Duration(draw(int64(10*time.Millisecond) << min(try, 4)))
+}
+
 // Majority is the quorum of n members.
 func Majority(n int) int { return n/2 + 1 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -21,12 +21,15 @@
 	callBook                      // what a keeper has heard of these, from a window up to another
 	callJoin                      // a keeper wants to be a member: identity
 	callRenew                     // the holder asks for more time: its fence and its member
+	_                             // was the operator's, passed on
+	_                             // likewise
+	callChosen                    // what a member has accepted for a place, under a number, was chosen
 )
 
 // causeOf is what a call is for.
 func causeOf(kind uint8) account.Cause {
 	switch kind {
-	case callAsk, callLearn:
+	case callAsk, callLearn, callChosen:
 		return account.Ballots
 	case callFetch:
 		return account.Configs
@@ -86,6 +89,20 @@
 	return a, r.End()
 }
 
+func encodeChosen(place uint64, n ballot.Number) []byte {
+	w := form.Writer{}
+	w.Uint(place)
+	w.Uint(n.Round)
+	w.Word(n.Node)
+	return w.B
+}
+
+func decodeChosen(b []byte) (place uint64, n ballot.Number, err error) {
+	r := form.Reader{B: b}
+	place, n = r.Uint(), ballot.Number{Round: r.Uint(), Node: r.Word()}
+	return place, n, r.End()
+}
+
 func encodePlace(place uint64, value []byte) []byte {
 	w := form.Writer{}
 	w.Uint(place)
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -199,6 +199,7 @@
 var (
 	errNoCore = errors.New("no core has been founded yet")
 	errTime   = errors.New("it could not be settled in time")
+	errHeld   = errors.New("the members must not accept it at present")
 )
 
 // propose has entries chosen until next says that it is done. next is given the newest state that is known here and
@@ -223,7 +224,10 @@
 		for _, m := range s.Members {
 			r.Members = append(r.Members, m.ID)
 		}
-		out := k.attempt(ctx, r, s.Members, try) // next sees in the state what has come of it
+		out := k.attempt(ctx, r, s.Members, try)                   // next sees in the state what has come of it
+		if out == ballot.Held && r.Accepted == (ballot.Number{}) { // its own; another's that it has found may pass elsewhere
+			return errHeld
+		}
 		if ctx.Err() != nil {
 			k.log.Warn("a place is not settled in time", "place", r.Place, "tries", try+1, "outcome", int(out), "number", r.Number.Round,
 				"higher", r.Higher.Round, "accepting", r.Accepting(), "behind", len(r.BehindAt))
@@ -242,7 +246,7 @@
 	switch out {
 	case ballot.Chosen:
 		k.learn(r.Place, r.Value)
-		k.tell(r.Place, r.Value, members)
+		k.tell(r, members)
 	case ballot.Past:
 		if r.Value == nil || !k.learn(r.Place, r.Value) || r.Next > r.Place+1 {
 			k.catchUp(ctx, from)
@@ -251,8 +255,8 @@
 		k.mu.Lock()
 		k.round = max(k.round, r.Higher.Round)
 		k.mu.Unlock()
-		pause(ctx, time.Duration(rand.Int64N(int64(10*time.Millisecond)<<min(try, 4))))
-	case ballot.Lost:
+		pause(ctx, ballot.Wait(rand.Int64N, try))
+	case ballot.Lost, ballot.Held:
 		for _, id := range r.BehindAt { // they lack what was chosen before: it was told, and did not reach them
 			k.bring(id, members)
 		}
@@ -331,22 +335,42 @@
 	return decodeAnswer(b)
 }
 
-// tell tells the members what was chosen. Who does not hear it finds out.
-func (k *keeper) tell(place uint64, value []byte, members []chain.Member) {
-	b := encodePlace(place, value)
+// tell tells the members what was chosen: those that have accepted it under which number, the others the value, which may be
+// large. Who does not hear it finds out.
+func (k *keeper) tell(r *ballot.Round, members []chain.Member) {
+	named, whole := encodeChosen(r.Place, r.Number), encodePlace(r.Place, r.Value)
 	for _, m := range members {
 		to, err := netip.ParseAddrPort(m.Addr)
 		if m.ID == k.self.ID || err != nil {
 			continue
 		}
+		kind, b := callLearn, whole
+		if r.Granted(m.ID) {
+			kind, b = callChosen, named
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), limits.NodeAsk)
 			defer cancel()
-			k.call(ctx, to, callLearn, b)
+			k.call(ctx, to, kind, b)
 		}()
 	}
 }
 
+// chosen does callChosen.
+func (k *keeper) chosen(from netip.Addr, place uint64, n ballot.Number) {
+	var value []byte
+	k.mu.Lock()
+	if v := &k.acc.Vote; v.Place == place && v.Accepted == n {
+		value = v.Value
+	}
+	known := place < k.state.Next
+	k.mu.Unlock()
+	if known {
+		return
+	}
+	k.told(from, place, value)
+}
+
 // bring brings a member up that is behind: it is told where the state is, and takes it.
 func (k *keeper) bring(id uint64, members []chain.Member) {
 	for _, m := range members {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -458,6 +458,13 @@
 		}
 		go k.told(from, place, append([]byte(nil), value...))
 		return nil, nil
+	case callChosen:
+		place, number, err := decodeChosen(body)
+		if err != nil {
+			return nil, err
+		}
+		go k.chosen(from, place, number)
+		return nil, nil
 	case callState:
 		place, _, err := decodePlace(body)
 		if err != nil {
