Word that an engine goes on is a sign of life; routers that no keeper hears say so

Cause: after a keeper was not heard for some seconds, engines were held for silent once with each call, for good: word that they go on came before the sign of life of the same call, which then was no news. Change: such word counts as heard now; a known call's sign moves when it was heard; a router none of whose keepers answers takes a call in and answers 503. Copies of a chain's state stay as they are (usage windows were sorted in place under who had read them). Tests: TestOthersSaySoOfSilence, TestCopiesStayAsTheyAre.

--- a/internal/control/chain/chain.go
+++ b/internal/control/chain/chain.go
@@ -144,7 +144,7 @@
 	Digest   declared.Digest
 }
 
-// State is what the entries up to Next add up to.
+// State is what the entries up to Next add up to. A copy stays as it is, whatever is applied to the other.
 type State struct {
 	Next        uint64 // the first place that is not in it
 	Members     []Member
@@ -190,21 +190,17 @@
 			return
 		}
 		s.Text, s.Revision, s.Digest, s.ConfigPlace = e.Text, c.Revision, digest, s.Next-1
-		s.History = append(s.History, Taken{c.Revision, digest})
-		if len(s.History) > keptHistory {
-			s.History = slices.Clone(s.History[len(s.History)-keptHistory:])
-		}
+		s.History = append(slices.Clone(s.History), Taken{c.Revision, digest})
+		s.History = s.History[max(len(s.History)-keptHistory, 0):]
 	case Holder:
 		s.Holder, s.HolderName, s.HolderPlace = e.Node, e.Name, s.Next-1
 	case Usage:
 		if s.Agreed(e.Window) != nil || len(s.Windows) > 0 && e.Window < s.Windows[0].Number {
 			return // the first figure stands
 		}
-		s.Windows = append(s.Windows, Window{e.Window, e.Counts})
+		s.Windows = append(slices.Clone(s.Windows), Window{e.Window, e.Counts})
 		slices.SortFunc(s.Windows, func(x, y Window) int { return cmp.Compare(x.Number, y.Number) })
-		if len(s.Windows) > keptWindows {
-			s.Windows = slices.Clone(s.Windows[len(s.Windows)-keptWindows:])
-		}
+		s.Windows = s.Windows[max(len(s.Windows)-keptWindows, 0):]
 	}
 }
 
--- a/internal/control/chain/chain_test.go
+++ b/internal/control/chain/chain_test.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -86,3 +87,23 @@
 		DecodeState(b)
 	})
 }
+
+// TestCopiesStayAsTheyAre: a state is handed out as a copy while it goes on.
+func TestCopiesStayAsTheyAre(t *testing.T) {
+	s := State{}
+	apply := func(e Entry) { s.Apply(e.Encode()) }
+	for _, window := range []uint64{9, 5, 7, 3} {
+		before := s
+		numbers := func() (all []uint64) {
+			for _, w := range before.Windows {
+				all = append(all, w.Number)
+			}
+			return all
+		}
+		want := fmt.Sprint(numbers())
+		apply(Entry{Kind: Usage, Window: window, Counts: []Count{{"k", window}}})
+		if got := fmt.Sprint(numbers()); got != want {
+			t.Errorf("windows of a copy were %s, and are %s", want, got)
+		}
+	}
+}
--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -216,8 +217,8 @@
 }
 
 func (n *Node) due() {
-	for id, p := range n.waiting {
-		if n.now >= p.until {
+	for _, id := range slices.Sorted(maps.Keys(n.waiting)) {
+		if p := n.waiting[id]; n.now >= p.until {
 			n.urge(id, p)
 		}
 	}
--- a/internal/control/news/news.go
+++ b/internal/control/news/news.go
@@ -74,7 +74,7 @@
 // Errors of answers. The caller goes on to another router.
 var (
 	ErrUnheard = errors.New("no others have heard it in time")
-	ErrAlone   = errors.New("this keeper is out of touch with the others")
+	ErrAlone   = errors.New("out of touch with the keepers")
 	ErrFull    = errors.New("too many engines are known here")
 )
 
@@ -231,7 +231,7 @@
 
 // hush takes in others' word that an engine is silent, or is not. Who knows better says so.
 func (n *Node) hush(id string, version uint64) {
-	n.dirty = n.Roster.Hush(id, version>>1, version&1 > 0) || n.dirty
+	n.dirty = n.Roster.Hush(n.now, id, version>>1, version&1 > 0) || n.dirty
 	if e := n.Roster.Find(id); e != nil && version&1 > 0 && e.Newest > version>>1 && !e.Silent && e.State != roster.Gone {
 		n.publish(silentItem(id, e.Newest, false))
 	}
@@ -271,6 +271,8 @@
 	switch e := n.Roster.Find(r.ID); {
 	case e == nil:
 		n.out = append(n.out, Answer{Of: b.Of, Err: ErrFull})
+	case r.State == roster.Ready && n.alone(): // what it says is news all the same, but nobody who judges hears that it lives
+		n.out = append(n.out, Answer{Of: b.Of, Err: ErrAlone})
 	case r.State != roster.Ready && e.State != roster.Ready:
 		n.assure(&e.Record, b.Of)
 	default:
@@ -278,6 +280,11 @@
 	}
 }
 
+// alone tells whether this router knows of keepers and none of them answers.
+func (n *Node) alone() bool {
+	return n.self.Flags&gossip.Keeper == 0 && len(n.Gossip.Keepers()) > 0 && len(n.Gossip.Answering()) == 0
+}
+
 // signOff takes an engine's last call in.
 func (n *Node) signOff(s SignOff) {
 	if _, ok := n.Gossip.InTouch(); !ok {
--- a/internal/control/roster/roster.go
+++ b/internal/control/roster/roster.go
@@ -198,19 +198,27 @@
 
 // Hush takes others' word in that an engine's calls have stopped after its call number calls, or go on. It tells whether
 // that changes anything.
-func (s *Roster) Hush(id string, calls uint64, silent bool) bool {
+func (s *Roster) Hush(now time.Duration, id string, calls uint64, silent bool) bool {
 	e := s.byID[id]
-	if e == nil || e.State == Gone || calls < e.Newest || silent == e.Silent {
+	if e == nil || e.State == Gone || calls < e.Newest {
 		return false
 	}
+	was := e.Silent
+	if !silent && calls > e.Newest { // word that it goes on is a sign of life, and may come before that itself
+		s.heard(now, e, calls, 0)
+	}
 	e.Newest, e.Silent = calls, silent
-	return true
+	return silent != was
 }
 
 // Alive takes a sign of life in: an engine's call number calls was heard age ago. It tells whether that is new.
 func (s *Roster) Alive(now time.Duration, id string, calls uint64, age time.Duration) bool {
 	e := s.byID[id]
-	if e == nil || e.State == Gone || calls <= e.Newest {
+	if e == nil || e.State == Gone || calls < e.Newest {
+		return false
+	}
+	if calls == e.Newest { // others' word of this call may have come before it
+		e.Heard = max(e.Heard, now-age)
 		return false
 	}
 	s.heard(now, e, calls, age)
--- a/internal/control/roster/roster_test.go
+++ b/internal/control/roster/roster_test.go
@@ -168,13 +168,20 @@
 func TestOthersSaySoOfSilence(t *testing.T) {
 	r := New(5 * sec)
 	r.Beat(0, rec("a", 3, Ready), 0)
-	if r.Hush("a", 2, true) || !r.Hush("a", 3, true) || len(r.Engines("s")) != 0 || r.Hush("a", 3, true) {
+	if r.Hush(sec, "a", 2, true) || !r.Hush(sec, "a", 3, true) || len(r.Engines("s")) != 0 || r.Hush(sec, "a", 3, true) {
 		t.Error("word of a silence after a call that is not the newest counts, or of the newest does not")
 	}
-	if !r.Hush("a", 4, false) || len(r.Engines("s")) != 1 {
+	if !r.Hush(sec, "a", 4, false) || len(r.Engines("s")) != 1 {
 		t.Error("word that it goes on does not count")
 	}
-	if r.Hush("a", 3, true) || r.Hush("never", 1, true) {
+	// Word that it goes on comes before the sign of life of that call, at one who has not heard it for long: it is heard now.
+	if r.Hush(9*sec, "a", 5, false); r.Find("a").Heard != 9*sec {
+		t.Errorf("heard at %v", r.Find("a").Heard)
+	}
+	if r.Alive(10*sec, "a", 5, sec/2) || r.Find("a").Heard != 10*sec-sec/2 {
+		t.Errorf("the sign of life itself: heard at %v", r.Find("a").Heard)
+	}
+	if r.Hush(sec, "a", 3, true) || r.Hush(sec, "never", 1, true) {
 		t.Error("old word counts, or of one that is not known")
 	}
 }
