The keeper's part in the state is a reducer: internal/control/core

Need: the control plane in simulated time drives the very text that runs in service; a keeper's was goroutines that wait under a lock, in internal/node. Moved: votes, proposals, reading, founding, catching up, members, operators' calls, and the format of their calls. The node keeps lock, disk, clock and calls. What is said leaves after the write that it follows from, as before; a disk that was closed at the process's end is not opened again by who is still at work. Tests: TestNothingIsSaidBeforeTheDiskHasIt, TestOperatorsAreAnsweredInTime, and those of the node as they were.

--- /dev/null
+++ b/internal/control/core/core.go
@@ -0,0 +1,426 @@
+// Package core owns a keeper's part in the state that the fleet agrees on: it votes, proposes, finds out what others have
+// chosen, founds the core at the first start, has members taken in and out, and answers what operators ask of the state. It
+// is a reducer: given a clock, a seed and what its effects have come to, the same events have the same effects. Calls to
+// others, the disk and the log are its owner's; what it says to others leaves only once the disk has what must be on it.
+package core
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/deadline"
+	"notchhinge/internal/limits"
+)
+
+// Event is something that happened.
+type Event any
+
+type (
+	// Called: another process calls; a Reply comes back with Of. From is where it called from.
+	Called struct {
+		Kind uint8
+		Body []byte
+		From netip.Addr
+		Of   any
+	}
+	// Returned: a Call has come back, or has not in its time.
+	Returned struct {
+		ID   uint64
+		Body []byte
+		Err  error
+	}
+	// Wrote: a Write is durable, or the disk has refused it.
+	Wrote struct {
+		ID uint64
+		OK bool
+	}
+	// Tick: something may be due.
+	Tick struct{}
+	// Put, Get, History and Dismiss are the operator's; Answered comes back with Of, until a time.
+	Put struct {
+		On    uint64
+		Text  []byte
+		Of    any
+		Until time.Duration
+	}
+	Get struct {
+		Of    any
+		Until time.Duration
+	}
+	History struct {
+		Of    any
+		Until time.Duration
+	}
+	Dismiss struct {
+		Name  string
+		Of    any
+		Until time.Duration
+	}
+	// Propose has what Want returns chosen, until it returns nil, having been given the newest state that is known here.
+	// Proposed comes back with Of, until a time.
+	Propose struct {
+		Want  func(*chain.State) []byte
+		Of    any
+		Until time.Duration
+	}
+)
+
+// Effect is something to be done.
+type Effect any
+
+type (
+	// Call another process; Returned comes back with ID, within a time.
+	Call struct {
+		ID     uint64
+		To     netip.AddrPort
+		Kind   uint8
+		Body   []byte
+		Within time.Duration
+	}
+	// Reply to one that has Called.
+	Reply struct {
+		Of   any
+		Body []byte
+		Err  error
+	}
+	// Write to the disk, synced, in the order of effects; Wrote comes back with ID before any other event. With Whole it is the
+	// state in place of all before it; else with Value what was chosen, which has led to State; else the vote. After a
+	// write that has failed the disk is told all again, for which State and Vote are what stands.
+	Write struct {
+		ID    uint64
+		Whole bool
+		Value []byte
+		State *chain.State
+		Vote  ballot.Vote
+	}
+	// Answered answers the operator.
+	Answered struct {
+		Of any
+		api.Result
+	}
+	// Proposed: what was wanted is settled, or could not be.
+	Proposed struct {
+		Of  any
+		Err error
+	}
+	// Changed: the state is another.
+	Changed struct{ State chain.State }
+	// Log a line.
+	Log struct {
+		Level slog.Level
+		Line  string
+		Args  []any
+	}
+)
+
+// Errors of proposals.
+var (
+	ErrNoCore = errors.New("no core has been founded yet")
+	ErrTime   = errors.New("it could not be settled in time")
+	ErrHeld   = errors.New("the members must not accept it at present")
+	errDisk   = errors.New("the disk does not take what is written")
+	errBehind = errors.New("it has not caught up")
+	errKind   = errors.New("no call of the state's")
+)
+
+// Config is what a keeper is told.
+type Config struct {
+	Self    chain.Member
+	Founder bool // its disk was empty at the system's very first start
+	Least   int  // founders at the least
+	Life    uint64
+	Seed    uint64
+	State   chain.State // as its disk has it
+	Vote    ballot.Vote
+	// Others are the keepers that are known, itself not among them.
+	Others func() []netip.AddrPort
+	// Chosen returns the value of a place that the disk still has.
+	Chosen func(place uint64) ([]byte, bool)
+}
+
+// Node is a keeper's part. It is not safe for concurrent use.
+type Node struct {
+	Config
+	state  chain.State
+	acc    ballot.Acceptor
+	voting uint64 // the write of the newest vote; 0 = it is on the disk
+	round  uint64 // the highest seen
+	rnd    *rand.Rand
+	now    time.Duration
+	timers *deadline.Queue[func()]
+	calls  map[uint64]func(body []byte, err error)
+	writes map[uint64]func(ok bool)
+	id     uint64
+	queue  []*proposal // the first one is being proposed
+	tend   tending
+	log    logger
+	out    []Effect
+}
+
+// New returns a keeper's part with what its disk has.
+func New(c Config) *Node {
+	n := &Node{
+		Config: c, state: c.State, rnd: rand.New(rand.NewPCG(c.Seed, c.Life)), timers: deadline.New[func()](), round: c.Vote.Promised.Round,
+		calls: map[uint64]func([]byte, error){}, writes: map[uint64]func(bool){},
+	}
+	n.log.n = n
+	n.acc = ballot.Acceptor{Vote: c.Vote, Chosen: c.Chosen}
+	n.follow()
+	n.timers.Add(0, n.startTending)
+	return n
+}
+
+// Bars sets what must not be accepted at present.
+func (n *Node) Bars(f func(value []byte) bool) { n.acc.Bars = f }
+
+// State returns the state as it is known here.
+func (n *Node) State() chain.State { return n.state }
+
+// Vote returns the vote as it stands.
+func (n *Node) Vote() ballot.Vote { return n.acc.Vote }
+
+// Next tells when the node wants a Tick.
+func (n *Node) Next() (at time.Duration, ok bool) { return n.timers.Next() }
+
+// Reduce takes an event in. The effects are valid until the next call.
+func (n *Node) Reduce(now time.Duration, e Event) []Effect {
+	n.now = max(n.now, now)
+	clear(n.out)
+	n.out = n.out[:0]
+	switch e := e.(type) {
+	case Called:
+		n.called(e)
+	case Returned:
+		if f := n.calls[e.ID]; f != nil {
+			delete(n.calls, e.ID)
+			f(e.Body, e.Err)
+		}
+	case Wrote:
+		if f := n.writes[e.ID]; f != nil {
+			delete(n.writes, e.ID)
+			f(e.OK)
+		}
+	case Put:
+		n.put(e)
+	case Get:
+		n.get(e)
+	case History:
+		n.history(e)
+	case Dismiss:
+		n.dismiss(e)
+	case Propose:
+		n.propose(e.Want, e.Until, func(err error) { n.do(Proposed{e.Of, err}) })
+	}
+	for f, ok := n.timers.Due(n.now); ok; f, ok = n.timers.Due(n.now) {
+		f()
+	}
+	return n.out
+}
+
+func (n *Node) do(e Effect) { n.out = append(n.out, e) }
+
+// after has something done later.
+func (n *Node) after(d time.Duration, f func()) { n.timers.Add(n.now+d, f) }
+
+// call calls another process.
+func (n *Node) call(to netip.AddrPort, kind uint8, body []byte, within time.Duration, then func(body []byte, err error)) {
+	n.id++
+	if then != nil {
+		n.calls[n.id] = then
+	}
+	n.do(Call{n.id, to, kind, body, within})
+}
+
+// write has something written, and goes on once it is durable or refused.
+func (n *Node) write(w Write, then func(ok bool)) {
+	n.id++
+	w.ID, w.Vote = n.id, n.acc.Vote
+	state := n.state
+	if w.State == nil {
+		w.State = &state
+	}
+	if then != nil {
+		n.writes[n.id] = then
+	}
+	n.do(w)
+}
+
+// logger makes lines effects.
+type logger struct{ n *Node }
+
+func (l logger) Info(line string, args ...any) { l.n.do(Log{slog.LevelInfo, line, args}) }
+func (l logger) Warn(line string, args ...any) { l.n.do(Log{slog.LevelWarn, line, args}) }
+
+// called does what another process calls for.
+func (n *Node) called(c Called) {
+	reply := func(body []byte, err error) { n.do(Reply{c.Of, body, err}) }
+	switch c.Kind {
+	case CallAsk:
+		a, err := decodeAsk(c.Body)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		n.vote(a, func(ans ballot.Answer, err error) {
+			if err != nil {
+				reply(nil, err)
+				return
+			}
+			reply(encodeAnswer(&ans), nil)
+		})
+	case CallLearn:
+		place, value, err := DecodePlace(c.Body)
+		if reply(nil, err); err == nil {
+			n.told(c.From, place, value)
+		}
+	case CallChosen:
+		place, number, err := decodeChosen(c.Body)
+		if reply(nil, err); err == nil {
+			n.chosen(c.From, place, number)
+		}
+	case CallState:
+		place, _, err := DecodePlace(c.Body)
+		if err != nil || n.state.Next <= place {
+			reply(nil, err)
+			return
+		}
+		reply(n.state.Encode(), nil)
+	case CallIdentity:
+		i := identity{n.Self, n.state.Next, n.Founder}
+		reply(i.encode(), nil)
+	case CallJoin:
+		i, err := decodeIdentity(c.Body)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		n.admit(i, func(err error) { reply(nil, err) })
+	default:
+		reply(nil, errKind)
+	}
+}
+
+// follow brings the acceptor up to the state.
+func (n *Node) follow() {
+	n.acc.Next = n.state.Next
+	if n.state.Next == 0 {
+		n.acc.Voter = n.Founder
+	} else {
+		n.acc.Voter = n.state.Member(n.Self.ID) != nil
+	}
+}
+
+// vote answers an Ask, once what it says is on the disk. An error is no answer: the disk did not take it.
+func (n *Node) vote(a ballot.Ask, then func(ballot.Answer, error)) {
+	n.round = max(n.round, a.Number.Round)
+	ans, write := n.acc.Handle(a)
+	if !write && (n.voting == 0 || ans.Verdict != ballot.Granted) {
+		then(ans, nil)
+		return
+	}
+	n.write(Write{}, nil)
+	id := n.id
+	n.voting = id
+	n.writes[id] = func(ok bool) {
+		if !ok {
+			then(ballot.Answer{}, errDisk)
+			return
+		}
+		if n.voting == id {
+			n.voting = 0
+		}
+		then(ans, nil)
+	}
+}
+
+// learn takes the value that was chosen for a place, if that is the next.
+func (n *Node) learn(place uint64, value []byte) bool {
+	if place != n.state.Next {
+		return place < n.state.Next
+	}
+	n.state.Apply(value)
+	n.follow()
+	// Should this fail, it is chosen all the same, and is written with the next write that does not.
+	n.write(Write{Value: value}, nil)
+	n.do(Changed{n.state})
+	return true
+}
+
+// replace takes another's state, if it has come further, once it is on the disk.
+func (n *Node) replace(s *chain.State, then func()) {
+	if s.Next <= n.state.Next {
+		then()
+		return
+	}
+	n.write(Write{Whole: true, State: s}, func(ok bool) {
+		if ok && s.Next > n.state.Next {
+			n.state = *s
+			n.follow()
+			n.do(Changed{n.state})
+		}
+		then()
+	})
+}
+
+// catchUp takes the state of another, if it has come further.
+func (n *Node) catchUp(from netip.AddrPort, then func()) {
+	n.call(from, CallState, EncodePlace(n.state.Next, nil), 2*limits.NodeAsk, func(body []byte, err error) {
+		if err != nil || len(body) == 0 {
+			then()
+			return
+		}
+		s, err := chain.DecodeState(body)
+		if err != nil {
+			then()
+			return
+		}
+		before := n.state.Next
+		n.replace(s, func() {
+			if n.state.Next > before {
+				n.log.Info("caught up", "from", from.String(), "next_place", n.state.Next, "revision", n.state.Revision)
+			}
+			then()
+		})
+	})
+}
+
+// told takes in a value for the next place, or only word that there is more.
+func (n *Node) told(from netip.Addr, place uint64, value []byte) {
+	if len(value) > 0 && n.learn(place, value) {
+		return
+	}
+	for _, to := range n.Others() {
+		if to.Addr() == from {
+			n.catchUp(to, func() {})
+			return
+		}
+	}
+}
+
+// chosen takes in that what was accepted here for a place, under a number, was chosen.
+func (n *Node) chosen(from netip.Addr, place uint64, number ballot.Number) {
+	if place < n.state.Next {
+		return
+	}
+	var value []byte
+	if v := &n.acc.Vote; v.Place == place && v.Accepted == number {
+		value = v.Value
+	}
+	n.told(from, place, value)
+}
+
+// addr is where a member takes calls; false = it says nothing that can be read.
+func addr(m *chain.Member) (netip.AddrPort, bool) {
+	to, err := netip.ParseAddrPort(m.Addr)
+	return to, err == nil
+}
+
+// member names a member in the log.
+func member(id uint64) string { return fmt.Sprintf("%016x", id) }
--- /dev/null
+++ b/internal/control/core/core_test.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+)
+
+func keeper(voter bool) *Node {
+	self := chain.Member{ID: 1, Name: "k-1", Addr: "10.0.0.1:7000"}
+	c := Config{Self: self, Least: 1, Life: 9, Others: func() []netip.AddrPort { return nil }, Chosen: func(uint64) ([]byte, bool) { return nil, false }}
+	c.State = chain.State{Next: 1, Members: []chain.Member{self}}
+	if !voter {
+		c.State.Members = []chain.Member{{ID: 2, Name: "k-2", Addr: "10.0.0.2:7000"}}
+	}
+	return New(c)
+}
+
+// replies plays an event, and answers writes as told until nothing more follows.
+func replies(n *Node, now time.Duration, e Event, ok bool) (all []Effect, writes int) {
+	effects := append([]Effect(nil), n.Reduce(now, e)...)
+	for ; len(effects) > 0; effects = effects[1:] {
+		switch f := effects[0].(type) {
+		case Write:
+			writes++
+			effects = append(effects, n.Reduce(now, Wrote{f.ID, ok})...)
+		case Reply, Answered, Proposed:
+			all = append(all, f)
+		}
+	}
+	return all, writes
+}
+
+// TestNothingIsSaidBeforeTheDiskHasIt: a vote's answer leaves once it is durable, and not at all where the disk refuses; what
+// is granted later writes it once more.
+func TestNothingIsSaidBeforeTheDiskHasIt(t *testing.T) {
+	n := keeper(true)
+	ask := func(round uint64) Called {
+		return Called{Kind: CallAsk, Body: encodeAsk(&ballot.Ask{Kind: ballot.Prepare, Place: 1, Number: ballot.Number{Round: round, Node: 5}})}
+	}
+	n.Reduce(time.Second, Tick{})
+	for _, f := range n.Reduce(time.Second, ask(3)) {
+		if r, said := f.(Reply); said {
+			t.Errorf("said before it is on the disk: %+v", r)
+		}
+	}
+	n = keeper(true)
+	said, _ := replies(n, time.Second, ask(3), false)
+	if len(said) != 1 || said[0].(Reply).Err == nil {
+		t.Errorf("the disk has refused it: %+v", said)
+	}
+	said, writes := replies(n, time.Second, ask(3), true) // the same again: granted already in memory
+	if len(said) != 1 || said[0].(Reply).Err != nil || writes != 1 {
+		t.Errorf("once the disk takes it: %+v, %d writes", said, writes)
+	}
+	if _, writes = replies(n, time.Second, ask(3), true); writes != 0 {
+		t.Errorf("%d writes of what it has", writes)
+	}
+}
+
+// TestOperatorsAreAnsweredInTime: whoever is out of reach, each call has its answer by its time.
+func TestOperatorsAreAnsweredInTime(t *testing.T) {
+	n := keeper(false) // it holds the state, has no vote, and the one that has does not answer
+	text := []byte("\xa3\x68revision\x05\x66routes\x80\x68services\x80")
+	n.Reduce(time.Second, Put{Text: text, Of: "put", Until: 2 * time.Second})
+	n.Reduce(time.Second, Get{Of: "get", Until: 2 * time.Second})
+	answered := map[any]api.Result{}
+	for now := time.Second; now <= 2*time.Second+100*time.Millisecond; now += 10 * time.Millisecond {
+		for _, f := range append([]Effect(nil), n.Reduce(now, Tick{})...) {
+			switch f := f.(type) {
+			case Call:
+				n.Reduce(now, Returned{ID: f.ID, Err: errDisk})
+			case Answered:
+				answered[f.Of] = f.Result
+			}
+		}
+	}
+	if answered["put"].Status != 503 || answered["get"].Status != 503 {
+		t.Errorf("%+v", answered)
+	}
+	n = keeper(true)
+	said, _ := replies(n, time.Second, Put{Text: text, Of: "put", Until: 2 * time.Second}, true)
+	if len(said) != 1 || said[0].(Answered).Status != 200 || n.State().Revision != 5 {
+		t.Errorf("%+v", said)
+	}
+	for says, c := range map[int]Put{200: {Text: text}, 412: {On: 3, Text: []byte("\xa3\x68revision\x07\x66routes\x80\x68services\x80")},
+		400: {On: 5, Text: []byte("\xa3\x68revision\x04\x66routes\x80\x68services\x80")}} {
+		c.Until = 3 * time.Second
+		if said, _ := replies(n, 2*time.Second, c, true); len(said) != 1 || said[0].(Answered).Status != says {
+			t.Errorf("%d is wanted: %+v", says, said)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/core/propose.go
@@ -0,0 +1,303 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/deadline"
+	"notchhinge/internal/limits"
+)
+
+// proposal is something that is wanted chosen. One at a time is proposed here.
+type proposal struct {
+	want func(*chain.State) []byte
+	done func(error)
+	key  deadline.Key
+	try  int
+	over bool
+	last *attempt
+}
+
+// propose has entries chosen until want says that it is done, and tells how that went.
+func (n *Node) propose(want func(*chain.State) []byte, until time.Duration, done func(error)) {
+	p := &proposal{want: want, done: done}
+	p.key = n.timers.Add(max(until, n.now+1), func() {
+		if a := p.last; a != nil {
+			n.log.Warn("a place is not settled in time", "place", a.Place, "tries", p.try, "outcome", int(a.out), "number", a.Number.Round,
+				"higher", a.Higher.Round, "accepting", a.Accepting(), "behind", len(a.BehindAt))
+		}
+		n.finish(p, ErrTime)
+	})
+	if n.queue = append(n.queue, p); len(n.queue) == 1 {
+		n.step(p)
+	}
+}
+
+// finish ends a proposal, and begins the next.
+func (n *Node) finish(p *proposal, err error) {
+	if p.over {
+		return
+	}
+	p.over = true
+	n.timers.Remove(p.key)
+	head := n.queue[0] == p
+	kept := n.queue[:0]
+	for _, q := range n.queue {
+		if q != p {
+			kept = append(kept, q)
+		}
+	}
+	n.queue = kept
+	p.done(err)
+	if head && len(n.queue) > 0 {
+		n.step(n.queue[0])
+	}
+}
+
+// step makes the next attempt of a proposal, if it needs one.
+func (n *Node) step(p *proposal) {
+	if p.over {
+		return
+	}
+	if n.state.Next == 0 {
+		n.finish(p, ErrNoCore)
+		return
+	}
+	state := n.state
+	own := p.want(&state)
+	if own == nil {
+		n.finish(p, nil)
+		return
+	}
+	r := ballot.Round{Place: state.Next, Own: own, Need: ballot.Majority(len(state.Members))}
+	for _, m := range state.Members {
+		r.Members = append(r.Members, m.ID)
+	}
+	p.try++
+	p.last = n.attempt(r, state.Members, p.try-1, func(a *attempt) {
+		if a.out == ballot.Held && a.Round.Accepted == (ballot.Number{}) { // its own; another's that it has found may pass elsewhere
+			n.finish(p, ErrHeld)
+			return
+		}
+		n.step(p) // it sees in the state what has come of it
+	})
+}
+
+// attempt is one attempt at a place, under one number.
+type attempt struct {
+	ballot.Round
+	members []chain.Member
+	out     ballot.Outcome
+	then    func(*attempt)
+	try     int
+}
+
+// attempt begins one, does what follows from how it went, and then goes on.
+func (n *Node) attempt(r ballot.Round, members []chain.Member, try int, then func(*attempt)) *attempt {
+	n.round++
+	a := &attempt{Round: r, members: members, then: then, try: try}
+	a.Number = ballot.Number{Round: n.round, Node: n.Life}
+	n.phase(a, a.Begin())
+	return a
+}
+
+// phase sends what is asked to every member, itself last.
+func (n *Node) phase(a *attempt, ask ballot.Ask) {
+	accepting := ask.Kind == ballot.Accept
+	own := -1
+	text := encodeAsk(&ask)
+	for i := range a.members {
+		m := &a.members[i]
+		to, ok := addr(m)
+		switch {
+		case m.ID == n.Self.ID:
+			own = i
+		case !ok:
+			n.reply(a, m, accepting, ballot.Answer{}, false)
+		default:
+			n.call(to, CallAsk, text, limits.NodeAsk, func(body []byte, err error) {
+				var ans ballot.Answer
+				if err == nil {
+					ans, err = decodeAnswer(body)
+				}
+				n.reply(a, m, accepting, ans, err == nil)
+			})
+		}
+	}
+	if own >= 0 {
+		n.vote(ask, func(ans ballot.Answer, err error) { n.reply(a, &a.members[own], accepting, ans, err == nil) })
+	}
+}
+
+// reply takes in what a member has answered, or that it has not.
+func (n *Node) reply(a *attempt, m *chain.Member, accepting bool, ans ballot.Answer, ok bool) {
+	if a.out != ballot.Pending {
+		return
+	}
+	var next *ballot.Ask
+	out := ballot.Pending
+	if ok {
+		next, out = a.Take(m.ID, accepting, ans)
+	} else {
+		out = a.Fail(m.ID, accepting)
+	}
+	if next != nil {
+		n.phase(a, *next)
+	}
+	if out != ballot.Pending && a.out == ballot.Pending {
+		a.out = out
+		n.ended(a, m)
+	}
+}
+
+// ended does what follows from how an attempt went; from is who has answered last.
+func (n *Node) ended(a *attempt, from *chain.Member) {
+	next := func() { a.then(a) }
+	switch a.out {
+	case ballot.Chosen:
+		n.learn(a.Place, a.Value)
+		n.tell(a)
+		next()
+	case ballot.Past:
+		if a.Value != nil && n.learn(a.Place, a.Value) && a.Next <= a.Place+1 {
+			next()
+			return
+		}
+		if to, ok := addr(from); ok {
+			n.catchUp(to, next)
+			return
+		}
+		n.after(20*time.Millisecond, next)
+	case ballot.Overtaken:
+		n.round = max(n.round, a.Higher.Round)
+		n.after(ballot.Wait(n.rnd.Int64N, a.try), next)
+	default:
+		for _, id := range a.BehindAt { // they lack what was chosen before: it was told, and did not reach them
+			n.bring(id, a.members)
+		}
+		n.after(20*time.Millisecond+time.Duration(n.rnd.Int64N(int64(40*time.Millisecond))), next)
+	}
+}
+
+// tell tells the members what was chosen: those that have accepted it under which number, the others the value, which may be
+// large. Who does not hear it finds out.
+func (n *Node) tell(a *attempt) {
+	named, whole := encodeChosen(a.Place, a.Number), EncodePlace(a.Place, a.Value)
+	for i := range a.members {
+		m := &a.members[i]
+		to, ok := addr(m)
+		if m.ID == n.Self.ID || !ok {
+			continue
+		}
+		kind, b := CallLearn, whole
+		if a.Granted(m.ID) {
+			kind, b = CallChosen, named
+		}
+		n.call(to, kind, b, limits.NodeAsk, nil)
+	}
+}
+
+// bring brings a member up that is behind: it is told where the state is, and takes it.
+func (n *Node) bring(id uint64, members []chain.Member) {
+	for i := range members {
+		if to, ok := addr(&members[i]); ok && members[i].ID == id && id != n.Self.ID {
+			n.call(to, CallLearn, EncodePlace(n.state.Next, nil), limits.NodeAsk, nil)
+		}
+	}
+}
+
+// settle makes sure that the state here is no older than anything that was acknowledged before it was called.
+func (n *Node) settle(until time.Duration, done func(error)) {
+	ended := false
+	var key deadline.Key
+	then := func(err error) {
+		if !ended {
+			ended = true
+			n.timers.Remove(key)
+			done(err)
+		}
+	}
+	key = n.timers.Add(max(until, n.now+1), func() { then(ErrTime) })
+	var look func()
+	again := func(d time.Duration) { n.after(d, look) }
+	look = func() {
+		state := n.state
+		if ended {
+			return
+		}
+		if state.Next == 0 {
+			then(ErrNoCore)
+			return
+		}
+		good, left, open, over := 0, len(state.Members), false, false
+		next := state.Next
+		var best netip.AddrPort
+		heard := func(m *chain.Member, ans ballot.Answer, ok bool) {
+			if left--; over {
+				return
+			}
+			if ok {
+				good++
+				if ans.Next > next {
+					next, open = ans.Next, false
+					best, _ = addr(m)
+				}
+				open = open || ans.Next == next && ans.Accepted != (ballot.Number{})
+			}
+			enough := good >= ballot.Majority(len(state.Members))
+			if over = enough || left == 0; !over {
+				return
+			}
+			switch {
+			case !enough:
+				again(50 * time.Millisecond)
+			case next > state.Next:
+				n.catchUp(best, func() {
+					if n.state.Next >= next {
+						look()
+						return
+					}
+					again(20 * time.Millisecond)
+				})
+			case open:
+				// Something was accepted for the place that is open, and may have been chosen: it is brought to its end.
+				nothing := (&chain.Entry{Kind: chain.Nothing, Nonce: n.rnd.Uint64()}).Encode()
+				n.propose(func(now *chain.State) []byte {
+					if now.Next > state.Next {
+						return nil
+					}
+					return nothing
+				}, until, then)
+			default:
+				then(nil)
+			}
+		}
+		own := false
+		for i := range state.Members {
+			m := &state.Members[i]
+			to, ok := addr(m)
+			switch {
+			case m.ID == n.Self.ID:
+				own = true
+			case !ok:
+				heard(m, ballot.Answer{}, false)
+			default:
+				query := encodeAsk(&ballot.Ask{Kind: ballot.Query})
+				n.call(to, CallAsk, query, limits.NodeAsk, func(body []byte, err error) {
+					var ans ballot.Answer
+					if err == nil {
+						ans, err = decodeAnswer(body)
+					}
+					heard(m, ans, err == nil)
+				})
+			}
+		}
+		if own {
+			ans, _ := n.acc.Handle(ballot.Ask{Kind: ballot.Query})
+			heard(&n.Self, ans, true)
+		}
+	}
+	look()
+}
--- /dev/null
+++ b/internal/control/core/tend.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/limits"
+)
+
+const (
+	mostVoters   = limits.NodeMembers
+	settleWithin = limits.NodeSettle
+	foundWithin  = 3 * time.Second // one set of founders; and so long only the first of them tries
+)
+
+// tending is what a keeper does unasked: it founds the core at the first start, and looks now and then whether others have
+// come further.
+type tending struct {
+	began   time.Duration
+	known   int           // founders
+	stable  time.Duration // since when they are so many
+	founded time.Duration // a founding goes on until then
+}
+
+func (n *Node) startTending() {
+	n.tend.began, n.tend.stable = n.now, n.now
+	n.look()
+}
+
+// look waits for the next look, and has it.
+func (n *Node) look() {
+	state := &n.state
+	switch {
+	case state.Next == 0 && n.Founder:
+		n.after(limits.NodeFounding, n.gather)
+	case state.Next == 0:
+		n.after(limits.NodeFounding, n.lookAtOne)
+	case state.Member(n.Self.ID) == nil:
+		n.after(limits.NodeJoin, n.lookAtOne)
+	default:
+		n.after(limits.NodeCatchUp, n.lookAtOne)
+	}
+}
+
+// who asks a keeper who it is.
+func (n *Node) who(to netip.AddrPort, then func(i identity, ok bool)) {
+	n.call(to, CallIdentity, nil, limits.NodeAsk, func(body []byte, err error) {
+		var i identity
+		if err == nil {
+			i, err = decodeIdentity(body)
+		}
+		then(i, err == nil)
+	})
+}
+
+// lookAtOne looks whether another has come further, and asks it to be taken in where this one is no member.
+func (n *Node) lookAtOne() {
+	all := n.Others()
+	if len(all) == 0 {
+		n.look()
+		return
+	}
+	to := all[n.rnd.IntN(len(all))]
+	n.who(to, func(i identity, ok bool) {
+		then := func() {
+			if n.state.Next > 0 && n.state.Member(n.Self.ID) == nil {
+				n.join(to)
+				return
+			}
+			n.look()
+		}
+		if ok && i.next > n.state.Next {
+			n.catchUp(to, then)
+			return
+		}
+		then()
+	})
+}
+
+// join asks a keeper to have this one taken in as a member. What it was before, with another disk, it is no more.
+func (n *Node) join(to netip.AddrPort) {
+	i := identity{n.Self, n.state.Next, n.Founder}
+	n.call(to, CallJoin, i.encode(), settleWithin, func(_ []byte, err error) {
+		if err != nil {
+			n.log.Info("not taken in as a member yet", "by", to.String(), "err", err)
+		}
+		n.look()
+	})
+}
+
+// gather finds out who the founders are.
+func (n *Node) gather() {
+	others := n.Others()
+	founders := []chain.Member{n.Self}
+	left := len(others)
+	if left == 0 {
+		n.consider(founders)
+		return
+	}
+	for _, to := range others {
+		n.who(to, func(i identity, ok bool) {
+			switch {
+			case !ok:
+			case i.next > 0:
+				n.catchUp(to, func() {})
+			case i.founder:
+				founders = append(founders, i.Member)
+			}
+			if left--; left == 0 {
+				n.consider(founders)
+			}
+		})
+	}
+}
+
+// consider has those founders found that are there, if they are as many as are wanted and no further one has come for a while.
+func (n *Node) consider(founders []chain.Member) {
+	t := &n.tend
+	if len(founders) != t.known {
+		t.known, t.stable = len(founders), n.now
+	}
+	slices.SortFunc(founders, func(x, y chain.Member) int { return cmp.Compare(x.Name, y.Name) })
+	first := founders[0].ID == n.Self.ID || n.now-t.began > foundWithin
+	if len(founders) < n.Least || n.now-t.stable < limits.NodeStable || !first || n.state.Next > 0 {
+		n.look()
+		return
+	}
+	t.founded = n.now + foundWithin
+	n.found(founders, 0)
+}
+
+// found has the founders agree that they are. All of them must accept, so that no other set can be founded: two sets of
+// 2f+1 share a founder as long as there are fewer than 4f+2.
+func (n *Node) found(founders []chain.Member, try int) {
+	if n.state.Next > 0 || n.now >= n.tend.founded {
+		n.look()
+		return
+	}
+	own := (&chain.Entry{Kind: chain.Members, Nonce: n.rnd.Uint64(), Members: founders}).Encode()
+	r := ballot.Round{Place: 0, Own: own, Need: len(founders)}
+	for _, m := range founders {
+		r.Members = append(r.Members, m.ID)
+	}
+	// What one of them has accepted before may be of another set, whose members must then all accept it.
+	r.Fits = func(value []byte) bool {
+		e, err := chain.Decode(value)
+		return err == nil && slices.Equal(e.Members, founders)
+	}
+	n.attempt(r, founders, try, func(a *attempt) {
+		switch a.out {
+		case ballot.Chosen:
+			n.log.Info("the core is founded", "members", len(founders))
+		case ballot.Unfit:
+			if e, err := chain.Decode(a.Value); err == nil && e.Kind == chain.Members && len(e.Members) > 0 {
+				founders = e.Members
+			}
+		}
+		n.found(founders, try+1)
+	})
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -145,7 +145,7 @@
 	// A machine whose disk was wiped may have granted a lease before: only at the very first start there was none.
 	d.grants = duty.Grants{Lease: lease, Started: d.clock(), Fresh: n.keeper.founder && n.keeper.at().Next == 0}
 	n.keeper.mu.Lock()
-	n.keeper.acc.Bars = d.bars
+	n.keeper.core.Bars(d.bars)
 	n.keeper.mu.Unlock()
 	return d
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/core"
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/delta"
 	"notchhinge/internal/control/duty"
@@ -82,9 +83,7 @@
 	defer func() {
 		n.net.Close()
 		if k := n.keeper; k != nil {
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			k.disk.Close()
+			k.close()
 		}
 	}()
 	return n.serve(ctx, path, sig)
@@ -167,7 +166,7 @@
 		n.keeper.changed = n.changed
 		s := n.keeper.at()
 		n.changed(&s)
-		go n.keeper.tend(ctx)
+		go n.keeper.run(ctx)
 		if n.cfg.Cloud.Address != "" {
 			n.duties = newDuties(n)
 			go n.duties.run(ctx)
@@ -392,7 +391,7 @@
 	defer cancel()
 	has, had := n.texts.newest()
 	for {
-		b, err := n.net.Call(ctx, to, callFetch, encodePlace(has, nil))
+		b, err := n.net.Call(ctx, to, callFetch, core.EncodePlace(has, nil))
 		if err != nil {
 			return false
 		}
@@ -430,7 +429,7 @@
 // handle answers another process.
 func (n *Node) handle(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error) {
 	if kind == callFetch {
-		place, _, err := decodePlace(body)
+		place, _, err := core.DecodePlace(body)
 		if err != nil {
 			return nil, err
 		}
@@ -441,50 +440,10 @@
 		return nil, errNotHere
 	}
 	switch kind {
-	case callAsk:
-		a, err := decodeAsk(body)
-		if err != nil {
-			return nil, err
-		}
-		ans, err := k.vote(a)
-		if err != nil {
-			return nil, err
-		}
-		return encodeAnswer(&ans), nil
-	case callLearn:
-		place, value, err := decodePlace(body)
-		if err != nil {
-			return nil, err
-		}
-		go k.told(from, place, append([]byte(nil), value...))
-		return nil, nil
-	case callChosen:
-		place, number, err := decodeChosen(body)
-		if err != nil {
-			return nil, err
-		}
-		go k.chosen(from, place, number)
-		return nil, nil
-	case callState:
-		place, _, err := decodePlace(body)
-		if err != nil {
-			return nil, err
-		}
-		if s := k.at(); s.Next > place {
-			return s.Encode(), nil
-		}
-		return nil, nil
-	case callIdentity:
-		i := k.identity()
-		return i.encode(), nil
-	case callJoin:
-		i, err := decodeIdentity(body)
-		if err != nil {
-			return nil, err
-		}
+	case core.CallAsk, core.CallLearn, core.CallState, core.CallIdentity, core.CallJoin, core.CallChosen:
 		ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 		defer cancel()
-		return nil, k.admit(ctx, i)
+		return k.handle(ctx, kind, from, body)
 	}
 	if d := n.duties; d != nil {
 		switch kind {
@@ -550,7 +509,9 @@
 // Replace implements api.Handler.
 func (n *Node) Replace(ctx context.Context, on uint64, text []byte) api.Result {
 	began := time.Now()
-	r := n.held(ctx, func(k *keeper, ctx context.Context) api.Result { return k.put(ctx, on, text) })
+	r := n.held(ctx, func(of chan api.Result, until time.Duration) core.Event {
+		return core.Put{On: on, Text: text, Of: of, Until: until}
+	})
 	n.log.Info("configuration call", "on", on, "bytes", len(text), "status", r.Status, "says", r.Says, "revision", r.Rev,
 		"took", time.Since(began).Round(time.Millisecond).String())
 	return r
@@ -583,27 +544,29 @@
 
 // Describe implements api.Handler.
 func (n *Node) Describe(ctx context.Context) api.Result {
-	return n.held(ctx, (*keeper).get)
+	return n.held(ctx, func(of chan api.Result, until time.Duration) core.Event { return core.Get{Of: of, Until: until} })
 }
 
 // History implements api.Handler.
 func (n *Node) History(ctx context.Context) api.Result {
-	return n.held(ctx, (*keeper).history)
+	return n.held(ctx, func(of chan api.Result, until time.Duration) core.Event { return core.History{Of: of, Until: until} })
 }
 
 // Dismiss implements api.Handler.
 func (n *Node) Dismiss(ctx context.Context, name string) api.Result {
-	return n.held(ctx, func(k *keeper, ctx context.Context) api.Result { return k.dismiss(ctx, name) })
+	return n.held(ctx, func(of chan api.Result, until time.Duration) core.Event {
+		return core.Dismiss{Name: name, Of: of, Until: until}
+	})
 }
 
 // held has a call of the operator answered by the keeper here.
-func (n *Node) held(ctx context.Context, f func(*keeper, context.Context) api.Result) api.Result {
+func (n *Node) held(ctx context.Context, event func(of chan api.Result, until time.Duration) core.Event) api.Result {
 	if n.keeper == nil {
 		return noKeeper
 	}
 	ctx, cancel := context.WithTimeout(ctx, limits.NodeSettle)
 	defer cancel()
-	return f(n.keeper, ctx)
+	return n.keeper.operate(ctx, event)
 }
 
 // Status implements api.Handler.
--- a/internal/node/texts.go
+++ b/internal/node/texts.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"notchhinge/internal/control/core"
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/delta"
 	"notchhinge/internal/limits"
@@ -53,7 +54,7 @@
 	defer t.mu.Unlock()
 	n := len(t.all)
 	if n == 0 || t.all[n-1].place <= has {
-		return encodePlace(0, nil)
+		return core.EncodePlace(0, nil)
 	}
 	var base []byte
 	for _, h := range t.all {
@@ -69,12 +70,12 @@
 		b = delta.Encode(base, t.all[n-1].text)
 		t.sent[has] = b
 	}
-	return encodePlace(t.all[n-1].place, b)
+	return core.EncodePlace(t.all[n-1].place, b)
 }
 
 // read reads an answer, by who had asked with a text.
 func (t *texts) read(b, had []byte) (place uint64, text []byte, err error) {
-	place, d, err := decodePlace(b)
+	place, d, err := core.DecodePlace(b)
 	if err != nil || place == 0 {
 		return 0, nil, err
 	}
