--- /dev/null
+++ b/cmd/notchlab/plane.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"notchhinge/internal/lab/plane"
+)
+
+type huntCmd struct {
+	Days     int    `help:"Days to play." default:"1000"`
+	First    uint64 `help:"Seed of the first; each further one has the next." default:"1"`
+	Keepers  int    `help:"Keepers of a fleet." default:"5"`
+	Tolerate int    `help:"Keepers that may be lost at once." default:"2"`
+	Routers  int    `help:"Routers." default:"15"`
+	Engines  int    `help:"Engines." default:"20"`
+	Out      string `help:"Folder for days that break a rule, shrunk; else they are printed." placeholder:"DIR"`
+}
+
+// Run hunts; what is found is shrunk, and fails it.
+func (c huntCmd) Run() error {
+	s := plane.Size{Keepers: c.Keepers, Routers: c.Routers, Engines: c.Engines, Tolerate: c.Tolerate}
+	if c.Days < 1 || c.Routers < 1 || c.Engines < 1 || c.Tolerate < 1 || 2*c.Tolerate+1 > c.Keepers || c.Keepers+c.Routers > 4000 {
+		return badFile{errors.New("at least one day, router, engine and keeper that may be lost are wanted, and fewer than half of the keepers; 4000 machines at the most")}
+	}
+	began, last := time.Now(), time.Now()
+	broken := plane.Hunt(c.First, c.Days, s, func(done int) {
+		if time.Since(last) > 5*time.Second {
+			last = time.Now()
+			fmt.Fprintf(os.Stderr, "%d of %d days\n", done, c.Days)
+		}
+	})
+	fmt.Printf("%d days of %d machines and %d engines in %v: %d break a rule\n", c.Days, c.Keepers+c.Routers, c.Engines,
+		time.Since(began).Round(time.Second), len(broken))
+	for _, d := range broken {
+		rule := d.Play("").Found[0].Rule
+		small := d.Shrink("", rule)
+		f := small.Play("").Found[0]
+		text, err := small.Encode()
+		if err != nil {
+			return err
+		}
+		fmt.Printf("\n# seed %d: %s at %v: %s\n", d.Seed, f.Rule, f.At.Round(time.Millisecond), f.Says)
+		if c.Out == "" {
+			fmt.Printf("%s", text)
+			continue
+		}
+		path := filepath.Join(c.Out, fmt.Sprintf("%d-%s.toml", d.Seed, f.Rule))
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return err
+		}
+		fmt.Println("# shrunk to", path)
+	}
+	if len(broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+type replayCmd struct {
+	File string `arg:"" help:"A day, as hunt writes it."`
+}
+
+// Run plays a day again.
+func (c replayCmd) Run() error {
+	d, err := plane.Load(c.File)
+	if err != nil {
+		return badFile{err}
+	}
+	r := d.Play("")
+	fmt.Printf("configurations %d, acknowledged %d, the slowest in calm %v, read back %d; engines that drained %d; events %d\n", r.Changes, r.Acked,
+		r.Slowest.Round(time.Millisecond), r.Revision, r.Drained, r.Events)
+	for _, f := range r.Found {
+		fmt.Printf("%s at %v: %s\n", f.Rule, f.At.Round(time.Millisecond), f.Says)
+	}
+	if len(r.Found) > 0 {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/plane/file.go
@@ -0,0 +1,100 @@
+package plane
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// file is a day as it stands in TOML.
+type file struct {
+	Seed     uint64    `toml:"seed" comment:"of everything that is drawn while it is played"`
+	Keepers  int       `toml:"keepers"`
+	Routers  int       `toml:"routers"`
+	Engines  int       `toml:"engines"`
+	Tolerate int       `toml:"tolerate" comment:"keepers that may be lost at once"`
+	Length   string    `toml:"length"`
+	Troubles []trouble `toml:"trouble"`
+}
+
+type trouble struct {
+	At   string `toml:"at" comment:"from the start of the day"`
+	For  string `toml:"for,omitempty"`
+	Kind Kind   `toml:"kind"`
+	On   []int  `toml:"on,omitempty" comment:"machines, keepers first; or engines"`
+}
+
+// Encode writes a day as TOML.
+func (d *Day) Encode() ([]byte, error) {
+	f := file{Seed: d.Seed, Keepers: d.Keepers, Routers: d.Routers, Engines: d.Engines, Tolerate: d.Tolerate, Length: d.Length.String()}
+	for _, t := range d.Troubles {
+		f.Troubles = append(f.Troubles, trouble{t.At.String(), t.For.String(), t.Kind, t.On})
+	}
+	return toml.Marshal(f)
+}
+
+// The bounds of a day that is read.
+const (
+	mostMachines = 4096
+	mostEngines  = 20_000
+	mostLength   = time.Hour
+)
+
+// Load reads a day. Its error says every fault.
+func Load(path string) (*Day, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f file
+	if err := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields().Decode(&f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) {
+			return nil, fmt.Errorf("%s: unknown:\n%s", path, strict.String())
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	var faults []error
+	bad := func(format string, args ...any) { faults = append(faults, fmt.Errorf(path+": "+format, args...)) }
+	span := func(field, text string, most time.Duration) time.Duration {
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 0 || d > most {
+			bad("%s: a time from 0 to %v is wanted, not %q", field, most, text)
+		}
+		return d
+	}
+	d := &Day{Seed: f.Seed, Keepers: f.Keepers, Routers: f.Routers, Engines: f.Engines, Tolerate: f.Tolerate}
+	d.Length = span("length", f.Length, mostLength)
+	if d.Keepers < 1 || d.Routers < 1 || d.Keepers+d.Routers > mostMachines {
+		bad("keepers, routers: at least one of each and %d in all are wanted", mostMachines)
+	}
+	if d.Engines < 0 || d.Engines > mostEngines || d.Tolerate < 0 || 2*d.Tolerate+1 > d.Keepers {
+		bad("engines, tolerate: up to %d, and fewer than half of the keepers, are wanted", mostEngines)
+	}
+	for i, t := range f.Troubles {
+		at := fmt.Sprintf("trouble[%d]", i)
+		x := Trouble{At: span(at+".at", t.At, mostLength), Kind: t.Kind, On: t.On}
+		if t.For != "" {
+			x.For = span(at+".for", t.For, mostLength)
+		}
+		if !slices.Contains(Kinds, t.Kind) {
+			bad("%s.kind: one of %v is wanted, not %q", at, Kinds, t.Kind)
+		}
+		most := d.Keepers + d.Routers
+		if t.Kind == Leave || t.Kind == Crash {
+			most = d.Engines
+		}
+		for _, k := range t.On {
+			if k < 0 || k >= most {
+				bad("%s.on: numbers below %d are wanted, not %d", at, most, k)
+			}
+		}
+		d.Troubles = append(d.Troubles, x)
+	}
+	return d, errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/lab/plane/machine.go
@@ -0,0 +1,347 @@
+package plane
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/gossip"
+	"notchhinge/internal/control/news"
+)
+
+// disk is what a keeper's disk holds for good.
+type disk struct {
+	id      uint64 // 0 = it is empty
+	founder bool
+	vote    ballot.Vote
+	state   chain.State
+	places  map[uint64][]byte
+}
+
+// machine is a machine of the fleet and the process on it.
+type machine struct {
+	w      *world
+	i      int
+	name   string
+	keeper bool
+	zone   uint32
+	up     bool
+	life   int
+	news   *news.Node
+	core   *core.Node
+	disk   *disk
+	busy   bool
+	queue  []any // events that wait until the process has done with the one before
+	calls  map[uint64]bool
+	wakeAt time.Duration
+	calm   time.Duration // since when nothing has happened to it or to its links
+}
+
+// from is who has called, and with which call.
+type from struct {
+	m    *machine
+	life int
+	id   uint64
+}
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+func (w *world) at(a netip.AddrPort) *machine {
+	b := a.Addr().As4()
+	if i := int(b[2])<<8 | int(b[3]); i < len(w.machines) {
+		return w.machines[i]
+	}
+	return nil
+}
+
+// start starts the process anew, with what its disk holds.
+func (m *machine) start() {
+	w := m.w
+	m.up, m.busy, m.queue, m.calls, m.wakeAt = true, false, nil, map[uint64]bool{}, 0
+	m.life++
+	self := gossip.Peer{ID: gossip.Hash(m.name), Addr: addrOf(m.i), Zone: m.zone, Flags: gossip.Edge}
+	if m.keeper {
+		self.Flags = gossip.Keeper
+	}
+	m.news = news.New(self, w.rnd.Uint64(), w.silence, func(string) uint32 { return 0 })
+	m.core = nil
+	if m.keeper {
+		d := m.disk
+		if d.id == 0 {
+			d.id, d.founder, d.places = w.rnd.Uint64()|1, w.now < time.Second, map[uint64][]byte{}
+		}
+		m.core = core.New(core.Config{
+			Self: chain.Member{ID: d.id, Name: m.name, Addr: addrOf(m.i).String()}, Founder: d.founder, Least: w.least, Life: w.rnd.Uint64(),
+			Seed: w.rnd.Uint64(), State: d.state, Vote: d.vote,
+			Others: func() (all []netip.AddrPort) {
+				for _, p := range m.news.Gossip.Keepers() {
+					all = append(all, p.Addr)
+				}
+				return all
+			},
+			Chosen: func(place uint64) ([]byte, bool) { v, ok := d.places[place]; return v, ok },
+		})
+		s := m.core.State()
+		m.changed(&s)
+	}
+	m.take(gossip.Seeds{Addrs: []netip.AddrPort{addrOf(0), addrOf(1), addrOf(w.day.Keepers)}})
+}
+
+// die ends the process. What it was writing is there or not; with dark, only what was synced is.
+func (m *machine) die() {
+	m.up, m.busy, m.queue = false, false, nil
+	m.life++
+}
+
+// changed tells the news who votes, as a node does.
+func (m *machine) changed(s *chain.State) {
+	if m.w.broken == "judges out of touch" {
+		return
+	}
+	var ids []uint64
+	for _, x := range s.Members {
+		ids = append(ids, gossip.Hash(x.Name))
+	}
+	m.queue = append(m.queue, gossip.Members{IDs: ids})
+}
+
+// take has the process take an event, or keeps it until it is free.
+func (m *machine) take(e any) {
+	if !m.up {
+		return
+	}
+	m.queue = append(m.queue, e)
+	m.work()
+}
+
+// work takes the events that wait, one at a time.
+func (m *machine) work() {
+	for !m.busy && m.up && len(m.queue) > 0 {
+		e := m.queue[0]
+		m.queue = m.queue[1:]
+		now, wall := m.w.now, m.w.now.Milliseconds()
+		switch e.(type) {
+		case core.Called, core.Returned, core.Put, core.Get, core.Propose, core.Dismiss:
+			if m.core != nil {
+				m.perform(append([]core.Effect(nil), m.core.Reduce(now, e)...))
+			}
+		case gossip.Tick:
+			m.hear(m.news.Reduce(now, wall, e))
+			if m.core != nil {
+				m.perform(append([]core.Effect(nil), m.core.Reduce(now, core.Tick{})...))
+			}
+		default:
+			m.hear(m.news.Reduce(now, wall, e))
+		}
+	}
+	m.plan()
+}
+
+// plan has the process woken when it wants to be.
+func (m *machine) plan() {
+	if !m.up {
+		return
+	}
+	next := m.news.Next()
+	if m.core != nil {
+		if at, ok := m.core.Next(); ok {
+			next = min(next, at)
+		}
+	}
+	next = max(next, m.w.now+time.Millisecond)
+	if m.wakeAt > m.w.now && m.wakeAt <= next {
+		return
+	}
+	m.wakeAt = next
+	life := m.life
+	m.w.in(next-m.w.now, func() {
+		if m.life == life && m.wakeAt == next {
+			m.wakeAt = 0
+			m.take(gossip.Tick{})
+		}
+	})
+}
+
+// hear does what news asks for.
+func (m *machine) hear(effects []news.Effect) {
+	for _, f := range effects {
+		switch f := f.(type) {
+		case gossip.Send:
+			m.w.datagram(m, m.w.at(f.To), append([]byte(nil), f.Bytes...))
+		case news.Answer:
+			f.Of.(func(news.Answer))(f)
+		}
+	}
+}
+
+var errGone = errors.New("no answer")
+
+// perform does what the state's part asks for, in order; a write takes its time, and the process does nothing else meanwhile.
+func (m *machine) perform(effects []core.Effect) {
+	for len(effects) > 0 {
+		f := effects[0]
+		effects = effects[1:]
+		switch f := f.(type) {
+		case core.Write:
+			if m.w.broken == "answers before the disk has it" {
+				m.w.later(m, func() { m.disk.keep(&f, m.w) })
+				effects = append(effects, m.core.Reduce(m.w.now, core.Wrote{ID: f.ID, OK: true})...)
+				continue
+			}
+			m.busy = true
+			rest, life := effects, m.life
+			m.w.in(m.w.sync, func() {
+				if m.life != life {
+					return
+				}
+				m.disk.keep(&f, m.w)
+				m.busy = false
+				m.perform(append(rest, m.core.Reduce(m.w.now, core.Wrote{ID: f.ID, OK: true})...))
+				m.work()
+			})
+			return
+		case core.Call:
+			m.w.call(m, f)
+		case core.Reply:
+			m.w.back(m, f)
+		case core.Answered:
+			f.Of.(func(api.Result))(f.Result)
+		case core.Changed:
+			m.changed(&f.State)
+		}
+	}
+}
+
+// keep makes a write durable.
+func (d *disk) keep(f *core.Write, w *world) {
+	switch {
+	case f.Whole:
+		d.state = *f.State
+		clear(d.places)
+	case f.Value != nil:
+		d.state = *f.State
+		d.places[f.State.Next-1] = f.Value
+		delete(d.places, f.State.Next-33)
+	case w.broken != "forgets its votes":
+		d.vote = f.Vote
+	}
+}
+
+// link tells whether words from one machine reach another, and how long they take.
+func (w *world) link(from, to *machine) (time.Duration, bool) {
+	if w.cuts[[2]int{from.i, to.i}] > 0 {
+		return 0, false
+	}
+	d := 500 * time.Microsecond
+	if from.zone != to.zone {
+		d = time.Millisecond
+	}
+	return d + time.Duration(w.rnd.Int64N(int64(300*time.Microsecond))), true
+}
+
+// datagram sends one, which may get lost.
+func (w *world) datagram(from, to *machine, b []byte) {
+	if to == nil || w.rnd.Float64() < w.loss {
+		return
+	}
+	if d, ok := w.link(from, to); ok {
+		life := to.life
+		w.in(d, func() {
+			if to.life == life {
+				to.take(gossip.Packet{Bytes: b})
+			}
+		})
+	}
+}
+
+// call carries a call, whose answer comes back or does not in its time.
+func (w *world) call(m *machine, c core.Call) {
+	to, life := w.at(c.To), m.life
+	m.calls[c.ID] = true
+	w.in(c.Within, func() { w.returned(m, life, c.ID, nil, errGone) })
+	if to == nil {
+		return
+	}
+	d, ok := w.link(m, to)
+	if !ok {
+		return
+	}
+	there := to.life
+	w.in(d, func() {
+		if to.life != there || !to.up {
+			w.in(d, func() { w.returned(m, life, c.ID, nil, errGone) })
+			return
+		}
+		to.take(core.Called{Kind: c.Kind, Body: c.Body, From: addrOf(m.i).Addr(), Of: from{m, life, c.ID}})
+	})
+}
+
+// back carries an answer.
+func (w *world) back(m *machine, r core.Reply) {
+	f := r.Of.(from)
+	if d, ok := w.link(m, f.m); ok {
+		w.in(d, func() { w.returned(f.m, f.life, f.id, r.Body, r.Err) })
+	}
+}
+
+func (w *world) returned(m *machine, life int, id uint64, body []byte, err error) {
+	if m.life == life && m.calls[id] {
+		delete(m.calls, id)
+		m.take(core.Returned{ID: id, Body: body, Err: err})
+	}
+}
+
+// reports has a router call every keeper twice a second, as it does with what it has counted.
+func (w *world) reports(m *machine) {
+	w.in(500*time.Millisecond, func() {
+		for _, k := range w.machines[:w.day.Keepers] {
+			there, ok := w.link(m, k)
+			back, comes := w.link(k, m)
+			done, wait, life := ok && comes && k.up && m.up, 450*time.Millisecond, m.life
+			if done {
+				wait = there + back
+			}
+			w.in(wait, func() {
+				if m.life == life {
+					m.take(gossip.Called{ID: gossip.Hash(k.name), OK: done})
+				}
+			})
+		}
+		w.reports(m)
+	})
+}
+
+// later has something done once a write that nobody waits for reaches the disk, if its process lives for so long.
+func (w *world) later(m *machine, do func()) {
+	life := m.life
+	w.in(w.sync, func() {
+		if m.life == life {
+			do()
+		}
+	})
+}
+
+// newWorld makes the machines of a day.
+func newWorld(d *Day, broken string) *world {
+	w := &world{
+		day: d, broken: broken, rnd: rand.New(rand.NewPCG(d.Seed, 77)), cuts: map[[2]int]int{}, silence: 5250 * time.Millisecond, sync: 5 * time.Millisecond,
+		loss: 0.01, least: 2*d.Tolerate + 1, sent: map[uint64]*change{}, upon: map[uint64]uint64{}, found: map[string]Found{},
+	}
+	for i := range d.Keepers + d.Routers {
+		m := &machine{w: w, i: i, keeper: i < d.Keepers, zone: uint32(i % 4)}
+		m.name = fmt.Sprintf("router-%d", i)
+		if m.keeper {
+			m.name, m.disk = fmt.Sprintf("keeper-%d", i), &disk{}
+		}
+		w.machines = append(w.machines, m)
+	}
+	return w
+}
