--- a/internal/lab/system/system.go
+++ b/internal/lab/system/system.go
@@ -219,13 +219,14 @@
 
 // stop ends everything in order, keepers last.
 func (s *system) stop() {
-	slices.Reverse(s.machines)
-	for _, m := range s.machines {
+	all := slices.Clone(s.machines) // engines may still be reading the list
+	slices.Reverse(all)
+	for _, m := range all {
 		if m.cmd != nil {
 			m.cmd.Process.Signal(syscall.SIGTERM)
 		}
 	}
-	for _, m := range s.machines {
+	for _, m := range all {
 		if m.cmd != nil {
 			end := time.AfterFunc(8*time.Second, func() { m.cmd.Process.Kill() })
 			m.cmd.Wait()
