Duties are a reducer; leases are asked before the ballot, which knows them no more

Cause: a holder that a minority had voted for behind a cut had to be proposed by everybody afterwards, and was barred by the members for as long as the one before renewed its lease: nothing was agreed any more, for good. Moved as it was: usage, orders, books, reports.

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -124,7 +124,6 @@
 var (
 	ErrNoCore = errors.New("no core has been founded yet")
 	ErrTime   = errors.New("it could not be settled in time")
-	ErrHeld   = errors.New("the members must not accept it at present")
 	errDisk   = errors.New("the disk does not take what is written")
 	errBehind = errors.New("it has not caught up")
 	errKind   = errors.New("no call of the state's")
@@ -177,9 +176,6 @@
 	return n
 }
 
-// Bars sets what must not be accepted at present.
-func (n *Node) Bars(f func(value []byte) bool) { n.acc.Bars = f }
-
 // State returns the state as it is known here.
 func (n *Node) State() chain.State { return n.state }
 
--- a/internal/control/core/propose.go
+++ b/internal/control/core/propose.go
@@ -77,10 +77,6 @@
 	}
 	p.try++
 	p.last = n.attempt(r, state.Members, p.try-1, func(a *attempt) {
-		if a.out == ballot.Held && a.Round.Accepted == (ballot.Number{}) { // its own; another's that it has found may pass elsewhere
-			n.finish(p, ErrHeld)
-			return
-		}
 		n.step(p) // it sees in the state what has come of it
 	})
 }
--- /dev/null
+++ b/internal/control/duty/node.go
@@ -0,0 +1,476 @@
+package duty
+
+import (
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/form"
+	"notchhinge/internal/limits"
+)
+
+// The kinds of calls between processes that concern the duties. Other numbers are other owners'.
+const (
+	CallReport uint8 = 8  // a router's counts and loads: Report, answered by Word
+	CallBook   uint8 = 9  // what a keeper has heard of these, from a window up to another
+	CallRenew  uint8 = 11 // the holder asks for more time: its fence and its member
+	CallStand  uint8 = 15 // would another holder's lease be in the way: the newest fence and who wants to follow
+)
+
+// Owns tells whether a kind of call is of the duties.
+func Owns(kind uint8) bool {
+	return kind == CallReport || kind == CallBook || kind == CallRenew || kind == CallStand
+}
+
+// Event is something that happened: core.Tick, core.Called, core.Returned, or one of these.
+type Event any
+
+type (
+	// Proposed: what a Propose wanted is settled, or could not be.
+	Proposed struct{ Err error }
+	// Took: the platform has answered what was last sent to it, or has not in its time.
+	Took struct{ Err error }
+)
+
+// Effect is something to be done: core.Call, core.Reply, core.Log, or one of these. Of Propose, Usage and Order at most one
+// is under way.
+type Effect any
+
+type (
+	// Propose has what Want returns chosen, until it returns nil; Proposed comes back.
+	Propose struct {
+		Want   func(*chain.State) []byte
+		Within time.Duration
+	}
+	// Usage reports a window to the platform; Took comes back.
+	Usage struct {
+		Fence, Window uint64
+		Counts        map[string]uint64
+		Within        time.Duration
+	}
+	// Order engines from the platform; Took comes back.
+	Order struct {
+		Fence         uint64
+		Service, Zone string
+		Count         int
+		Within        time.Duration
+		running       int // what it was reckoned from
+	}
+)
+
+// Service is one whose engines may be ordered.
+type Service struct {
+	Name   string
+	Bounds Bounds
+	Ready  map[string]int // by zone; a zone in which it runs but has none ready is there with 0
+	Slots  float64        // of an engine that is ready, a mean
+}
+
+// Config is what a keeper is told.
+type Config struct {
+	Self    chain.Member
+	Fresh   bool // nobody can have been granted a lease before this start
+	Lease   time.Duration
+	Window  time.Duration // of usage
+	Delay   time.Duration // after its end a window is due
+	Lately  time.Duration // a router that has reported so lately counts as there
+	Reports bool          // usage is owed
+	Orders  bool          // engines are ordered
+	Life    uint64        // of the book
+	Rank    time.Duration // so much later than others it stands, so that not all do at once
+	Others  func() []netip.AddrPort
+	// Services are those whose engines may be ordered, as they are now.
+	Services func() []Service
+}
+
+// Node is a keeper's part in the duties: it keeps the book of what routers report, grants and asks for leases, stands for
+// holder where there is none, and as the holder has usage agreed and sent, and engines ordered. It is a reducer: given
+// clocks and what its effects have come to, the same events have the same effects. It is not safe for concurrent use.
+type Node struct {
+	Config
+	book   Book
+	grants Grants
+	held   Held
+
+	now   time.Duration
+	wall  time.Time
+	state chain.State
+	calls map[uint64]func(body []byte, err error)
+	id    uint64
+	nonce *rand.Rand
+	out   []Effect
+
+	fence   uint64          // the newest holder's, as far as it is known here
+	fenceAt time.Duration   // when that was heard of
+	polls   uint64          // of the members
+	then    func(err error) // what follows from what is under way; nil = nothing is
+	stopped bool            // nothing more is sent before the next tick
+	asked   bool            // other keepers' books were asked for since the last tick
+	waits   int             // of these, who has not answered
+
+	sent    map[uint64]bool // windows that this life has reported
+	scalers map[string]*Scaler
+	before  map[string]Load // of the last look
+	looked  time.Duration
+	ordered map[string]int // by service and zone, as the platform last took it
+	orders  []Order        // that are to be sent
+}
+
+// New returns a keeper's part.
+func New(now time.Duration, c Config) *Node {
+	return &Node{
+		Config: c, held: Held{Lease: c.Lease, Margin: limits.NodeLeaseMargin}, grants: Grants{Lease: c.Lease, Started: now, Fresh: c.Fresh},
+		calls: map[uint64]func([]byte, error){}, nonce: rand.New(rand.NewPCG(c.Life, c.Self.ID)), sent: map[uint64]bool{},
+		scalers: map[string]*Scaler{}, before: map[string]Load{}, ordered: map[string]int{},
+	}
+}
+
+// Reduce takes an event in, upon the newest state that is known here. The effects are valid until the next call.
+func (n *Node) Reduce(now time.Duration, wall time.Time, s *chain.State, e Event) []Effect {
+	n.now, n.wall = max(n.now, now), wall
+	if s.Next >= n.state.Next {
+		n.state = *s
+	}
+	clear(n.out)
+	n.out = n.out[:0]
+	switch e := e.(type) {
+	case core.Tick:
+		n.tick()
+	case core.Called:
+		body, err := n.answer(e.Kind, e.Body)
+		n.out = append(n.out, core.Reply{Of: e.Of, Body: body, Err: err})
+	case core.Returned:
+		if then := n.calls[e.ID]; then != nil {
+			delete(n.calls, e.ID)
+			then(e.Body, e.Err)
+		}
+	case Proposed:
+		n.over(e.Err)
+	case Took:
+		n.over(e.Err)
+	}
+	n.work()
+	return n.out
+}
+
+func (n *Node) over(err error) {
+	if then := n.then; then != nil {
+		n.then = nil
+		then(err)
+	}
+}
+
+func (n *Node) log(level slog.Level, line string, args ...any) {
+	n.out = append(n.out, core.Log{Level: level, Line: line, Args: args})
+}
+
+func (n *Node) call(to netip.AddrPort, kind uint8, body []byte, then func(body []byte, err error)) {
+	n.id++
+	n.calls[n.id] = then
+	n.out = append(n.out, core.Call{ID: n.id, To: to, Kind: kind, Body: body, Within: limits.NodeAsk})
+}
+
+var errKind = errors.New("no call of the duties'")
+
+// answer answers another process.
+func (n *Node) answer(kind uint8, body []byte) ([]byte, error) {
+	switch kind {
+	case CallReport:
+		p, err := DecodeReport(body)
+		if err != nil {
+			return nil, err
+		}
+		n.book.Take(n.now, p, true)
+		word := Word{Book: n.Life, Lives: uint64(n.book.Lives(n.now, n.Lately))}
+		return word.Encode(), nil
+	case CallBook:
+		r := form.Reader{B: body}
+		from, to := r.Uint(), r.Uint()
+		if err := r.End(); err != nil {
+			return nil, err
+		}
+		return n.book.Encode(from, to), nil
+	case CallRenew, CallStand:
+		r := form.Reader{B: body}
+		place, node := r.Uint(), r.Word()
+		if err := r.End(); err != nil {
+			return nil, err
+		}
+		if kind == CallRenew && n.grant(place, node) || kind == CallStand && n.free(place, node) {
+			return []byte{1}, nil
+		}
+		return []byte{0}, nil
+	}
+	return nil, errKind
+}
+
+// grant gives the holder more time, if it is that here as well.
+func (n *Node) grant(place, node uint64) bool {
+	s := &n.state
+	return s.HolderPlace == place && s.Holder == node && s.Member(n.Self.ID) != nil && n.grants.Ask(n.now, node)
+}
+
+// free tells whether no other holder's lease would be in the way of one who wants to follow the newest that is known here.
+func (n *Node) free(place, node uint64) bool {
+	return n.state.HolderPlace == place && !n.grants.Bars(n.now, node)
+}
+
+// holds tells whether it may call the platform, and for how long: what is on its way must arrive before another may act.
+func (n *Node) holds() (left time.Duration, ok bool) {
+	left = n.held.Left(n.now) - limits.NodeLeaseCall
+	return left, left > 0 && n.state.Holder == n.Self.ID
+}
+
+// tick does what is due twice a second.
+func (n *Node) tick() {
+	_, oldest := n.spans()
+	n.book.Forget(n.now, oldest)
+	n.stopped, n.asked = false, n.waits > 0
+	s := &n.state
+	if s.Next == 0 || s.Member(n.Self.ID) == nil {
+		return
+	}
+	if s.HolderPlace != n.fence {
+		n.fence, n.fenceAt = s.HolderPlace, n.now
+	}
+	if s.Holder != n.Self.ID {
+		n.orders = nil // whoever holds the duties now reckons anew
+		n.stand()
+		return
+	}
+	n.extend()
+}
+
+// stand has this keeper agreed as the holder, if there is none any more and a majority grants no other a lease. One that was
+// agreed lately is given a lease's time to ask for its own: else two who stand in turn would keep each other from it.
+//
+// The members are asked before the ballot, and not in it: a value that one of them has accepted must be brought to its end
+// by whoever comes next, and one that the others must not accept would close the chain for everybody. What keeps two from
+// acting is the leases alone.
+func (n *Node) stand() {
+	silent := min(n.grants.Silent(n.now), n.now-n.fenceAt)
+	if n.then != nil || n.grants.Bars(n.now, n.Self.ID) || n.state.Holder != 0 && silent < n.Lease+n.Rank {
+		return
+	}
+	place, self := n.state.HolderPlace, n.Self
+	value := (&chain.Entry{Kind: chain.Holder, Nonce: n.nonce.Uint64(), Node: self.ID, Name: self.Name}).Encode()
+	n.poll(CallStand, n.free(place, self.ID), func() {
+		if n.then != nil || n.state.HolderPlace != place {
+			return
+		}
+		n.propose(func(s *chain.State) []byte {
+			if s.HolderPlace != place || s.Holder == self.ID {
+				return nil
+			}
+			return value
+		}, func(error) {
+			if n.state.Holder == self.ID {
+				n.log(slog.LevelInfo, "holds the duties", "fence", n.state.HolderPlace)
+				n.extend()
+			}
+		})
+	})
+}
+
+func (n *Node) propose(want func(*chain.State) []byte, then func(error)) {
+	n.then = then
+	n.out = append(n.out, Propose{Want: want, Within: limits.NodeSettle})
+}
+
+// extend asks the members for more time, from now on.
+func (n *Node) extend() {
+	asked := n.now
+	n.poll(CallRenew, n.grant(n.state.HolderPlace, n.Self.ID), func() { n.held.Extended(asked) })
+}
+
+// poll asks the members something about this keeper and the newest holder, and does what follows once a majority has said
+// yes; own is its own word. What was asked before does not count any more.
+func (n *Node) poll(kind uint8, own bool, then func()) {
+	s := &n.state
+	w := form.Writer{}
+	w.Uint(s.HolderPlace)
+	w.Word(n.Self.ID)
+	n.polls++
+	poll, good, need := n.polls, 0, ballot.Majority(len(s.Members))
+	yes := func() {
+		if good++; good == need && n.polls == poll {
+			then()
+		}
+	}
+	for i := range s.Members {
+		m := &s.Members[i]
+		if m.ID == n.Self.ID {
+			if own {
+				yes()
+			}
+			continue
+		}
+		if to, err := netip.ParseAddrPort(m.Addr); err == nil {
+			n.call(to, kind, w.B, func(b []byte, err error) {
+				if err == nil && len(b) == 1 && b[0] == 1 {
+					yes()
+				}
+			})
+		}
+	}
+}
+
+// work begins the next thing that the holder owes, if nothing is under way.
+func (n *Node) work() {
+	if _, ok := n.holds(); !ok || n.then != nil || n.waits > 0 || n.stopped {
+		return
+	}
+	if n.Reports && n.usage() || !n.Orders {
+		return
+	}
+	if len(n.orders) == 0 && n.now-n.looked >= limits.NodeScale {
+		n.look()
+	}
+	n.order()
+}
+
+// stop ends what is done until the next tick.
+func (n *Node) stop(line string, args ...any) {
+	n.stopped = true
+	n.log(slog.LevelWarn, line, args...)
+}
+
+// spans are the window from which on usage is not due yet, and the oldest that is sent still.
+func (n *Node) spans() (newest, oldest uint64) {
+	return Window(n.wall.Add(-n.Delay*3/10), n.Window), // over for a while: what was counted last has come
+		Window(n.wall.Add(-3*n.Delay-n.Window), n.Window) // what the platform has not taken by then nobody sends any more
+}
+
+// usage has the figures of windows that are over agreed, and sends them until the platform has taken them. It tells whether
+// something is under way.
+func (n *Node) usage() bool {
+	newest, oldest := n.spans()
+	due := newest - min(newest, 3) // what was heard of windows before that is known here
+	for number := oldest; number < newest; number++ {
+		if n.sent[number] {
+			continue
+		}
+		if w := n.state.Agreed(number); w != nil {
+			n.report(w)
+			return true
+		}
+		if number >= due && !n.asked {
+			n.gather(number, newest)
+			if n.waits > 0 {
+				return true
+			}
+		}
+		counts := Counts(n.book.Sum(number))
+		if len(counts) == 0 {
+			continue // nothing began in it, as far as anybody knows
+		}
+		self := n.Self.ID
+		value := (&chain.Entry{Kind: chain.Usage, Nonce: n.nonce.Uint64(), Window: number, Counts: counts}).Encode()
+		n.propose(func(s *chain.State) []byte {
+			if s.Agreed(number) != nil || s.Holder != self {
+				return nil
+			}
+			return value
+		}, func(err error) { n.stopped = err != nil })
+		return true
+	}
+	return false
+}
+
+// report sends a window's figures.
+func (n *Node) report(w *chain.Window) {
+	number, counts := w.Number, map[string]uint64{}
+	for _, c := range w.Counts {
+		counts[c.Tenant] = c.N
+	}
+	left, _ := n.holds()
+	n.then = func(err error) {
+		if err != nil {
+			n.stop("usage not reported yet", "window", number, "err", err)
+			return
+		}
+		n.sent[number] = true
+		for k := range n.sent {
+			if k+100 < number {
+				delete(n.sent, k)
+			}
+		}
+	}
+	n.out = append(n.out, Usage{Fence: n.state.HolderPlace, Window: number, Counts: counts, Within: left})
+}
+
+// gather takes in what other keepers have heard of the windows from a number up to before another.
+func (n *Node) gather(from, to uint64) {
+	n.asked = true
+	w := form.Writer{}
+	w.Uint(from)
+	w.Uint(to)
+	for _, at := range n.Others() {
+		n.waits++
+		n.call(at, CallBook, w.B, func(b []byte, err error) {
+			n.waits--
+			if err != nil {
+				return
+			}
+			if err := n.book.Merge(n.now, b); err != nil {
+				n.log(slog.LevelWarn, "a keeper's book cannot be read", "from", at.String(), "err", err)
+			}
+		})
+	}
+}
+
+// look reckons which engines are wanted, and which of that the platform has not been told.
+func (n *Node) look() {
+	loads, lapse := n.book.Loads(n.now), (n.now - n.looked).Seconds()
+	n.looked = n.now
+	for _, svc := range n.Services() {
+		load, before := loads[svc.Name], n.before[svc.Name]
+		n.before[svc.Name] = load
+		sc := n.scalers[svc.Name]
+		if sc == nil {
+			sc = &Scaler{Scale: limits.Scaling()}
+			n.scalers[svc.Name] = sc
+		}
+		var zones []string
+		for z := range svc.Ready {
+			zones = append(zones, z)
+		}
+		slices.Sort(zones)
+		d := Demand{Running: float64(load.Running) / 100, Arrived: max(float64(load.Arrived)-float64(before.Arrived), 0) / lapse, Slots: svc.Slots}
+		wanted := sc.Want(n.now, d, svc.Bounds, zones, svc.Ready)
+		for _, z := range zones {
+			count, ok := wanted[z]
+			last, known := n.ordered[svc.Name+"/"+z]
+			if !ok || known && count == last || !known && count == svc.Ready[z] {
+				continue
+			}
+			n.orders = append(n.orders, Order{Service: svc.Name, Zone: z, Count: count, running: int(d.Running)})
+		}
+	}
+}
+
+// order sends the next order.
+func (n *Node) order() {
+	if len(n.orders) == 0 {
+		return
+	}
+	o := n.orders[0]
+	n.orders = n.orders[1:]
+	o.Fence = n.state.HolderPlace
+	o.Within, _ = n.holds()
+	n.then = func(err error) {
+		if err != nil {
+			n.log(slog.LevelWarn, "engines not ordered yet", "service", o.Service, "zone", o.Zone, "err", err)
+			return
+		}
+		n.ordered[o.Service+"/"+o.Zone] = o.Count
+		n.log(slog.LevelInfo, "engines ordered", "service", o.Service, "zone", o.Zone, "count", o.Count, "running", o.running)
+	}
+	n.out = append(n.out, o)
+}
--- /dev/null
+++ b/internal/control/duty/node_test.go
@@ -0,0 +1,182 @@
+package duty
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/core"
+)
+
+// keeper is a Node among three members, whose effects a test answers by hand.
+type keeper struct {
+	*Node
+	now   time.Duration
+	state chain.State
+	calls []core.Call
+	sent  []string
+	want  func(*chain.State) []byte
+}
+
+func newKeeper() *keeper {
+	k := &keeper{now: time.Minute, state: chain.State{Next: 1, Members: []chain.Member{
+		{ID: 1, Name: "a", Addr: "10.0.0.1:1"}, {ID: 2, Name: "b", Addr: "10.0.0.2:1"}, {ID: 3, Name: "c", Addr: "10.0.0.3:1"},
+	}}}
+	k.Node = New(k.now, Config{
+		Self: k.state.Members[0], Fresh: true, Lease: 3 * sec, Window: 5 * sec, Delay: 10 * sec, Lately: 10 * sec, Reports: true, Orders: true, Life: 7,
+		Others: func() []netip.AddrPort { return nil },
+		Services: func() []Service {
+			return []Service{{Name: "s", Bounds: Bounds{Min: 1, Max: 9}, Ready: map[string]int{"y": 1, "z": 1}, Slots: 4}}
+		},
+	})
+	return k
+}
+
+func (k *keeper) wall() time.Time { return time.Unix(1000, 0).Add(k.now) }
+
+func (k *keeper) take(e Event) {
+	for _, f := range k.Reduce(k.now, k.wall(), &k.state, e) {
+		switch f := f.(type) {
+		case core.Call:
+			k.calls = append(k.calls, f)
+		case Propose:
+			k.want = f.Want
+		case Usage:
+			k.sent = append(k.sent, fmt.Sprint("usage ", f.Fence, f.Counts))
+		case Order:
+			k.sent = append(k.sent, fmt.Sprint("order ", f.Fence, f.Zone, f.Count))
+		}
+	}
+}
+
+// chosen has what is proposed chosen.
+func (k *keeper) chosen() {
+	if want := k.want; want != nil {
+		k.want = nil
+		if value := want(&k.state); value != nil {
+			k.state.Apply(value)
+		}
+		k.take(Proposed{})
+	}
+}
+
+// granted has so many of the others grant what was asked of them, and the rest refuse.
+func (k *keeper) granted(n int) {
+	all := k.calls
+	k.calls = nil
+	for i, c := range all {
+		if c.Kind == CallRenew || c.Kind == CallStand {
+			yes := byte(0)
+			if i < n {
+				yes = 1
+			}
+			k.take(core.Returned{ID: c.ID, Body: []byte{yes}})
+		}
+	}
+}
+
+func (k *keeper) pass(d time.Duration) {
+	k.now += d
+	k.take(core.Tick{})
+}
+
+// TestHolder: nothing goes to the platform but under a lease that a majority has granted; one call at a time; and what was
+// agreed is sent, again until it is taken.
+func TestHolder(t *testing.T) {
+	k := newKeeper()
+	tally := Tally{}
+	tally.Add(Window(k.wall(), 5*sec), "t", 4)
+	p := Report{Source: 9, Tally: tally, Loads: []Load{{Service: "s", Running: 1000, Arrived: 10}}}
+	report := func() { k.take(core.Called{Kind: CallReport, Body: p.Encode()}) }
+	report()
+	k.pass(sec)
+	if k.granted(0); k.want != nil {
+		t.Fatal("it stands though others' leases may be in the way")
+	}
+	k.pass(sec)
+	k.granted(1)
+	k.chosen()
+	if k.state.Holder != 1 || len(k.calls) != 2 || len(k.sent) != 0 {
+		t.Fatalf("holder %d, %d calls, sent %v", k.state.Holder, len(k.calls), k.sent)
+	}
+	k.granted(0)
+	k.pass(sec / 2)
+	if len(k.sent) != 0 {
+		t.Fatalf("without a majority's grant %v is sent", k.sent)
+	}
+	k.granted(1)
+	if fmt.Sprint(k.sent) != "[order 1y5]" { // 10 running, 1.24 an engine: 9, 5 of them in the first zone
+		t.Fatalf("sent %v", k.sent)
+	}
+	k.pass(sec / 2)
+	k.granted(2)
+	if len(k.sent) != 1 {
+		t.Fatalf("two calls at a time: %v", k.sent)
+	}
+	k.take(Took{})
+	k.take(Took{Err: errors.New("busy")})
+	k.sent = nil
+	report()
+	k.pass(sec / 2)
+	k.granted(2)
+	if fmt.Sprint(k.sent) != "[order 1z4]" {
+		t.Fatalf("of the orders that one was not taken of, %v is sent", k.sent)
+	}
+	k.take(Took{})
+	for range 20 { // until the window is over for long enough
+		k.pass(sec / 2)
+		k.granted(2)
+	}
+	k.chosen()
+	if len(k.sent) == 0 || k.sent[len(k.sent)-1] != "usage 1 map[t:4]" {
+		t.Fatalf("sent %v", k.sent)
+	}
+	tally.Add(Window(k.wall(), 5*sec)-2, "t", 1) // word of it that comes too late changes nothing
+	report()
+	k.take(Took{Err: errors.New("lost")})
+	k.sent = nil
+	if k.granted(2); len(k.sent) != 0 {
+		t.Fatalf("%v is sent again at once", k.sent)
+	}
+	k.pass(sec / 2)
+	if fmt.Sprint(k.sent) != "[usage 1 map[t:4]]" {
+		t.Fatalf("sent %v", k.sent)
+	}
+	k.take(Took{})
+	k.calls, k.sent = nil, nil
+	k.pass(2500 * time.Millisecond) // of the lease nobody has given more since
+	k.take(Took{})
+	if len(k.sent) != 0 {
+		t.Fatalf("under a lease that is nearly over %v is sent", k.sent)
+	}
+}
+
+// TestGrants: a member gives its lease to the holder that it knows of, and votes for no other while that lasts.
+func TestGrants(t *testing.T) {
+	k := newKeeper()
+	k.state.Apply((&chain.Entry{Kind: chain.Holder, Node: 2, Name: "b"}).Encode())
+	ask := func(kind, place, node byte) bool {
+		w := []byte{place, 0, 0, 0, 0, 0, 0, 0, node}
+		for _, f := range k.Reduce(k.now, k.wall(), &k.state, core.Called{Kind: kind, Body: w}) {
+			if r, ok := f.(core.Reply); ok {
+				return r.Err == nil && len(r.Body) == 1 && r.Body[0] == 1
+			}
+		}
+		t.Fatal("no answer")
+		return false
+	}
+	if ask(CallRenew, 1, 3) || ask(CallRenew, 2, 2) || !ask(CallRenew, 1, 2) {
+		t.Error("a lease is for who was agreed, at its place")
+	}
+	k.now += 2 * sec
+	if ask(CallStand, 1, 3) || !ask(CallStand, 1, 2) {
+		t.Error("under a lease another may not stand, and its holder may")
+	}
+	k.now += 2 * sec
+	if ask(CallStand, 0, 3) || !ask(CallStand, 1, 3) {
+		t.Error("after it whoever knows the newest holder may stand")
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -3,15 +3,12 @@
 import (
 	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/duty"
 )
 
-// The kinds of calls between processes, but for those of the state (core). 6, 7, 12 and 13 were the operator's, passed on.
-const (
-	callFetch  uint8 = 5  // the newest configuration, where it is newer than a place
-	callReport uint8 = 8  // a router's counts and loads: duty.Report, answered by duty.Word
-	callBook   uint8 = 9  // what a keeper has heard of these, from a window up to another
-	callRenew  uint8 = 11 // the holder asks for more time: its fence and its member
-)
+// callFetch asks for the newest configuration, where it is newer than a place. The other kinds of calls between processes are
+// those of the state (core) and of the duties (duty). 6, 7, 12 and 13 were the operator's, passed on.
+const callFetch uint8 = 5
 
 // causeOf is what a call is for.
 func causeOf(kind uint8) account.Cause {
@@ -20,9 +17,9 @@
 		return account.Ballots
 	case callFetch:
 		return account.Configs
-	case callReport, callBook:
+	case duty.CallReport, duty.CallBook:
 		return account.Reports
-	case callRenew:
+	case duty.CallRenew, duty.CallStand:
 		return account.Leases
 	}
 	return account.States
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,7 +27,6 @@
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/delta"
 	"notchhinge/internal/control/duty"
-	"notchhinge/internal/control/form"
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/news"
 	"notchhinge/internal/control/peer"
@@ -155,7 +154,7 @@
 		n.news.engines, n.news.forgets = n.data.engines, n.data.forgets
 		n.data.forgot = func() { n.news.turn(news.Forgot{}) }
 		go n.data.run(ctx)
-		c := &counter{length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), source: rand.Uint64(), zone: n.cfg.Zone, told: map[uint64]*duty.Told{}}
+		c := &counter{meter: duty.Meter{Length: time.Duration(n.cfg.Bounds.UsageWindowS * float64(time.Second)), Source: rand.Uint64(), Zone: n.cfg.Zone}}
 		n.data.dialect.Began = c.began
 		if n.cfg.Cloud.Address != "" {
 			go n.reports(ctx, c)
@@ -445,39 +444,8 @@
 		defer cancel()
 		return k.handle(ctx, kind, from, body)
 	}
-	if d := n.duties; d != nil {
-		switch kind {
-		case callReport:
-			p, err := duty.DecodeReport(body)
-			if err != nil {
-				return nil, err
-			}
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			now := d.clock()
-			d.book.Take(now, p, true)
-			word := duty.Word{Book: d.life, Lives: uint64(d.book.Lives(now, d.lately))}
-			return word.Encode(), nil
-		case callBook:
-			r := form.Reader{B: body}
-			from, to := r.Uint(), r.Uint()
-			if err := r.End(); err != nil {
-				return nil, err
-			}
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			return d.book.Encode(from, to), nil
-		case callRenew:
-			r := form.Reader{B: body}
-			place, node := r.Uint(), r.Word()
-			if err := r.End(); err != nil {
-				return nil, err
-			}
-			if d.renew(place, node) {
-				return []byte{1}, nil
-			}
-			return []byte{0}, nil
-		}
+	if n.duties != nil && duty.Owns(kind) {
+		return n.duties.handle(kind, from, body)
 	}
 	return nil, fmt.Errorf("call %d is not known here", kind)
 }
