Signs of life pass between keepers that are apart; parts of a fleet find each other

Causes, each found by the control plane in simulated time with partial cuts: signs went to each keeper from who had heard them alone, so that one of two that do not hear each other held the other's engines for silent; routers that had started anew behind a cut never asked the seeds again; a keeper with a new disk counted as being in touch (docs/incidents, parts that forgot each other).

--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -34,6 +34,8 @@
 	keeperGone = 3 * time.Minute  // one that nothing was heard of for so long is forgotten
 	keeperTold = 30 * time.Second // others are told only of one that was heard here so lately
 	oddKeeper  = 8                // one of so many digests goes to a keeper
+	reaches    = 4                // one of so many shuffles asks somebody beyond the view as well
+	mostLost   = 16               // peers that do not answer any more, and may be there again
 )
 
 // Event is something that happened.
@@ -53,6 +55,11 @@
 	}
 	// Heard is a sign of life that this node has heard itself; keepers are told of it.
 	Heard struct{ Sign Sign }
+	// Relay passes a sign of life that From has told to the keepers that do not hear From.
+	Relay struct {
+		Sign Sign
+		From uint64
+	}
 	// Members are the keepers that vote, by their ids.
 	Members struct{ IDs []uint64 }
 	// Seeds are addresses where others may be found.
@@ -68,6 +75,7 @@
 func (Tick) event()    {}
 func (Publish) event() {}
 func (Heard) event()   {}
+func (Relay) event()   {}
 func (Seeds) event()   {}
 func (Called) event()  {}
 func (Members) event() {}
@@ -87,7 +95,10 @@
 		From Peer
 	}
 	// Alive: a sign of life from elsewhere.
-	Alive struct{ Sign Sign }
+	Alive struct {
+		Sign Sign
+		From uint64
+	}
 	// Confirmed: urgent news has reached N others. With Enough these are as many as were wanted, or all there are; else too
 	// few have answered in time.
 	Confirmed struct {
@@ -111,6 +122,7 @@
 	mute  bool          // the last call to it was not answered
 	signs time.Duration // a keeper's: last signs from it
 	hears time.Duration // a keeper's: last word of it that it has signs from here
+	heeds []uint64      // a keeper's: those whom it hears, as it last said
 }
 
 // pending is urgent news that waits for words back.
@@ -126,25 +138,28 @@
 
 // Node is one process's part. It is not safe for concurrent use.
 type Node struct {
-	self    Peer
-	rnd     *rand.Rand
-	view    map[uint64]*entry
-	keepers map[uint64]*entry // the few that hold the state are known beside the view
-	voters  []uint64          // the keepers that vote; nil = not known yet
-	since   time.Duration     // in touch with a majority of them; -1 = not
-	seeds   []netip.AddrPort
-	items   map[string]*Item
-	hashes  [buckets]uint64 // of the items in each
-	members [buckets]map[string]bool
-	fresh   []Item           // to be passed on
-	signs   map[uint64]*Sign // to be passed on; AgeMS is the time of the call then
-	now     time.Duration
-	nextNew time.Duration
-	nextCmp time.Duration
-	nextShf time.Duration
-	confirm uint64
-	waiting map[uint64]*pending
-	out     []Effect
+	self     Peer
+	rnd      *rand.Rand
+	view     map[uint64]*entry
+	keepers  map[uint64]*entry // the few that hold the state are known beside the view
+	voters   []uint64          // the keepers that vote; nil = not known yet
+	since    time.Duration     // in touch with a majority of them; -1 = not
+	seeds    []netip.AddrPort
+	lost     []netip.AddrPort // peers that were forgotten, the latest last
+	shuffles int
+	items    map[string]*Item
+	hashes   [buckets]uint64 // of the items in each
+	members  [buckets]map[string]bool
+	fresh    []Item            // to be passed on
+	signs    map[uint64]*Sign  // to be passed on; AgeMS is the time of the call then
+	relays   map[uint64][]Sign // likewise, to one keeper alone
+	now      time.Duration
+	nextNew  time.Duration
+	nextCmp  time.Duration
+	nextShf  time.Duration
+	confirm  uint64
+	waiting  map[uint64]*pending
+	out      []Effect
 	// Stale tells of an item that is over, so that it is not taken in from others any more; nil = none is.
 	Stale func(*Item) bool
 	// SentBytes and SentPackets count what has left.
@@ -155,7 +170,7 @@
 func New(self Peer, seed uint64) *Node {
 	n := &Node{
 		self: self, rnd: rand.New(rand.NewPCG(seed, self.ID)), view: map[uint64]*entry{}, keepers: map[uint64]*entry{},
-		items: map[string]*Item{}, signs: map[uint64]*Sign{}, waiting: map[uint64]*pending{}, since: -1,
+		items: map[string]*Item{}, signs: map[uint64]*Sign{}, relays: map[uint64][]Sign{}, waiting: map[uint64]*pending{}, since: -1,
 	}
 	for i := range n.members {
 		n.members[i] = map[string]bool{}
@@ -188,6 +203,8 @@
 		n.publish(e)
 	case Heard:
 		n.sign(e.Sign)
+	case Relay:
+		n.relay(e)
 	case Members:
 		n.voters = e.IDs
 	case Seeds:
@@ -244,6 +261,7 @@
 		n.nextShf = n.now + shuffleGap/2 + time.Duration(n.rnd.Int64N(int64(shuffleGap)))
 		n.forget()
 		n.shuffle()
+		n.reach()
 	}
 }
 
@@ -254,9 +272,12 @@
 
 // tellKeepers sends the signs of life that have come since the last time to every keeper.
 func (n *Node) tellKeepers() {
+	aged := func(s Sign) Sign {
+		return Sign{s.Key, s.Count, uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))}
+	}
 	signs := make([]Sign, 0, len(n.signs))
 	for _, s := range n.signs {
-		signs = append(signs, Sign{s.Key, s.Count, uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))})
+		signs = append(signs, aged(*s))
 	}
 	slices.SortFunc(signs, func(x, y Sign) int { return cmp.Compare(x.Key, y.Key) })
 	clear(n.signs)
@@ -267,7 +288,11 @@
 		}
 	}
 	for _, id := range sorted(n.keepers) {
-		for rest := signs; ; {
+		rest := signs
+		for _, s := range n.relays[id] {
+			rest = append(rest[:len(rest):len(rest)], aged(s))
+		}
+		for {
 			some := rest[:min(len(rest), 80)]
 			n.send(n.keepers[id].Peer, &packet{kind: kindSigns, hears: hears, signs: some})
 			if rest = rest[len(some):]; len(rest) == 0 {
@@ -275,9 +300,25 @@
 			}
 		}
 	}
+	clear(n.relays)
 	n.feel()
 }
 
+// relay keeps a sign of life for the keepers that do not hear who has told it. Each that hears both of two who do not hear
+// each other is their go-between: else one would hold an engine for silent that calls the other.
+func (n *Node) relay(e Relay) {
+	if n.self.Flags&Keeper == 0 {
+		return
+	}
+	s := e.Sign
+	s.AgeMS = uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))
+	for id, k := range n.keepers {
+		if id != e.From && k.signs != 0 && n.now-k.signs <= touch && !slices.Contains(k.heeds, e.From) && len(n.relays[id]) < mostQueue {
+			n.relays[id] = append(n.relays[id], s)
+		}
+	}
+}
+
 // feel finds out whether this keeper is in touch: it hears a majority of those that vote, and they hear it.
 func (n *Node) feel() {
 	good := 0
@@ -294,11 +335,11 @@
 	}
 }
 
-// InTouch tells for how long a keeper has been in touch with a majority of keepers, both ways; false = it is not. Before it
-// knows who they are it counts as being.
+// InTouch tells for how long a keeper has been in touch with a majority of keepers, both ways; false = it is not. One that
+// does not know who they are, since its disk is new, is not; who is no keeper always is.
 func (n *Node) InTouch() (d time.Duration, ok bool) {
 	if len(n.voters) == 0 {
-		return 0, true
+		return 0, n.self.Flags&Keeper == 0
 	}
 	if n.since < 0 {
 		return 0, false
@@ -318,11 +359,13 @@
 	for id, p := range n.view {
 		if p.asked != 0 && n.now-p.asked > deaf {
 			delete(n.view, id)
+			n.lose(p)
 		}
 	}
 	for id, k := range n.keepers {
 		if n.now-max(k.heard, k.known) > keeperGone {
 			delete(n.keepers, id)
+			n.lose(k)
 		}
 	}
 	if len(n.view) < 2 {
@@ -330,6 +373,22 @@
 	}
 }
 
+// lose remembers where a peer was that is forgotten.
+func (n *Node) lose(p *entry) {
+	n.lost = append(slices.DeleteFunc(n.lost, func(a netip.AddrPort) bool { return a == p.Addr }), p.Addr)
+	n.lost = n.lost[max(len(n.lost)-mostLost, 0):]
+}
+
+// reach asks somebody beyond the view now and then: a seed, or one who was lost. Two parts of a fleet that have forgotten each
+// other while a cut lay between them would stay two for good, each with a view that is full. Who knows no keeper that
+// answers asks each time.
+func (n *Node) reach() {
+	n.shuffles++
+	if far := slices.Concat(n.seeds, n.lost); len(far) > 0 && (n.shuffles%reaches == 0 || n.self.Flags&Keeper == 0 && len(n.Answering()) == 0) {
+		n.sendTo(far[n.rnd.IntN(len(far))], &packet{kind: kindShuffle, peers: n.sample(shuffled)})
+	}
+}
+
 // shuffle exchanges a part of the view with the peer that was heard from longest ago.
 func (n *Node) shuffle() {
 	var oldest *entry
@@ -448,12 +507,12 @@
 		}
 	case kindSigns:
 		if k := n.keepers[p.from.ID]; k != nil {
-			if k.signs, k.hears = n.now, 0; slices.Contains(p.hears, n.self.ID) {
+			if k.signs, k.hears, k.heeds = n.now, 0, p.hears; slices.Contains(p.hears, n.self.ID) {
 				k.hears = n.now
 			}
 		}
 		for _, s := range p.signs {
-			n.out = append(n.out, Alive{s})
+			n.out = append(n.out, Alive{s, p.from.ID})
 		}
 	case kindConfirm:
 		if w := n.waiting[p.confirm]; w != nil {
@@ -831,9 +890,6 @@
 	return Item{}, false
 }
 
-// KnowsVoters tells whether the node knows which keepers vote.
-func (n *Node) KnowsVoters() bool { return len(n.voters) > 0 }
-
 // Items tells how many items are kept.
 func (n *Node) Items() int { return len(n.items) }
 
--- a/internal/control/news/news.go
+++ b/internal/control/news/news.go
@@ -171,8 +171,10 @@
 				n.learnt(f)
 			case gossip.Alive:
 				if id, ok := n.names[f.Sign.Key]; ok {
-					n.heard(id, func() bool {
-						return n.Roster.Alive(n.now, id, f.Sign.Count, time.Duration(f.Sign.AgeMS)*time.Millisecond)
+					n.heard(id, func() {
+						if n.Roster.Alive(n.now, id, f.Sign.Count, time.Duration(f.Sign.AgeMS)*time.Millisecond) {
+							n.queue = append(n.queue, gossip.Relay{Sign: f.Sign, From: f.From})
+						}
 					})
 				}
 			case gossip.Confirmed:
@@ -238,7 +240,7 @@
 }
 
 // heard notes a sign of life. Of one that was held for silent it is news.
-func (n *Node) heard(id string, take func() bool) {
+func (n *Node) heard(id string, take func()) {
 	e := n.Roster.Find(id)
 	was := e != nil && e.Silent
 	if take(); was && !e.Silent {
@@ -254,7 +256,7 @@
 		return
 	}
 	r := &b.Record
-	n.heard(r.ID, func() bool {
+	n.heard(r.ID, func() {
 		news, fresh := n.Roster.Beat(n.now, *r, n.wall)
 		n.names[gossip.Hash(r.ID)] = r.ID
 		for i := range news {
@@ -266,7 +268,6 @@
 		if fresh {
 			n.queue = append(n.queue, gossip.Heard{Sign: gossip.Sign{Key: gossip.Hash(r.ID), Count: r.Calls}})
 		}
-		return fresh
 	})
 	switch e := n.Roster.Find(r.ID); {
 	case e == nil:
@@ -347,7 +348,7 @@
 // for as long as that takes what the others hear.
 func (n *Node) tidy() {
 	d, ok := n.Gossip.InTouch()
-	judge := ok && n.self.Flags&gossip.Keeper != 0 && (d >= n.Roster.Silence() || !n.Gossip.KnowsVoters())
+	judge := ok && n.self.Flags&gossip.Keeper != 0 && d >= n.Roster.Silence()
 	silent, lost, forgotten := n.Roster.Sweep(n.now, judge)
 	for _, id := range silent {
 		n.dirty = true
