Experiments of the data plane as files, compared seed by seed; what a fleet costs

Need: the simulation had flags alone, and its figures no intervals; nothing said where a fleet ends. notchlab compare FILE plays variants with the same seeds on the same requests and tells differences with 95% intervals, the same bytes on any number of cores; notchlab capacity plays the control plane at sizes up to 200 routers and 1,000 engines and counts what its processes send; docs/capacity.md.

--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -16,13 +16,15 @@
 )
 
 type cli struct {
-	Demo  demo      `cmd:"" help:"Start discovery, boxes, a collector, two routers and clients on loopback, show requests being served through troubles, and end within a minute."`
-	Fleet fleetCmd  `cmd:"" help:"Start a whole fleet with engines, an operator, a platform and clients, show it through troubles, and end with a report."`
-	Check checkCmd  `cmd:"" help:"Walk through lives of ballots, members, founding and disks, as far as it is told."`
-	Sim   simCmd    `cmd:"" help:"Play a fleet's decisions in simulated time, beside baselines, at any size."`
-	Hunt  huntCmd   `cmd:"" help:"Play days of the control plane in simulated time, and shrink those that break a rule."`
-	Play  replayCmd `cmd:"" name:"replay" help:"Play a day again that hunt has written."`
-	Run   run       `cmd:"" help:"Run an experiment file (lab/NAME.toml) and hold it to its bars."`
+	Demo    demo        `cmd:"" help:"Start discovery, boxes, a collector, two routers and clients on loopback, show requests being served through troubles, and end within a minute."`
+	Fleet   fleetCmd    `cmd:"" help:"Start a whole fleet with engines, an operator, a platform and clients, show it through troubles, and end with a report."`
+	Check   checkCmd    `cmd:"" help:"Walk through lives of ballots, members, founding and disks, as far as it is told."`
+	Sim     simCmd      `cmd:"" help:"Play a fleet's decisions in simulated time, beside baselines, at any size."`
+	Compare compareCmd  `cmd:"" help:"Play an experiment file in simulated time: variants with the same seeds, held against one of them."`
+	Size    capacityCmd `cmd:"" name:"capacity" help:"Play quiet days of the control plane at several sizes, and tell what its processes send."`
+	Hunt    huntCmd     `cmd:"" help:"Play days of the control plane in simulated time, and shrink those that break a rule."`
+	Play    replayCmd   `cmd:"" name:"replay" help:"Play a day again that hunt has written."`
+	Run     run         `cmd:"" help:"Run an experiment file (lab/NAME.toml) and hold it to its bars."`
 }
 
 // badFile is an error of a file that was given; the program ends with exit code 2.
--- a/cmd/notchlab/sim.go
+++ b/cmd/notchlab/sim.go
@@ -78,7 +78,7 @@
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTERS\tENGINES\tLOAD\tSKEW\tVARIANT\tASKED\tIN AIM\tLATE\tREFUSED\tFAILED\tP50 MS\tP99 MS\tKEPT\tBUSIEST\tLEGS")
-	r := report.Result{Name: "sim", About: "The data plane in simulated time, beside baselines on the same requests.", Seed: c.Seeds[0], Cores: runtime.NumCPU()}
+	r := report.Result{Name: "sim", About: "The data plane in simulated time, beside baselines on the same requests.", Seed: c.Seeds[0], Simulated: true}
 	lines := map[string]*report.Series{}
 	for _, some := range slices.Collect(slices.Chunk(all, len(c.Seeds))) {
 		m := mean(some)
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -51,6 +51,7 @@
 // from is who has called, and what its answer does there.
 type from struct {
 	m    *machine
+	kind uint8
 	back func(body []byte, err error)
 }
 
@@ -281,6 +282,7 @@
 
 // datagram sends one, which may get lost.
 func (w *world) datagram(from, to *machine, b []byte) {
+	w.spendDatagram(from, to, b)
 	if to == nil || w.rnd.Float64() < w.loss {
 		return
 	}
@@ -304,6 +306,7 @@
 		}
 	}
 	w.in(c.Within, func() { back(nil, errGone) })
+	w.spendCall(m, to, c.Kind, len(c.Body))
 	if to == nil {
 		return
 	}
@@ -317,13 +320,14 @@
 			w.in(d, func() { back(nil, errGone) })
 			return
 		}
-		to.take(core.Called{Kind: c.Kind, Body: c.Body, From: addrOf(m.i).Addr(), Of: from{m, back}})
+		to.take(core.Called{Kind: c.Kind, Body: c.Body, From: addrOf(m.i).Addr(), Of: from{m, c.Kind, back}})
 	})
 }
 
 // back carries an answer.
 func (w *world) back(m *machine, r core.Reply) {
 	f := r.Of.(from)
+	w.spendCall(f.m, nil, f.kind, len(r.Body)-frameBytes) // it is its caller's
 	if d, ok := w.link(m, f.m); ok {
 		w.in(d, func() { f.back(r.Body, r.Err) })
 	}
--- a/internal/lab/plane/people.go
+++ b/internal/lab/plane/people.go
@@ -265,6 +265,9 @@
 				return
 			}
 		}
+		if m.keeper && w.meter.on {
+			w.meter.calls++
+		}
 		m.take(b)
 	})
 }
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -127,6 +127,7 @@
 	report  Report
 
 	platform platform
+	meter    meter
 	began    map[uint64]int // requests, by window
 }
 
@@ -163,6 +164,20 @@
 // Play plays a day. broken names a rule that is broken on purpose, which must be found out; "" = none.
 func (d *Day) Play(broken string) Report {
 	w := newWorld(d, broken)
+	w.begin()
+	w.run(lead + d.Length)
+	w.heal()
+	w.run(w.now + rest)
+	w.owed()
+	w.readBack()
+	for _, rule := range slices.Sorted(keys(w.found)) {
+		w.report.Found = append(w.report.Found, w.found[rule])
+	}
+	return w.report
+}
+
+// begin starts everything, and plans what will happen.
+func (w *world) begin() {
 	for _, m := range w.machines {
 		m.start()
 	}
@@ -171,23 +186,14 @@
 			w.reports(m)
 		}
 	}
-	for k := range d.Engines {
+	for k := range w.day.Engines {
 		w.engine(k)
 	}
 	w.in(lead/2, func() { w.change(0, 0) })
-	for i := range d.Troubles {
-		t := &d.Troubles[i]
+	for i := range w.day.Troubles {
+		t := &w.day.Troubles[i]
 		w.in(lead+t.At, func() { w.strike(t) })
 	}
-	w.run(lead + d.Length)
-	w.heal()
-	w.run(w.now + rest)
-	w.owed()
-	w.readBack()
-	for _, rule := range slices.Sorted(keys(w.found)) {
-		w.report.Found = append(w.report.Found, w.found[rule])
-	}
-	return w.report
 }
 
 func keys(m map[string]Found) func(yield func(string) bool) {
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -151,3 +151,18 @@
 		})
 	}
 }
+
+// TestCostsDoNotGrowWithTheFleet: what a router sends hardly depends on how many routers and engines there are.
+func TestCostsDoNotGrowWithTheFleet(t *testing.T) {
+	cost := func(routers, engines int) Costs {
+		d := &Day{Seed: 1, Keepers: 5, Routers: routers, Engines: engines, Tolerate: 2, Length: 20 * time.Second}
+		return d.Measure(8 * time.Second)
+	}
+	few, many := cost(8, 16), cost(48, 96)
+	if few.Sent[0] < 100 || many.Sent[0] > 1.3*few.Sent[0] {
+		t.Errorf("a router sends %.0f bytes a second among 8 and %.0f among 48: %+v", few.Sent[0], many.Sent[0], many.Router)
+	}
+	if many.Calls < 3*few.Calls || many.Taken < 3*few.Taken {
+		t.Errorf("a keeper hears of every engine and router: %+v, %+v", few, many)
+	}
+}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"html/template"
 	"io"
 	"math"
 	"os"
@@ -64,15 +65,17 @@
 
 // Result is what an experiment came to.
 type Result struct {
-	Name   string  `json:"name"`
-	About  string  `json:"about"`
-	Seed   uint64  `json:"seed"`
-	Short  bool    `json:"short"`
-	Commit string  `json:"commit,omitempty"`
-	Cores  int     `json:"cores"` // of the machine
-	Rows   []Row   `json:"figures"`
-	Bars   []Bar   `json:"bars"`
-	Charts []Chart `json:"-"`
+	Name   string `json:"name"`
+	About  string `json:"about"`
+	Seed   uint64 `json:"seed"`
+	Short  bool   `json:"short"`
+	Commit string `json:"commit,omitempty"`
+	Cores  int    `json:"cores,omitempty"` // of the machine
+	// Simulated says that no clock was read, so that neither machine nor cores matter and are not told.
+	Simulated bool    `json:"simulated,omitempty"`
+	Rows      []Row   `json:"figures"`
+	Bars      []Bar   `json:"bars"`
+	Charts    []Chart `json:"-"`
 }
 
 // Add adds a row.
@@ -172,8 +175,10 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	r.Cores = runtime.NumCPU()
-	if info, ok := debug.ReadBuildInfo(); ok && r.Commit == "" {
+	if r.Cores = runtime.NumCPU(); r.Simulated {
+		r.Cores = 0
+	}
+	if info, ok := debug.ReadBuildInfo(); ok && r.Commit == "" && !r.Simulated {
 		for _, s := range info.Settings {
 			if s.Key == "vcs.revision" {
 				r.Commit = s.Value
@@ -188,7 +193,10 @@
 		return err
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "# %s\n\n%s\n\nSeed %d, %d cores", r.Name, r.About, r.Seed, r.Cores)
+	fmt.Fprintf(&b, "# %s\n\n%s\n\nSeed %d", r.Name, r.About, r.Seed)
+	if r.Cores > 0 {
+		fmt.Fprintf(&b, ", %d cores", r.Cores)
+	}
 	if r.Short {
 		b.WriteString(", short run")
 	}
@@ -208,7 +216,39 @@
 			return fmt.Errorf("chart %s: %w", c.File, err)
 		}
 	}
-	return nil
+	return r.page(dir)
+}
+
+// page is the whole of it as one page that needs nothing beside it.
+var page = template.Must(template.New("report").Funcs(template.FuncMap{"text": func(x interface{ text() string }) string { return x.text() }}).Parse(
+	`<!doctype html><html lang="en"><meta charset="utf-8"><title>{{.Name}}</title>
+<style>body{font:15px/1.4 sans-serif;max-width:60em;margin:2em auto}table{border-collapse:collapse}td,th{border:1px solid #ccc;padding:.2em .6em;text-align:left}svg{max-width:100%;height:auto}</style>
+<h1>{{.Name}}</h1><p>{{.About}}</p><p>Seed {{.Seed}}{{if .Cores}}, {{.Cores}} cores{{end}}{{if .Short}}, short run{{end}}.</p>
+{{range .Pictures}}{{.}}{{end}}
+{{if .Bars}}<table><tr><th>bar<th>figure, wanted, verdict<th></tr>{{range .Bars}}<tr><td>{{.Name}}<td>{{text .}}<td>{{.Note}}</tr>{{end}}</table>{{end}}
+<table><tr><th>figure<th><th></tr>{{range .Rows}}<tr><td>{{.Name}}<td>{{text .}}<td>{{.Note}}</tr>{{end}}</table></html>
+`))
+
+// page writes report.html, with the charts that stand in the folder within it.
+func (r *Result) page(dir string) error {
+	p := struct {
+		*Result
+		Pictures []template.HTML
+	}{Result: r}
+	for _, c := range r.Charts {
+		text, err := os.ReadFile(filepath.Join(dir, c.File))
+		if err != nil {
+			return err
+		}
+		if i := strings.Index(string(text), "<svg"); i >= 0 && strings.HasSuffix(c.File, ".svg") {
+			p.Pictures = append(p.Pictures, template.HTML(text[i:])) // of our own plotter, which escapes what it is given
+		}
+	}
+	var b strings.Builder
+	if err := page.Execute(&b, p); err != nil {
+		return fmt.Errorf("report.html: %w", err)
+	}
+	return os.WriteFile(filepath.Join(dir, "report.html"), []byte(b.String()), 0o644)
 }
 
 func note(name, note string) string {
--- /dev/null
+++ b/internal/lab/trial/trial_test.go
@@ -0,0 +1,105 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const small = `name = "small"
+about = "whether it works"
+against = "design"
+seeds = { first = 3, count = 3 }
+fleet = { routers = 3, engines = 8, zones = 2, load = 0.5, skew = 0.5, seconds = 3 }
+sweep = { field = "skew", values = [0.0, 1.0] }
+[[variant]]
+name = "design"
+[[variant]]
+name = "chance"
+decides = "random"
+[[variant]]
+name = "the same"
+`
+
+func load(t *testing.T, text string) (*File, error) {
+	path := filepath.Join(t.TempDir(), "x.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(path)
+}
+
+// TestSameOutcomeOnAnyCores: whatever the number of cores, text and report are the same to the byte; a variant that is the
+// same differs by nothing, and one that is not by what the runs say.
+func TestSameOutcomeOnAnyCores(t *testing.T) {
+	f, err := load(t, small)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var texts, reports []string
+	for _, cores := range []int{1, 4} {
+		last := 0
+		o, err := Run(t.Context(), f, cores, func(done, of int) { last = of - done })
+		if err != nil || last != 0 {
+			t.Fatal(err, last)
+		}
+		var b bytes.Buffer
+		if err := o.Print(&b); err != nil {
+			t.Fatal(err)
+		}
+		dir := t.TempDir()
+		if err := o.Report().Write(dir); err != nil {
+			t.Fatal(err)
+		}
+		page, err := os.ReadFile(filepath.Join(dir, "report.html"))
+		if err != nil || !bytes.Contains(page, []byte("<svg")) {
+			t.Fatal("no chart within the page", err)
+		}
+		texts, reports = append(texts, b.String()), append(reports, string(page))
+		for _, c := range o.Cells {
+			for k, d := range c.Against {
+				if c.Variant == "the same" && d != (Figure{}) {
+					t.Errorf("%s of the same: %v", figures[k].name, d)
+				}
+			}
+			if c.Variant == "chance" && c.Against[6].Mean >= 0 {
+				t.Errorf("chance keeps no less: %v", c.Against[6])
+			}
+		}
+	}
+	if texts[0] != texts[1] || reports[0] != reports[1] {
+		t.Error(cmp.Diff(texts[0], texts[1]))
+	}
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := Run(over, f, 2, func(int, int) {}); err == nil {
+		t.Error("it is over, and it runs")
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for text, says := range map[string][]string{
+		strings.Replace(small, "about", "abuot", 1):                    {"abuot"},
+		strings.Replace(small, `"random"`, `"dice"`, 1):                {`"dice"`},
+		strings.Replace(small, `against = "design"`, "", 1):            {"against"},
+		strings.Replace(small, `field = "skew"`, `field = "sky"`, 1):   {"sky"},
+		strings.Replace(small, "count = 3", "count = 0", 1):            {"seeds.count"},
+		strings.Replace(small, `name = "the same"`, `name = ""`, 1):    {"a name of its own"},
+		strings.Replace(small, "load = 0.5", "load = 0", 1):            {"load above 0"},
+		strings.Replace(small, "engines = 8", "engines = 1", 1):        {"engines"},
+		strings.Replace(small, "values = [0.0, 1.0]", "values = 1", 1): {":6"},
+		`name = "x"`: {"about", "seeds.count", "against"},
+	} {
+		_, err := load(t, text)
+		for _, s := range says {
+			if err == nil || !strings.Contains(err.Error(), s) {
+				t.Errorf("%q is not said: %v", s, err)
+			}
+		}
+	}
+}
