A router that knows no keeper acknowledges no engine's call; disks refuse and lose

Ruled out: the engine's home (none was named), the keepers (in touch, and right from what they had). Tests without the model for what was mended before: two keepers apart, halves of a fleet apart for longer than memory.

--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -15,9 +15,10 @@
 	now     time.Duration
 	rnd     *rand.Rand
 	loss    float64
-	cut     map[int]bool // nobody hears it
-	mute    map[int]bool // it hears all, and nobody hears it
-	deaf    map[int]bool // the other way round
+	cut     map[int]bool        // nobody hears it
+	mute    map[int]bool        // it hears all, and nobody hears it
+	deaf    map[int]bool        // the other way round
+	apart   func(i, k int) bool // these two do not hear each other; nil = all do
 	learnt  []map[string]uint64
 	alive   []map[uint64]uint64
 	confirm map[any]int
@@ -75,13 +76,16 @@
 				if len(x.Bytes) > MostPacket+300 {
 					panic(fmt.Sprintf("a datagram of %d bytes", len(x.Bytes)))
 				}
-				if ok && !f.cut[i] && !f.cut[to] && !f.mute[i] && !f.deaf[to] && f.rnd.Float64() >= f.loss {
+				if ok && !f.cut[i] && !f.cut[to] && !f.mute[i] && !f.deaf[to] && (f.apart == nil || !f.apart(i, to)) && f.rnd.Float64() >= f.loss {
 					*queue = append(*queue, delivery{to, x.Bytes})
 				}
 			case Learnt:
 				f.learnt[i][x.Item.Key] = x.Item.Version
 			case Alive:
-				f.alive[i][x.Sign.Key] = max(f.alive[i][x.Sign.Key], x.Sign.Count)
+				if x.Sign.Count > f.alive[i][x.Sign.Key] {
+					f.alive[i][x.Sign.Key] = x.Sign.Count
+					events = append(events, Relay{Sign: x.Sign, From: x.From})
+				}
 			case Confirmed:
 				f.confirm[x.Of] = x.N
 			}
@@ -286,6 +290,45 @@
 	}
 }
 
+// TestKeepersThatDoNotHearEachOther: of three, two hear the third and not each other. What one has heard reaches the other,
+// a tick later, and nothing is passed on once they hear each other again.
+func TestKeepersThatDoNotHearEachOther(t *testing.T) {
+	f := newFleet(6, 5)
+	f.apart = func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 1 }
+	f.pass(6 * time.Second)
+	f.do(0, Heard{Sign{Key: 77, Count: 9}})
+	f.pass(3 * Every)
+	if f.alive[1][77] != 9 || f.alive[2][77] != 9 || f.alive[4][77] != 0 {
+		t.Errorf("a sign of life that keeper 0 has heard: %v", f.alive)
+	}
+	f.apart = nil
+	f.pass(4 * Every)
+	for i, n := range f.nodes {
+		if n.relay(Relay{Sign: Sign{Key: 78, Count: 1}, From: 1}); len(n.relays) > 0 {
+			t.Errorf("node %d passes on what all have heard: %v", i, n.relays)
+		}
+	}
+}
+
+// TestPartsFindEachOther: two halves, a keeper and a seed at least in each, do not hear each other for longer than anybody is
+// remembered, with views that are full of those of one's own half. They are one fleet again within a minute.
+func TestPartsFindEachOther(t *testing.T) {
+	f := newFleet(90, 9)
+	f.pass(5 * time.Second)
+	f.apart = func(i, k int) bool { return i%2 != k%2 }
+	f.pass(keeperGone + 20*time.Second)
+	f.do(1, Publish{Items: []Item{{Kind: 1, Key: "k", Version: 1}}})
+	f.pass(5 * time.Second)
+	if n := f.have("k", 1); n != 45 || len(f.nodes[0].Keepers()) != 1 {
+		t.Fatalf("%d have it, and keeper 0 knows %d others", n, len(f.nodes[0].Keepers()))
+	}
+	f.apart = nil
+	f.pass(time.Minute)
+	if n := f.have("k", 1); n != 90 {
+		t.Errorf("a minute after the cut %d of 90 have the news", n)
+	}
+}
+
 // TestKeepersFeelACut: a keeper that is cut off from the others, one way or both, knows within three seconds that it is
 // out of touch, and the others stay in touch; as it does again once the cut is over.
 func TestKeepersFeelACut(t *testing.T) {
--- a/internal/control/news/news.go
+++ b/internal/control/news/news.go
@@ -281,9 +281,9 @@
 	}
 }
 
-// alone tells whether this router knows of keepers and none of them answers.
+// alone tells whether this is a router that knows of no keeper that answers; one that has just started knows of none yet.
 func (n *Node) alone() bool {
-	return n.self.Flags&gossip.Keeper == 0 && len(n.Gossip.Keepers()) > 0 && len(n.Gossip.Answering()) == 0
+	return n.self.Flags&gossip.Keeper == 0 && len(n.Gossip.Answering()) == 0
 }
 
 // signOff takes an engine's last call in.
--- a/internal/lab/plane/hunt.go
+++ b/internal/lab/plane/hunt.go
@@ -24,7 +24,7 @@
 	}
 	for range 3 + rnd.IntN(8) {
 		t := Trouble{At: time.Duration(rnd.IntN(28000)) * time.Millisecond, For: time.Duration(200+rnd.IntN(9000)) * time.Millisecond}
-		t.Kind = []Kind{Kill, Kill, Wipe, Cut, Mute, Deaf, Split, Split, Leave, Crash, Change, Change, Race, Race, Freeze, Step, Part}[rnd.IntN(17)]
+		t.Kind = []Kind{Kill, Kill, Wipe, Cut, Mute, Deaf, Split, Split, Leave, Crash, Change, Change, Race, Race, Freeze, Step, Part, Full}[rnd.IntN(18)]
 		switch t.Kind {
 		case Leave, Crash:
 			t.On = pick(1+rnd.IntN(3), 0, s.Engines)
@@ -33,6 +33,8 @@
 			t.On = pick(1+rnd.IntN(s.Tolerate), 0, s.Keepers)
 		case Wipe:
 			t.On = pick(1, 0, s.Keepers)
+		case Full:
+			t.On = pick(1+rnd.IntN(s.Tolerate), 0, s.Keepers)
 		case Part:
 			t.On = pick(2, 0, s.Keepers)
 		default:
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -42,6 +42,9 @@
 	duty   *duty.Node
 	meter  *duty.Meter
 	frozen bool
+	writes *core.Write   // what is on its way to the disk
+	full   bool          // the disk refuses what is written
+	shut   bool          // it has refused something that it has not been told since
 	step   time.Duration // its time of day is ahead by this
 	wakeAt time.Duration
 	calm   time.Duration // since when nothing has happened to it or to its links
@@ -70,7 +73,7 @@
 // start starts the process anew, with what its disk holds.
 func (m *machine) start() {
 	w := m.w
-	m.up, m.busy, m.queue, m.wakeAt, m.frozen = true, false, nil, 0, false
+	m.up, m.busy, m.queue, m.wakeAt, m.frozen, m.shut = true, false, nil, 0, false, false
 	m.life++
 	self := gossip.Peer{ID: gossip.Hash(m.name), Addr: addrOf(m.i), Zone: m.zone, Flags: gossip.Edge}
 	if m.keeper {
@@ -98,8 +101,12 @@
 	m.take(gossip.Seeds{Addrs: []netip.AddrPort{addrOf(0), addrOf(1), addrOf(w.day.Keepers)}})
 }
 
-// die ends the process. What it was writing is there or not; with dark, only what was synced is.
+// die ends the process. What was on its way to the disk is there afterwards or is not.
 func (m *machine) die() {
+	if m.writes != nil && !m.full && !m.shut && m.w.rnd.IntN(2) == 0 {
+		m.disk.keep(m.writes, m.w)
+	}
+	m.writes = nil
 	m.up, m.busy, m.queue, m.frozen = false, false, nil, false
 	m.life++
 }
@@ -220,16 +227,16 @@
 				effects = append(effects, m.core.Reduce(m.w.now, core.Wrote{ID: f.ID, OK: true})...)
 				continue
 			}
-			m.busy = true
+			m.busy, m.writes = true, &f
 			rest, life := effects, m.life
 			m.w.in(m.w.sync, func() {
 				if m.life != life {
 					return
 				}
-				m.disk.keep(&f, m.w)
-				m.busy = false
+				ok := m.write(&f)
+				m.busy, m.writes = false, nil
 				m.queue = append([]any{func() {
-					m.perform(append(rest, m.core.Reduce(m.w.now, core.Wrote{ID: f.ID, OK: true})...))
+					m.perform(append(rest, m.core.Reduce(m.w.now, core.Wrote{ID: f.ID, OK: ok})...))
 				}}, m.queue...)
 				m.work()
 			})
@@ -253,6 +260,23 @@
 	}
 }
 
+// write writes to the disk, if it takes anything. After it has refused something it is told all that stands here first, as a
+// keeper of the program does.
+func (m *machine) write(f *core.Write) bool {
+	if m.full {
+		m.shut = true
+		return false
+	}
+	if m.shut {
+		m.shut = false
+		state := m.core.State()
+		m.disk.keep(&core.Write{Whole: true, State: &state}, m.w)
+		m.disk.keep(&core.Write{Vote: m.core.Vote()}, m.w)
+	}
+	m.disk.keep(f, m.w)
+	return true
+}
+
 // keep makes a write durable.
 func (d *disk) keep(f *core.Write, w *world) {
 	switch {
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -38,7 +38,7 @@
 // The kinds: processes are killed and come back after a time; all are, at one moment, their disks remain; machines lose their disk with it; machines are cut off from all
 // others, or are not heard, or do not hear; the core is cut in two; engines say that they leave, or crash; an operator
 // changes the configuration; two do, upon the same version; machines stand still and go on; their time of day steps ahead and back;
-// machines do not hear each other, and all others do.
+// machines do not hear each other, and all others do; disks refuse what is written.
 const (
 	Kill   Kind = "kill"
 	Dark   Kind = "dark"
@@ -55,10 +55,11 @@
 	Freeze Kind = "freeze"
 	Step   Kind = "step"
 	Part   Kind = "part"
+	Full   Kind = "full"
 )
 
 // Kinds lists them.
-var Kinds = []Kind{Kill, Dark, Aimed, Wipe, Cut, Mute, Deaf, Split, Leave, Crash, Change, Race, Freeze, Step, Part}
+var Kinds = []Kind{Kill, Dark, Aimed, Wipe, Cut, Mute, Deaf, Split, Leave, Crash, Change, Race, Freeze, Step, Part, Full}
 
 // Found is a broken rule.
 type Found struct {
@@ -301,10 +302,23 @@
 			life := m.life
 			w.in(t.For, func() {
 				if m.life == life {
+					m.full = false
 					m.thaw()
 				}
 			})
 		}
+	case Full:
+		for _, m := range on {
+			if !m.keeper {
+				continue
+			}
+			m.full = true
+			w.shake(m)
+			w.in(t.For, func() {
+				m.full = false
+				w.shake(m)
+			})
+		}
 	case Step:
 		by := time.Duration(w.rnd.IntN(12)-6) * time.Second
 		for _, m := range on {
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -51,6 +51,7 @@
 //	island.toml: routers that had started anew behind a cut knew each other, and nobody else for good
 //	closed.toml: a new holder, accepted by few, had to be brought to its end by everybody, and was barred by the others while
 //	the lease of the one before was renewed: nothing was agreed any more
+//	unheard.toml: a router that had started anew behind a cut acknowledged calls before it knew of any keeper
 //	newdisk.toml: a keeper with a new disk, cut off from all others, acknowledged engines' calls that nobody else heard
 func TestKeptDays(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.toml")
