--- a/cmd/notchlab/main.go
+++ b/cmd/notchlab/main.go
@@ -24,6 +24,8 @@
 	Size    capacityCmd `cmd:"" name:"capacity" help:"Play quiet days of the control plane at several sizes, and tell what its processes send."`
 	Hunt    huntCmd     `cmd:"" help:"Play days of the control plane in simulated time, and shrink those that break a rule."`
 	Play    replayCmd   `cmd:"" name:"replay" help:"Play a day again that hunt has written."`
+	Back    recoverCmd  `cmd:"" name:"recover" help:"Have all machines lose their power at once, and tell how long each part takes to be back."`
+	Shrink  shrinkCmd   `cmd:"" help:"Take away from such a day what its broken rule does not need."`
 	Run     run         `cmd:"" help:"Run an experiment file (lab/NAME.toml) and hold it to its bars."`
 }
 
--- a/cmd/notchlab/plane.go
+++ b/cmd/notchlab/plane.go
@@ -27,37 +27,24 @@
 		return badFile{errors.New("at least one day, router, engine and keeper that may be lost are wanted, and fewer than half of the keepers; 4000 machines at the most")}
 	}
 	began, last := time.Now(), time.Now()
-	broken := plane.Hunt(c.First, c.Days, s, func(done int) {
+	days, met := plane.Plan(c.First, c.Days, s)
+	broken := plane.Hunt(days, func(done int) {
 		if time.Since(last) > 5*time.Second {
 			last = time.Now()
 			fmt.Fprintf(os.Stderr, "%d of %d days\n", done, c.Days)
 		}
 	})
-	fmt.Printf("%d days of %d machines and %d engines in %v: %d break a rule\n", c.Days, c.Keepers+c.Routers, c.Engines,
-		time.Since(began).Round(time.Second), len(broken))
+	fmt.Printf("%d days of %d machines and %d engines in %v, in which %d pairs of troubles have met: %d break a rule\n", c.Days, c.Keepers+c.Routers,
+		c.Engines, time.Since(began).Round(time.Second), len(met), len(broken))
 	if c.Out != "" && len(broken) > 0 {
 		if err := os.MkdirAll(c.Out, 0o755); err != nil {
 			return err
 		}
 	}
 	for _, d := range broken {
-		rule := d.Play("").Found[0].Rule
-		small := d.Shrink("", rule)
-		f := small.Play("").Found[0]
-		text, err := small.Encode()
-		if err != nil {
+		if err := shrunk(d, c.Out); err != nil {
 			return err
 		}
-		fmt.Printf("\n# seed %d: %s at %v: %s\n", d.Seed, f.Rule, f.At.Round(time.Millisecond), f.Says)
-		if c.Out == "" {
-			fmt.Printf("%s", text)
-			continue
-		}
-		path := filepath.Join(c.Out, fmt.Sprintf("%d-%s.toml", d.Seed, f.Rule))
-		if err := os.WriteFile(path, text, 0o600); err != nil {
-			return err
-		}
-		fmt.Println("# shrunk to", path)
 	}
 	if len(broken) > 0 {
 		return errBroken
@@ -65,6 +52,45 @@
 	return nil
 }
 
+// shrunk prints what is left of a day that breaks a rule, or writes it into a folder.
+func shrunk(d *plane.Day, out string) error {
+	r := d.Play("")
+	if len(r.Found) == 0 {
+		return nil
+	}
+	rule := r.Found[0].Rule
+	small := d.Shrink("", rule)
+	f := small.Play("").Found[0]
+	text, err := small.Encode()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n# seed %d: %s at %v: %s\n", d.Seed, f.Rule, f.At.Round(time.Millisecond), f.Says)
+	if out == "" {
+		fmt.Printf("%s", text)
+		return nil
+	}
+	path := filepath.Join(out, fmt.Sprintf("%d-%s.toml", d.Seed, rule))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	fmt.Println("# shrunk to", path)
+	return nil
+}
+
+type shrinkCmd struct {
+	File string `arg:"" help:"A day that breaks a rule."`
+}
+
+// Run takes away from a day what its broken rule does not need, and prints the rest. A day that breaks none is left as it is.
+func (c shrinkCmd) Run() error {
+	d, err := plane.Load(c.File)
+	if err != nil {
+		return badFile{err}
+	}
+	return shrunk(d, "")
+}
+
 type replayCmd struct {
 	File string `arg:"" help:"A day, as hunt writes it."`
 }
--- /dev/null
+++ b/cmd/notchlab/recover.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"notchhinge/internal/lab/plane"
+)
+
+type recoverCmd struct {
+	Routers []int         `help:"Routers; several are played one after the other." default:"11,59,86,200"`
+	Engines []int         `help:"Engines, as many figures as routers." default:"22,212,249,1000"`
+	Keepers int           `help:"Keepers of a fleet." default:"5"`
+	Down    time.Duration `help:"For how long nobody has power." default:"1.1s"`
+	Seeds   int           `help:"Each size is played with seeds from 1 to this; the median and the worst are told." default:"5"`
+}
+
+// Run has all machines lose their power at once, and tells how long it takes until each part is back.
+func (c recoverCmd) Run() error {
+	if len(c.Routers) != len(c.Engines) || c.Keepers < 1 || c.Seeds < 1 || c.Down <= 0 {
+		return badFile{fmt.Errorf("--routers has %d figures and --engines %d; a keeper, a seed and a time are wanted", len(c.Routers), len(c.Engines))}
+	}
+	all := make([]plane.Recovery, len(c.Routers)*c.Seeds)
+	var wait sync.WaitGroup
+	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range all {
+		turn <- struct{}{}
+		wait.Go(func() {
+			d := &plane.Day{Seed: uint64(i%c.Seeds) + 1, Keepers: c.Keepers, Routers: c.Routers[i/c.Seeds], Engines: c.Engines[i/c.Seeds],
+				Tolerate: (c.Keepers - 1) / 2, Length: 10 * time.Second}
+			all[i] = d.Recover(c.Down)
+			<-turn
+		})
+	}
+	wait.Wait()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ROUTERS\tENGINES\tKEEPERS IN TOUCH\tHALF KNOWN\t95% KNOWN\tALL KNOWN\tCONFIGURATION AGREED\tDUTIES")
+	for i := range c.Routers {
+		some := all[i*c.Seeds : (i+1)*c.Seeds]
+		fmt.Fprintf(w, "%d\t%d", c.Routers[i], c.Engines[i])
+		for _, of := range []func(r plane.Recovery) time.Duration{
+			func(r plane.Recovery) time.Duration { return r.Touch }, func(r plane.Recovery) time.Duration { return r.Half },
+			func(r plane.Recovery) time.Duration { return r.Most }, func(r plane.Recovery) time.Duration { return r.All },
+			func(r plane.Recovery) time.Duration { return r.Agreed }, func(r plane.Recovery) time.Duration { return r.Duties },
+		} {
+			var times []time.Duration
+			for _, r := range some {
+				times = append(times, of(r))
+			}
+			slices.Sort(times)
+			fmt.Fprintf(w, "\t%.2f, %.2f s", times[len(times)/2].Seconds(), times[len(times)-1].Seconds())
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
--- a/internal/lab/plane/hunt.go
+++ b/internal/lab/plane/hunt.go
@@ -1,6 +1,7 @@
 package plane
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -77,17 +78,70 @@
 	return d
 }
 
-// Hunt plays days of seeds from one on, on all cores, and returns those that break a rule, in the order of their seeds.
-// progress is told how many are done.
-func Hunt(first uint64, days int, s Size, progress func(done int)) (broken []*Day) {
+// Met is which troubles have met: of one that is still there when another begins, the kinds, and whom they strike.
+type Met map[[2]string]int
+
+// add counts what meets in a day, and tells how much of it is new.
+func (m Met) add(d *Day, count bool) (fresh int) {
+	name := func(t *Trouble) string {
+		switch {
+		case t.Kind == Leave || t.Kind == Crash || len(t.On) == 0:
+			return string(t.Kind)
+		case t.On[0] < d.Keepers:
+			return string(t.Kind) + " of keepers"
+		}
+		return string(t.Kind) + " of routers"
+	}
+	seen := Met{}
+	for i := range d.Troubles {
+		for k := range d.Troubles[:i] {
+			x, y := &d.Troubles[k], &d.Troubles[i] // in the order of their times
+			if y.At > x.At+x.For+time.Second {
+				continue
+			}
+			pair := [2]string{name(x), name(y)}
+			if seen[pair]++; seen[pair] == 1 && m[pair] == 0 {
+				fresh++
+			}
+			if count {
+				m[pair]++
+			}
+		}
+	}
+	return fresh
+}
+
+// candidates are drawn for each day of a hunt; the one in which most meets that has not met yet is played.
+const candidates = 3
+
+// Plan draws the days of a hunt, from a seed on.
+func Plan(first uint64, days int, s Size) (all []*Day, met Met) {
+	met = Met{}
+	for i := range uint64(days) {
+		var best *Day
+		most := -1
+		for k := range uint64(candidates) {
+			d := Draw(first+i+k<<32, s)
+			if n := met.add(d, false); n > most {
+				best, most = d, n
+			}
+		}
+		met.add(best, true)
+		all = append(all, best)
+	}
+	return all, met
+}
+
+// Hunt plays days on all cores, and returns those that break a rule, in the order of their seeds. progress is told how many
+// are done.
+func Hunt(days []*Day, progress func(done int)) (broken []*Day) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	next := make(chan uint64)
+	next := make(chan *Day)
 	done := 0
 	for range runtime.GOMAXPROCS(0) {
 		wait.Go(func() {
-			for seed := range next {
-				d := Draw(seed, s)
+			for d := range next {
 				r := d.Play("")
 				mu.Lock()
 				if len(r.Found) > 0 {
@@ -100,12 +154,12 @@
 			}
 		})
 	}
-	for i := range days {
-		next <- first + uint64(i)
+	for _, d := range days {
+		next <- d
 	}
 	close(next)
 	wait.Wait()
-	slices.SortFunc(broken, func(x, y *Day) int { return int(int64(x.Seed) - int64(y.Seed)) })
+	slices.SortFunc(broken, func(x, y *Day) int { return cmp.Compare(x.Seed, y.Seed) })
 	return broken
 }
 
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -125,6 +125,24 @@
 	"ONE":    {{At: 3 * time.Second, For: 9 * time.Second, Kind: Split, On: []int{0, 1}}, {At: 16 * time.Second, For: 9 * time.Second, Kind: Split, On: []int{2, 3}}},
 }
 
+// TestPlanMeetsMore: of the pairs of troubles more have met in as many days than chance alone brings, and a plan is the same
+// each time.
+func TestPlanMeetsMore(t *testing.T) {
+	const days = 60
+	all, met := Plan(1, days, small)
+	again, _ := Plan(1, days, small)
+	if diff := cmp.Diff(all, again); diff != "" || len(all) != days {
+		t.Errorf("planned again it is another hunt:\n%s", diff)
+	}
+	chance := Met{}
+	for seed := range uint64(days) {
+		chance.add(Draw(1+seed, small), true)
+	}
+	if len(met) <= len(chance)*21/20 {
+		t.Errorf("%d pairs have met, and %d by chance", len(met), len(chance))
+	}
+}
+
 // TestBrokenRulesAreFoundOut: each oracle fires on a fault that is put in on purpose, within a few days, and shrinking leaves
 // few troubles.
 func TestBrokenRulesAreFoundOut(t *testing.T) {
@@ -167,3 +185,17 @@
 		t.Errorf("a keeper hears of every engine and router: %+v, %+v", few, many)
 	}
 }
+
+// TestRecovery: after all machines were without power every part is back within seconds, and all routers know all engines.
+func TestRecovery(t *testing.T) {
+	d := &Day{Seed: 2, Keepers: 5, Routers: 20, Engines: 40, Tolerate: 2, Length: 8 * time.Second}
+	r := d.Recover(time.Second)
+	for name, took := range map[string]time.Duration{"keepers in touch": r.Touch, "half of the engines": r.Half, "all engines": r.All, "agreement": r.Agreed, "duties": r.Duties} {
+		if took < 0 || took > 10*time.Second {
+			t.Errorf("%s: %v", name, took)
+		}
+	}
+	if r.Half > r.Most || r.Most > r.All || r.Half > 3*time.Second {
+		t.Errorf("%+v", r)
+	}
+}
--- /dev/null
+++ b/internal/lab/plane/recover.go
@@ -0,0 +1,67 @@
+package plane
+
+import (
+	"time"
+
+	"notchhinge/internal/control/roster"
+)
+
+// Recovery is how long after all machines have their power again each part is back. What was not back within a minute is
+// minus one.
+type Recovery struct {
+	Touch  time.Duration // every keeper is in touch with a majority
+	Half   time.Duration // half of the engines are known as ready, at a mean router
+	Most   time.Duration // 95% of them
+	All    time.Duration // all, at all routers
+	Agreed time.Duration // a configuration is acknowledged that was sent as power came back
+	Duties time.Duration // the platform has heard of a holder
+}
+
+// Recover plays a quiet day on which all machines lose their power at one moment, for so long, with the engines at work
+// throughout, and tells how long it takes until all is as before.
+func (d *Day) Recover(down time.Duration) Recovery {
+	w := newWorld(d, "")
+	w.begin()
+	w.run(lead + d.Length)
+	w.strike(&Trouble{Kind: Dark, For: down})
+	acts := func() (n int) {
+		for _, a := range w.platform.acts {
+			n += len(a)
+		}
+		return n + len(w.platform.usage)
+	}
+	w.run(w.now + down)
+	back, before := w.now, acts()
+	w.change(w.newest, d.Keepers)
+	sent := w.last
+	r := Recovery{-1, -1, -1, -1, -1, -1}
+	note := func(at *time.Duration, is bool) {
+		if is && *at < 0 {
+			*at = w.now - back
+		}
+	}
+	for w.now-back < time.Minute && (r.Touch < 0 || r.All < 0 || r.Agreed < 0 || r.Duties < 0) {
+		w.run(w.now + 20*time.Millisecond)
+		touch, known := true, 0
+		for _, m := range w.machines {
+			if m.keeper {
+				_, ok := m.news.Gossip.InTouch()
+				touch = touch && ok
+				continue
+			}
+			m.news.Roster.All(func(e *roster.Engine) {
+				if e.State == roster.Ready && !e.Silent {
+					known++
+				}
+			})
+		}
+		all := d.Routers * d.Engines
+		note(&r.Touch, touch)
+		note(&r.Half, 2*known >= all)
+		note(&r.Most, 100*known >= 95*all)
+		note(&r.All, known >= all)
+		note(&r.Agreed, w.sent[sent].acked)
+		note(&r.Duties, acts() > before)
+	}
+	return r
+}
