The lab's simulated time uses the queue of deadlines that the project has

internal/lab/plane and internal/lab/contend each had a heap of events of their own, ordered as internal/deadline orders.

--- a/internal/lab/contend/contend.go
+++ b/internal/lab/contend/contend.go
@@ -4,13 +4,12 @@
 package contend
 
 import (
-	"cmp"
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/deadline"
 )
 
 // Machines are the keepers of a fleet.
@@ -37,27 +36,6 @@
 	Took  time.Duration // until it was chosen
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type keeper struct {
 	acc   ballot.Acceptor
 	log   [][]byte
@@ -72,8 +50,7 @@
 	m     Machines
 	rnd   *rand.Rand
 	now   time.Duration
-	due   events
-	seq   int
+	due   *deadline.Queue[func()]
 	all   []*keeper
 	wants []Wish
 	out   []Settled
@@ -84,7 +61,7 @@
 
 // Play plays wishes until all are settled, or an hour has passed.
 func Play(m Machines, wants []Wish, seed uint64) []Settled {
-	p := &play{m: m, rnd: rand.New(rand.NewPCG(seed, 5)), wants: wants, out: make([]Settled, len(wants))}
+	p := &play{m: m, due: deadline.New[func()](), rnd: rand.New(rand.NewPCG(seed, 5)), wants: wants, out: make([]Settled, len(wants))}
 	for range m.Keepers {
 		k := &keeper{}
 		k.acc = ballot.Acceptor{Voter: true, Chosen: func(place uint64) ([]byte, bool) {
@@ -102,18 +79,21 @@
 			p.propose(w.Keeper)
 		})
 	}
-	for len(p.due) > 0 && p.done < len(wants) && p.now < time.Hour {
-		e := heap.Pop(&p.due).(event)
-		p.now = e.at
-		e.do()
+	for p.done < len(wants) && p.now < time.Hour {
+		at, ok := p.due.Next()
+		if !ok {
+			break
+		}
+		p.now = at
+		do, _ := p.due.Due(at)
+		do()
 	}
 	return p.out
 }
 
 // in has something done after a time.
 func (p *play) in(d time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.due, event{p.now + d, p.seq, do})
+	p.due.Add(p.now+d, do)
 }
 
 // send brings bytes from one keeper to another, behind what its link still has to carry.
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -6,12 +6,12 @@
 package plane
 
 import (
-	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"notchhinge/internal/deadline"
 )
 
 // Day is what is played.
@@ -82,34 +82,12 @@
 	Revision uint64        // read back at the end
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].seq, e[j].seq)) < 0
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 type world struct {
 	day      *Day
 	broken   string // a rule that is broken on purpose; "" = none
 	rnd      *rand.Rand
 	now      time.Duration
-	due      events
-	seq      int
+	due      *deadline.Queue[func()]
 	machines []*machine
 	cuts     map[[2]int]int // from, to: how many cuts lie there
 	silence  time.Duration
@@ -134,8 +112,7 @@
 
 // in has something done after a time.
 func (w *world) in(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.due, event{w.now + d, w.seq, do})
+	w.due.Add(w.now+d, do)
 }
 
 // break notes a broken rule, the first of its kind.
@@ -147,11 +124,11 @@
 
 // run plays until a time.
 func (w *world) run(until time.Duration) {
-	for len(w.due) > 0 && w.due[0].at <= until {
-		e := heap.Pop(&w.due).(event)
-		w.now = e.at
+	for at, ok := w.due.Next(); ok && at <= until; at, ok = w.due.Next() {
+		w.now = at
 		w.report.Events++
-		e.do()
+		do, _ := w.due.Due(at)
+		do()
 	}
 	w.now = until
 }
