--- a/cmd/notchlab/capacity.go
+++ b/cmd/notchlab/capacity.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"runtime"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -27,17 +25,10 @@
 	}
 	const length, calm = 25 * time.Second, 15 * time.Second
 	all := make([]plane.Costs, len(c.Routers))
-	var wait sync.WaitGroup
-	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
-	for i := range all {
-		turn <- struct{}{}
-		wait.Go(func() {
-			d := &plane.Day{Seed: c.Seed, Keepers: c.Keepers, Routers: c.Routers[i], Engines: c.Engines[i], Tolerate: (c.Keepers - 1) / 2, Length: length}
-			all[i] = d.Measure(calm)
-			<-turn
-		})
-	}
-	wait.Wait()
+	sideBySide(len(all), func(i int) {
+		d := &plane.Day{Seed: c.Seed, Keepers: c.Keepers, Routers: c.Routers[i], Engines: c.Engines[i], Tolerate: (c.Keepers - 1) / 2, Length: length}
+		all[i] = d.Measure(calm)
+	})
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTERS\tENGINES\tPROCESS\tCAUSE\tBYTES/S")
 	r := report.Result{Name: "capacity", About: "What the control plane of a fleet sends in calm, by the model.", Seed: c.Seed, Simulated: true}
--- a/cmd/notchlab/recover.go
+++ b/cmd/notchlab/recover.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"os"
-	"runtime"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -26,18 +24,11 @@
 		return badFile{fmt.Errorf("--routers has %d figures and --engines %d; a keeper, a seed and a time are wanted", len(c.Routers), len(c.Engines))}
 	}
 	all := make([]plane.Recovery, len(c.Routers)*c.Seeds)
-	var wait sync.WaitGroup
-	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
-	for i := range all {
-		turn <- struct{}{}
-		wait.Go(func() {
-			d := &plane.Day{Seed: uint64(i%c.Seeds) + 1, Keepers: c.Keepers, Routers: c.Routers[i/c.Seeds], Engines: c.Engines[i/c.Seeds],
-				Tolerate: (c.Keepers - 1) / 2, Length: 10 * time.Second}
-			all[i] = d.Recover(c.Down)
-			<-turn
-		})
-	}
-	wait.Wait()
+	sideBySide(len(all), func(i int) {
+		d := &plane.Day{Seed: uint64(i%c.Seeds) + 1, Keepers: c.Keepers, Routers: c.Routers[i/c.Seeds], Engines: c.Engines[i/c.Seeds],
+			Tolerate: (c.Keepers - 1) / 2, Length: 10 * time.Second}
+		all[i] = d.Recover(c.Down)
+	})
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTERS\tENGINES\tKEEPERS IN TOUCH\tHALF KNOWN\t95% KNOWN\tALL KNOWN\tCONFIGURATION AGREED\tDUTIES")
 	for i := range c.Routers {
--- a/cmd/notchlab/sim.go
+++ b/cmd/notchlab/sim.go
@@ -56,16 +56,7 @@
 		}
 	}
 	errs := make([]error, len(all))
-	var wait sync.WaitGroup
-	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
-	for i, p := range all {
-		turn <- struct{}{}
-		wait.Go(func() {
-			p.Figures, errs[i] = sim.Run(p.Options)
-			<-turn
-		})
-	}
-	wait.Wait()
+	sideBySide(len(all), func(i int) { all[i].Figures, errs[i] = sim.Run(all[i].Options) })
 	for _, err := range errs {
 		if err != nil {
 			return badFile{err}
@@ -114,6 +105,20 @@
 	return r.Write(c.Out)
 }
 
+// sideBySide does so many things on as many cores as there are.
+func sideBySide(n int, do func(i int)) {
+	var wait sync.WaitGroup
+	turn := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range n {
+		turn <- struct{}{}
+		wait.Go(func() {
+			do(i)
+			<-turn
+		})
+	}
+	wait.Wait()
+}
+
 // mean of runs that differ in their seed.
 func mean(some []*played) played {
 	m := *some[0]
