Experiments in simulated time have a folder of their own, lab/simulated

Cause: lab/*.toml are experiments on loopback, and the test that reads them all failed on two of another form; the whole of ./test.sh had not been run since they came. A test reads those of the new folder.

--- a/cmd/notchlab/compare.go
+++ b/cmd/notchlab/compare.go
@@ -11,7 +11,7 @@
 )
 
 type compareCmd struct {
-	File  string `arg:"" help:"The experiment (lab/draw.toml is one)."`
+	File  string `arg:"" help:"The experiment (lab/simulated/draw.toml is one)."`
 	Cores int    `help:"Runs side by side; 0 = as many as there are cores. It changes no figure." default:"0"`
 	Seeds int    `help:"In place of the file's number of seeds; 0 = as the file says." default:"0"`
 	Out   string `help:"Write a summary, a table, a page and charts into this folder." type:"path" placeholder:"DIR"`
--- a/internal/lab/trial/trial_test.go
+++ b/internal/lab/trial/trial_test.go
@@ -103,3 +103,15 @@
 		}
 	}
 }
+
+func TestFilesOfTheRepository(t *testing.T) {
+	files, err := filepath.Glob("../../../lab/simulated/*.toml")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("%d files, %v", len(files), err)
+	}
+	for _, f := range files {
+		if _, err := Load(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
