--- a/internal/control/duty/node.go
+++ b/internal/control/duty/node.go
@@ -145,6 +145,7 @@
 	case core.Called:
 		body, err := n.answer(e.Kind, e.Body)
 		n.out = append(n.out, core.Reply{Of: e.Of, Body: body, Err: err})
+		return n.out // every router calls twice a second: what there is to do is looked for with the ticks
 	case core.Returned:
 		if then := n.calls[e.ID]; then != nil {
 			delete(n.calls, e.ID)
