Keepers answer each other's first word at once

Cause: by the model, after a loss of power of all keepers were in touch after 1.22 s, three ticks, and told engines that called one of them to call another meanwhile. Who hears a keeper that it did not hear says so now.

--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -507,9 +507,13 @@
 		}
 	case kindSigns:
 		if k := n.keepers[p.from.ID]; k != nil {
-			if k.signs, k.hears, k.heeds = n.now, 0, p.hears; slices.Contains(p.hears, n.self.ID) {
+			if k.signs == 0 || n.now-k.signs > touch { // it waits for word that it is heard, and others for whom it hears
+				n.nextNew = n.now
+			}
+			if k.signs, k.hears, k.heeds = max(n.now, 1), 0, p.hears; slices.Contains(p.hears, n.self.ID) {
 				k.hears = n.now
 			}
+			n.feel()
 		}
 		for _, s := range p.signs {
 			n.out = append(n.out, Alive{s, p.from.ID})
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -478,3 +478,18 @@
 		t.Error("where none answers nobody is sent there, and this node still tries all")
 	}
 }
+
+// TestKeepersAreInTouchAtOnce: keepers that all start anew at one moment say whom they hear as soon as they hear somebody, and
+// do not wait for their ticks.
+func TestKeepersAreInTouchAtOnce(t *testing.T) {
+	f := newFleet(12, 3)
+	for i := range f.nodes {
+		f.do(i, Members{[]uint64{1, 2, 3}})
+	}
+	f.pass(Every + 50*time.Millisecond)
+	for i, n := range f.nodes[:3] {
+		if _, ok := n.InTouch(); !ok {
+			t.Errorf("keeper %d is not in touch after %v", i, f.now)
+		}
+	}
+}
