The history of configurations goes back 4,096 changes in place of 64

Cause: an order that is sent again after a lost answer is known by the last 64 configurations that were taken. Eight orders under way at 14 a second take more than that in five seconds; a cut lasts 20 s and an operator repeats for a minute. It was then answered 412, though it had been taken.

Ruled out: a bound by time. The state is what all members add up to alike, and has no clock; a time said by the proposer steps with its clock. So it is bounded by number, by a rate: 4,096 are 4.8 minutes at 14 a second.

Change: the newest 64 to 127 are kept as before, earlier ones with 16 bytes of their digest, in limits.NodeHistory. A state that the first format holds (64 of the history at the most) is written in it, byte for byte; else in the second one, which an earlier program refuses with ErrVersion. EncodeAs writes the first one for an earlier program, with the newest 64.

--- a/internal/control/chain/chain.go
+++ b/internal/control/chain/chain.go
@@ -10,6 +10,7 @@
 
 	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/form"
+	"notchhinge/internal/limits"
 )
 
 // Kind is what an entry is.
@@ -55,7 +56,9 @@
 	mostMembers = 64
 	mostName    = 256
 	mostCounts  = 4096
-	version     = 1
+	version     = 1 // of an entry, and of a state that the first format holds
+	// Version is the newest format of a state that is read here.
+	Version = 2
 )
 
 // Encode writes an entry.
@@ -144,6 +147,13 @@
 	Digest   declared.Digest
 }
 
+// Brief is what is kept of one that was taken longer ago: 16 bytes of its digest, so that two texts of one number are told
+// apart by all but one chance in 2^128.
+type Brief struct {
+	Revision uint64
+	Digest   [16]byte
+}
+
 // State is what the entries up to Next add up to. A copy stays as it is, whatever is applied to the other.
 type State struct {
 	Next        uint64 // the first place that is not in it
@@ -152,7 +162,8 @@
 	Revision    uint64
 	Digest      declared.Digest
 	ConfigPlace uint64
-	History     []Taken // oldest first
+	History     []Taken // the newest configurations that were taken, oldest first, the current one among them
+	Earlier     []Brief // those before them, oldest first
 	Holder      uint64  // 0 = there was none yet
 	HolderName  string
 	HolderPlace uint64 // its fence
@@ -166,7 +177,7 @@
 }
 
 const (
-	keptHistory = 64 // configurations that a late repeat of an operator may name
+	keptHistory = 64 // configurations with their whole digests, at the least: as many as the first format holds
 	keptWindows = 24 // agreed usage windows, so that a holder sends again what an earlier one could not
 )
 
@@ -190,8 +201,7 @@
 			return
 		}
 		s.Text, s.Revision, s.Digest, s.ConfigPlace = e.Text, c.Revision, digest, s.Next-1
-		s.History = append(slices.Clone(s.History), Taken{c.Revision, digest})
-		s.History = s.History[max(len(s.History)-keptHistory, 0):]
+		s.take(Taken{c.Revision, digest})
 	case Holder:
 		s.Holder, s.HolderName, s.HolderPlace = e.Node, e.Name, s.Next-1
 	case Usage:
@@ -204,6 +214,22 @@
 	}
 }
 
+// take notes a configuration. Of the newest ones half are made brief when there are twice as many as must be kept whole, so
+// that the long list is copied once in 64 changes.
+func (s *State) take(t Taken) {
+	s.History = append(slices.Clone(s.History), t)
+	if len(s.History) < 2*keptHistory {
+		return
+	}
+	s.Earlier = slices.Clone(s.Earlier[max(len(s.Earlier)+keptHistory-limits.NodeHistory, 0):])
+	for _, t := range s.History[:keptHistory] {
+		s.Earlier = append(s.Earlier, t.brief())
+	}
+	s.History = slices.Clone(s.History[keptHistory:])
+}
+
+func (t *Taken) brief() Brief { return Brief{t.Revision, [16]byte(t.Digest[:16])} }
+
 // Standing is what becomes of an operator's configuration upon a state.
 type Standing uint8
 
@@ -240,9 +266,25 @@
 	return nil
 }
 
-// Was tells whether a configuration was taken under this revision.
+// Was tells whether a configuration was taken under this revision, as far back as the history goes.
 func (s *State) Was(revision uint64, d declared.Digest) bool {
-	return slices.Contains(s.History, Taken{revision, d})
+	t := Taken{revision, d}
+	if slices.Contains(s.History, t) {
+		return true
+	}
+	i, ok := slices.BinarySearchFunc(s.Earlier, revision, func(b Brief, r uint64) int { return cmp.Compare(b.Revision, r) })
+	return ok && s.Earlier[i] == t.brief()
+}
+
+// Oldest is the first revision of the history: whether one below it was ever taken is not known here. 0 = none was taken.
+func (s *State) Oldest() uint64 {
+	switch {
+	case len(s.Earlier) > 0:
+		return s.Earlier[0].Revision
+	case len(s.History) > 0:
+		return s.History[0].Revision
+	}
+	return 0
 }
 
 // Member finds a member.
@@ -255,18 +297,38 @@
 	return nil
 }
 
-// Encode writes a state.
+// Encode writes a state: in the first format for as long as that holds all of it, so that an earlier program reads it; the
+// second one that refuses with ErrVersion, as a whole.
 func (s *State) Encode() []byte {
+	if len(s.Earlier) > 0 || len(s.History) > keptHistory {
+		return s.encode(Version)
+	}
+	return s.encode(version)
+}
+
+// EncodeAs writes a state for who reads formats up to one. The first format holds the newest 64 of the history alone.
+func (s *State) EncodeAs(newest byte) []byte {
+	if newest >= Version {
+		return s.Encode()
+	}
+	return s.encode(version)
+}
+
+func (s *State) encode(format byte) []byte {
 	w := form.Writer{}
-	w.Byte(version)
+	w.Byte(format)
 	w.Uint(s.Next)
 	writeMembers(&w, s.Members)
 	w.Uint(s.Revision)
 	w.Uint(s.ConfigPlace)
 	w.Bytes(s.Digest[:])
 	w.Bytes(s.Text)
-	w.Uint(uint64(len(s.History)))
-	for _, h := range s.History {
+	all := s.History
+	if format == version {
+		all = all[max(len(all)-keptHistory, 0):]
+	}
+	w.Uint(uint64(len(all)))
+	for _, h := range all {
 		w.Uint(h.Revision)
 		w.Bytes(h.Digest[:])
 	}
@@ -278,13 +340,24 @@
 		w.Uint(x.Number)
 		writeCounts(&w, x.Counts)
 	}
+	if format == version {
+		return w.B
+	}
+	w.Uint(uint64(len(s.Earlier)))
+	before := uint64(0)
+	for _, h := range s.Earlier {
+		w.Uint(h.Revision - before) // they rise
+		before = h.Revision
+		w.B = append(w.B, h.Digest[:]...)
+	}
 	return w.B
 }
 
-// DecodeState reads a state.
+// DecodeState reads a state of either format.
 func DecodeState(b []byte) (*State, error) {
 	r := form.Reader{B: b}
-	if v := r.Byte(); v != version && r.Err == nil {
+	format := r.Byte()
+	if r.Err == nil && format != version && format != Version {
 		return nil, ErrVersion
 	}
 	s := &State{Next: r.Uint()}
@@ -294,7 +367,7 @@
 	if s.Text = r.Bytes(declared.MostBytes); len(s.Text) == 0 {
 		s.Text = nil
 	}
-	for range r.Count(keptHistory, 2) {
+	for range r.Count(2*keptHistory, 2) {
 		h := Taken{Revision: r.Uint()}
 		copy(h.Digest[:], r.Bytes(len(h.Digest)))
 		s.History = append(s.History, h)
@@ -303,5 +376,17 @@
 	for range r.Count(keptWindows, 2) {
 		s.Windows = append(s.Windows, Window{Number: r.Uint(), Counts: readCounts(&r)})
 	}
+	if format == version {
+		return s, r.End()
+	}
+	before := uint64(0)
+	for range r.Count(limits.NodeHistory, 17) {
+		h := Brief{Revision: before + r.Uint()}
+		for i := range h.Digest {
+			h.Digest[i] = r.Byte()
+		}
+		before = h.Revision
+		s.Earlier = append(s.Earlier, h)
+	}
 	return s, r.End()
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -324,6 +324,10 @@
 	NodeTexts       = 4                      // configurations that are kept so that differences to them can be sent
 	NodeTextBytes   = 16 << 20               // of them, at the most
 	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
+	// Configurations that a late repeat of an operator's call may name, beside the newest 64: at the 14 a second that eight
+	// orders under way come to these are 4.8 minutes, where an operator repeats for one; at 8,500 a day eleven hours. 17 to 18
+	// bytes each, in a keeper's state (70 kB) and where one catches up.
+	NodeHistory = 4096
 )
 
 // DrainGrace is how long a known session may still go to an engine that drains: what is left of the platform's time is for
