Voters are 2f+1 whatever comes and goes; standbys take places, who leaves hands over

Cause: a machine that replaces another comes under another name and address.

Ruled out: the successor's catching up (it was a member after half a second); the ballots (they waited for members that can't answer).

Change: the chain names at most as many voters as the losses want. A keeper beyond is a standby. It takes the place of the voter that has been silent for longest (1.2 s at least, asked anew before), agreed like any place; a voter that ends in order hands its place over, and ends once what it knows is known to the rest; of more voters than are wanted those silent for 10 s lose their vote. A change is finished once the new voters have chosen a place after it; until then nobody is told that it is done, and whoever has accepted or learnt it finishes it if its proposer is gone. The order to take a member out is acknowledged again when it comes again: the chain keeps the names of those that had a vote.

Leases across a change (found by reasoning, a test each): a new voter grants none for a lease's time, one that has accepted other members grants none until that is decided, and none goes to who knows of other members.

--- a/internal/control/chain/chain.go
+++ b/internal/control/chain/chain.go
@@ -168,6 +168,7 @@
 	HolderName  string
 	HolderPlace uint64 // its fence
 	Windows     []Window
+	Former      []string // names that have had a vote and have none any more, the latest last
 }
 
 // Window is a usage window whose figures are agreed.
@@ -178,6 +179,7 @@
 
 const (
 	keptHistory = 64 // configurations with their whole digests, at the least: as many as the first format holds
+	keptFormer  = 64 // names of former members, as many as an entry can name members
 	keptWindows = 24 // agreed usage windows, so that a holder sends again what an earlier one could not
 )
 
@@ -193,7 +195,7 @@
 	switch e.Kind {
 	case Members:
 		if len(e.Members) > 0 {
-			s.Members = e.Members
+			s.follow(e.Members)
 		}
 	case Config:
 		c, digest, err := declared.Decode(e.Text)
@@ -214,6 +216,24 @@
 	}
 }
 
+// follow has others vote from now on. Who does not any more is kept by name, so that an order to take it out that comes again is
+// known for done.
+func (s *State) follow(members []Member) {
+	named := func(all []Member, name string) bool {
+		return slices.ContainsFunc(all, func(m Member) bool { return m.Name == name })
+	}
+	s.Former = slices.DeleteFunc(slices.Clone(s.Former), func(name string) bool { return named(members, name) })
+	for _, m := range s.Members {
+		if !named(members, m.Name) {
+			s.Former = append(s.Former, m.Name)
+		}
+	}
+	if s.Former = s.Former[max(len(s.Former)-keptFormer, 0):]; len(s.Former) == 0 {
+		s.Former = nil
+	}
+	s.Members = members
+}
+
 // take notes a configuration. Of the newest ones half are made brief when there are twice as many as must be kept whole, so
 // that the long list is copied once in 64 changes.
 func (s *State) take(t Taken) {
@@ -300,7 +320,7 @@
 // Encode writes a state: in the first format for as long as that holds all of it, so that an earlier program reads it; the
 // second one that refuses with ErrVersion, as a whole.
 func (s *State) Encode() []byte {
-	if len(s.Earlier) > 0 || len(s.History) > keptHistory {
+	if len(s.Earlier) > 0 || len(s.History) > keptHistory || len(s.Former) > 0 {
 		return s.encode(Version)
 	}
 	return s.encode(version)
@@ -350,6 +370,10 @@
 		before = h.Revision
 		w.B = append(w.B, h.Digest[:]...)
 	}
+	w.Uint(uint64(len(s.Former)))
+	for _, name := range s.Former {
+		w.String(name)
+	}
 	return w.B
 }
 
@@ -388,5 +412,8 @@
 		before = h.Revision
 		s.Earlier = append(s.Earlier, h)
 	}
+	for range r.Count(keptFormer, 1) {
+		s.Former = append(s.Former, r.String(mostName))
+	}
 	return s, r.End()
 }
--- a/internal/control/chain/chain_test.go
+++ b/internal/control/chain/chain_test.go
@@ -208,3 +208,23 @@
 		}
 	}
 }
+
+// TestFormerMembers: names that have had a vote and have none any more are kept, so many of them, and outlive being written.
+func TestFormerMembers(t *testing.T) {
+	s := State{}
+	name := func(i int) Member { return Member{ID: uint64(i + 1), Name: fmt.Sprint("k-", i), Addr: "x"} }
+	vote := func(all ...Member) { s.Apply((&Entry{Kind: Members, Members: all}).Encode()) }
+	vote(name(0), name(1))
+	vote(name(0), name(2))
+	vote(name(1), name(2))
+	if diff := cmp.Diff([]string{"k-0"}, s.Former); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	for i := range 200 {
+		vote(name(i))
+	}
+	got, err := DecodeState(s.Encode())
+	if err != nil || len(got.Former) != keptFormer || got.Former[keptFormer-1] != "k-198" {
+		t.Errorf("%d names, %v", len(got.Former), err)
+	}
+}
--- a/internal/control/core/calls.go
+++ b/internal/control/core/calls.go
@@ -13,10 +13,13 @@
 	CallLearn    uint8 = 2  // a place and the value that was chosen for it, or only word that there is more
 	CallState    uint8 = 3  // the whole state, where it is further than a place
 	CallIdentity uint8 = 4  // who a keeper is and how far it has come
-	CallJoin     uint8 = 10 // a keeper wants to be a member: identity
+	CallJoin     uint8 = 10 // a keeper wants to be a member: identity; answered by nothing, or by joinFull
 	CallChosen   uint8 = 14 // what a member has accepted for a place, under a number, was chosen
 )
 
+// joinFull answers who wants to be a member while there are as many as are wanted and none of them is silent.
+const joinFull = 1
+
 // mostValue bounds the value of a place.
 const mostValue = declared.MostBytes + 4096
 
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"notchhinge/internal/control/api"
@@ -63,6 +64,11 @@
 		Of    any
 		Until time.Duration
 	}
+	// Leave: the process will end. Left comes back with Of once this keeper has handed over, at a time at the latest.
+	Leave struct {
+		Of    any
+		Until time.Duration
+	}
 	// Propose has what Want returns chosen, until it returns nil, having been given the newest state that is known here.
 	// Proposed comes back with Of, until a time.
 	Propose struct {
@@ -110,6 +116,8 @@
 		Of  any
 		Err error
 	}
+	// Left: nothing depends on this keeper any more, or its time is over.
+	Left struct{ Of any }
 	// Changed: the state is another.
 	Changed struct{ State chain.State }
 	// Log a line.
@@ -147,20 +155,21 @@
 // Node is a keeper's part. It is not safe for concurrent use.
 type Node struct {
 	Config
-	state  chain.State
-	acc    ballot.Acceptor
-	voting uint64 // the write of the newest vote; 0 = it is on the disk
-	round  uint64 // the highest seen
-	rnd    *rand.Rand
-	now    time.Duration
-	timers *deadline.Queue[func()]
-	calls  map[uint64]func(body []byte, err error)
-	writes map[uint64]func(ok bool)
-	id     uint64
-	queue  []*proposal // the first one is being proposed
-	tend   tending
-	log    logger
-	out    []Effect
+	state   chain.State
+	acc     ballot.Acceptor
+	voting  uint64 // the write of the newest vote; 0 = it is on the disk
+	round   uint64 // the highest seen
+	rnd     *rand.Rand
+	now     time.Duration
+	timers  *deadline.Queue[func()]
+	calls   map[uint64]func(body []byte, err error)
+	writes  map[uint64]func(ok bool)
+	id      uint64
+	queue   []*proposal // the first one is being proposed
+	tend    tending
+	members membership
+	log     logger
+	out     []Effect
 }
 
 // New returns a keeper's part with what its disk has.
@@ -171,6 +180,7 @@
 	}
 	n.log.n = n
 	n.acc = ballot.Acceptor{Vote: c.Vote, Chosen: c.Chosen}
+	n.members.silent = map[netip.AddrPort]time.Duration{}
 	n.follow()
 	n.timers.Add(0, n.startTending)
 	return n
@@ -211,6 +221,8 @@
 		n.history(e)
 	case Dismiss:
 		n.dismiss(e)
+	case Leave:
+		n.leave(e)
 	case Propose:
 		n.propose(e.Want, e.Until, func(err error) { n.do(Proposed{e.Of, err}) })
 	}
@@ -228,8 +240,11 @@
 // call calls another process.
 func (n *Node) call(to netip.AddrPort, kind uint8, body []byte, within time.Duration, then func(body []byte, err error)) {
 	n.id++
-	if then != nil {
-		n.calls[n.id] = then
+	sent := n.now
+	n.calls[n.id] = func(body []byte, err error) {
+		if n.heard(to, sent, err); then != nil {
+			then(body, err)
+		}
 	}
 	n.do(Call{n.id, to, kind, body, within})
 }
@@ -297,7 +312,13 @@
 			reply(nil, err)
 			return
 		}
-		n.admit(i, func(err error) { reply(nil, err) })
+		n.admit(i, func(err error) {
+			if errors.Is(err, errFull) { // an answer, so that who asks knows that it is heard
+				reply([]byte{joinFull}, nil)
+				return
+			}
+			reply(nil, err)
+		})
 	default:
 		reply(nil, errKind)
 	}
@@ -332,6 +353,9 @@
 		if n.voting == id {
 			n.voting = 0
 		}
+		if a.Kind == ballot.Accept {
+			n.accepted(a.Place)
+		}
 		then(ans, nil)
 	}
 }
@@ -341,8 +365,12 @@
 	if place != n.state.Next {
 		return place < n.state.Next
 	}
+	before := n.state.Members
 	n.state.Apply(value)
 	n.follow()
+	if !slices.Equal(before, n.state.Members) {
+		n.votersChanged()
+	}
 	// Should this fail, it is chosen all the same, and is written with the next write that does not.
 	n.write(Write{Value: value}, nil)
 	n.do(Changed{n.state})
@@ -357,8 +385,12 @@
 	}
 	n.write(Write{Whole: true, State: s}, func(ok bool) {
 		if ok && s.Next > n.state.Next {
+			before := n.state.Members
 			n.state = *s
 			n.follow()
+			if !slices.Equal(before, s.Members) {
+				n.votersChanged()
+			}
 			n.do(Changed{n.state})
 		}
 		then()
--- /dev/null
+++ b/internal/control/core/members.go
@@ -0,0 +1,404 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	"notchhinge/internal/limits"
+)
+
+// Who votes is a value of the chain, agreed by a majority of those that voted before it. The core has 2f+1 voters (Least), f
+// being the losses that are to be borne, whatever comes and goes: a keeper beyond that is a standby, which follows the state
+// and has no vote. A standby takes the place of a voter that is silent, or that leaves in order and hands its place over. So a
+// change never lowers the number of voters, and one that was only silent comes back as a standby.
+//
+// A change is finished once a place after its own is chosen: the new voters vote on that, and each votes only on a place when
+// its disk has all before. Until then nothing that depends on the change is said to be done: who is taken in has no answer,
+// who leaves does not end, the operator has no acknowledgement. Should the proposer die in between, any voter that knows of
+// the change finishes it.
+
+// membership is what a keeper knows of who could vote and who does not answer.
+type membership struct {
+	silent     map[netip.AddrPort]time.Duration // who has not answered since: the first call that it missed
+	candidates []candidate                      // keepers without a vote that have asked for one lately
+	watching   bool                             // silent voters are asked again and again, for the candidates' sake
+	settled    uint64                           // the place after the newest change of members that is known here; 0 = none is
+	leaving    bool                             // the process ends: it wants no vote any more
+}
+
+// candidate is a keeper that wants a vote, and when it last said so.
+type candidate struct {
+	chain.Member
+	at time.Duration
+}
+
+var errFull = errors.New("no voter is silent whose place could be had")
+
+// heard notes what a call of another keeper has come to: who does not answer is silent from the call's sending on.
+func (n *Node) heard(from netip.AddrPort, sent time.Duration, err error) {
+	if err == nil {
+		delete(n.members.silent, from)
+	} else if _, known := n.members.silent[from]; !known {
+		n.members.silent[from] = sent
+	}
+}
+
+// longestSilent finds the voter that has been silent for longest, and at least for so long; -1 = there is none.
+func (n *Node) longestSilent(s *chain.State, least time.Duration) int {
+	found, since := -1, n.now-least
+	for i := range s.Members {
+		to, ok := addr(&s.Members[i])
+		if at, silent := n.members.silent[to]; ok && silent && at <= since && s.Members[i].ID != n.Self.ID {
+			found, since = i, at-1
+		}
+	}
+	return found
+}
+
+// seat returns the voters with one more among them: in the place of the one of its name, whose disk is gone; as a further one
+// where there are fewer than are wanted; or in the place of who has been silent for longest. Nothing = it has its vote.
+func (n *Node) seat(s *chain.State, m chain.Member) ([]chain.Member, error) {
+	if s.Member(m.ID) != nil || m.ID == 0 {
+		return nil, nil
+	}
+	voters := slices.Clone(s.Members)
+	at := slices.IndexFunc(voters, func(x chain.Member) bool { return x.Name == m.Name })
+	switch {
+	case at >= 0:
+		n.log.Info("taking a member in", "name", m.Name, "member", member(m.ID), "instead_of_its_former_disk", true)
+	case len(voters) < n.Least:
+		n.log.Info("taking a member in", "name", m.Name, "member", member(m.ID), "members", len(voters)+1)
+		return append(voters, m), nil
+	default:
+		if at = n.longestSilent(s, limits.NodeGone); at < 0 {
+			return nil, errFull
+		}
+		to, _ := addr(&voters[at])
+		n.log.Info("taking a member in", "name", m.Name, "member", member(m.ID), "instead_of", voters[at].Name,
+			"silent", (n.now - n.members.silent[to]).String())
+	}
+	voters[at] = m
+	return voters, nil
+}
+
+// change has other voters agreed, as next names them upon the newest state (nothing = they are that already), and is done once
+// the change is finished.
+func (n *Node) change(next func(*chain.State) ([]chain.Member, error), until time.Duration, done func(error)) {
+	var fails error
+	n.propose(func(s *chain.State) []byte {
+		voters, err := next(s)
+		if fails = err; err != nil || voters == nil {
+			return nil
+		}
+		return (&chain.Entry{Kind: chain.Members, Nonce: n.rnd.Uint64(), Members: voters}).Encode()
+	}, until, func(err error) {
+		switch {
+		case err != nil:
+			done(err)
+		case fails != nil:
+			done(fails)
+		default:
+			n.finishChange(until, done)
+		}
+	})
+}
+
+// finishChange has a place chosen after the newest change of members, unless one is.
+func (n *Node) finishChange(until time.Duration, done func(error)) {
+	at := n.members.settled
+	n.propose(func(s *chain.State) []byte {
+		if s.Next > at {
+			return nil
+		}
+		return (&chain.Entry{Kind: chain.Nothing, Nonce: n.rnd.Uint64()}).Encode()
+	}, until, done)
+}
+
+// votersChanged notes that the newest place that is known here may be a change of members: whoever had it agreed may be gone,
+// so each voter sees after a while whether it is finished.
+func (n *Node) votersChanged() {
+	at := n.state.Next
+	if n.members.settled = at; at <= 1 { // the founders, who have all accepted it
+		return
+	}
+	n.after(200*time.Millisecond+time.Duration(n.rnd.Int64N(int64(400*time.Millisecond))), func() {
+		if n.state.Next == at && n.state.Member(n.Self.ID) != nil {
+			n.finishChange(n.now+settleWithin, func(error) {})
+		}
+	})
+}
+
+// readVoters finds out at the start whether the newest place was a change of members.
+func (n *Node) readVoters() {
+	if n.state.Next == 0 {
+		return
+	}
+	if value, ok := n.Chosen(n.state.Next - 1); ok {
+		if e, err := chain.Decode(value); err != nil || e.Kind != chain.Members {
+			return
+		}
+	}
+	n.votersChanged() // with a snapshot alone it may have been one
+}
+
+// Changing tells whether this keeper has accepted other members for the place that is open: they may have been chosen, so that
+// what the members that it knows of grant may count no more.
+func (n *Node) Changing() bool {
+	v := &n.acc.Vote
+	if v.Place != n.state.Next || v.Accepted == (ballot.Number{}) {
+		return false
+	}
+	e, err := chain.Decode(v.Value)
+	return err == nil && e.Kind == chain.Members
+}
+
+// accepted sees to it that a change of members that was accepted here is decided, should its proposer be gone.
+func (n *Node) accepted(place uint64) {
+	if !n.Changing() {
+		return
+	}
+	n.after(300*time.Millisecond+time.Duration(n.rnd.Int64N(int64(400*time.Millisecond))), func() {
+		if n.state.Next != place || !n.Changing() {
+			return
+		}
+		nothing := (&chain.Entry{Kind: chain.Nothing, Nonce: n.rnd.Uint64()}).Encode()
+		n.propose(func(s *chain.State) []byte {
+			if s.Next > place {
+				return nil
+			}
+			return nothing
+		}, n.now+settleWithin, func(error) {})
+	})
+}
+
+// probe asks every voter who it is, so that it is known who is silent, and goes on once all have answered or have not.
+func (n *Node) probe(then func()) {
+	left := 1
+	heard := func(identity, bool) {
+		if left--; left == 0 {
+			then()
+		}
+	}
+	for i := range n.state.Members {
+		if to, ok := addr(&n.state.Members[i]); ok && n.state.Members[i].ID != n.Self.ID {
+			left++
+			n.who(to, heard)
+		}
+	}
+	heard(identity{}, true)
+}
+
+// admit has a keeper taken in that asks for a vote, if there is a place for it, or notes it as a candidate for the next that
+// becomes free. Who asks has caught up but for a few places, so that a majority does not come to depend on who knows nothing.
+func (n *Node) admit(i identity, done func(error)) {
+	if n.state.Member(n.Self.ID) == nil || i.next+limits.NodeJoinLag < n.state.Next {
+		done(errBehind)
+		return
+	}
+	if n.state.Member(i.ID) == nil {
+		c := &n.members.candidates
+		*c = slices.DeleteFunc(*c, func(x candidate) bool { return x.ID == i.ID || x.Name == i.Name || n.now-x.at > limits.NodeCandidate })
+		if *c = append(*c, candidate{i.Member, n.now}); len(*c) > limits.NodeCandidates {
+			*c = (*c)[1:]
+		}
+	}
+	take := func(otherwise func()) {
+		n.change(func(s *chain.State) ([]chain.Member, error) { return n.seat(s, i.Member) }, n.now+settleWithin, func(err error) {
+			if errors.Is(err, errFull) {
+				otherwise()
+				return
+			}
+			done(err)
+		})
+	}
+	take(func() {
+		n.probe(func() {
+			take(func() {
+				done(errFull)
+				n.watch()
+			})
+		})
+	})
+}
+
+// watch asks silent voters again and again while somebody could have the place of one.
+func (n *Node) watch() {
+	m := &n.members
+	if m.watching {
+		return
+	}
+	m.watching = true
+	var look func()
+	end := func() { m.watching = false }
+	look = func() {
+		m.candidates = slices.DeleteFunc(m.candidates, func(x candidate) bool {
+			return n.now-x.at > limits.NodeCandidate || n.state.Member(x.ID) != nil
+		})
+		if len(m.candidates) == 0 || n.state.Member(n.Self.ID) == nil || n.longestSilent(&n.state, 0) < 0 {
+			end()
+			return
+		}
+		n.probe(func() {
+			if len(m.candidates) == 0 || n.longestSilent(&n.state, limits.NodeGone) < 0 {
+				n.after(limits.NodeWatch, look)
+				return
+			}
+			first := m.candidates[0].Member
+			n.change(func(s *chain.State) ([]chain.Member, error) { return n.seat(s, first) }, n.now+settleWithin, func(error) {
+				n.after(limits.NodeWatch, look)
+			})
+		})
+	}
+	look()
+}
+
+// trim takes out who has been silent for long where there are more voters than are wanted, as a core of an earlier program may
+// have: each that is gone for good makes a majority harder to have.
+func (n *Node) trim(then func()) {
+	if len(n.state.Members) <= n.Least || n.state.Member(n.Self.ID) == nil {
+		then()
+		return
+	}
+	n.probe(func() {
+		n.change(func(s *chain.State) ([]chain.Member, error) {
+			at := n.longestSilent(s, limits.NodeSurplus)
+			if at < 0 || len(s.Members) <= n.Least {
+				return nil, nil
+			}
+			n.log.Info("taking a member out", "name", s.Members[at].Name, "left", len(s.Members)-1)
+			return slices.Delete(slices.Clone(s.Members), at, at+1), nil
+		}, n.now+settleWithin, func(error) { then() })
+	})
+}
+
+// dismiss takes members of a name out that are gone for good. Those that are left must still be as many as the losses that are
+// to be borne want. Who runs is a standby then, or is taken in again where there are fewer. The same order again, to any
+// keeper, is done: the chain keeps the names of those that had a vote.
+func (n *Node) dismiss(e Dismiss) {
+	if n.state.Member(n.Self.ID) == nil {
+		n.do(Answered{e.Of, api.Result{Status: http.StatusServiceUnavailable, Says: "this keeper is no member itself"}})
+		return
+	}
+	n.settle(e.Until, func(err error) {
+		if err != nil {
+			n.answer(e.Of, err, nil)
+			return
+		}
+		var res api.Result
+		n.change(func(s *chain.State) ([]chain.Member, error) {
+			left := slices.DeleteFunc(slices.Clone(s.Members), func(m chain.Member) bool { return m.Name == e.Name })
+			switch {
+			case len(left) == len(s.Members) && slices.Contains(s.Former, e.Name):
+				res = api.Result{Status: http.StatusOK, Rev: s.Revision}
+			case len(left) == len(s.Members):
+				res = api.Result{Status: http.StatusNotFound, Says: fmt.Sprintf("no member is named %q", e.Name)}
+			case len(left) < n.Least:
+				res = api.Result{Status: http.StatusConflict, Says: fmt.Sprintf("%d members would be left; %d are wanted", len(left), n.Least)}
+			default:
+				n.log.Info("taking a member out", "name", e.Name, "left", len(left))
+				return left, nil
+			}
+			return nil, nil
+		}, e.Until, func(err error) { n.answer(e.Of, err, func() api.Result { return res }) })
+	})
+}
+
+// leave hands over before the process ends: its place to a standby, if there is one, and what it knows to the voters that are
+// left. It is over at the latest when its time is.
+func (n *Node) leave(e Leave) {
+	over := false
+	end := func() {
+		if !over {
+			over = true
+			n.do(Left{e.Of})
+		}
+	}
+	n.timers.Add(max(e.Until, n.now+1), end)
+	n.members.leaving = true
+	var look func()
+	again := func() { n.after(50*time.Millisecond, look) }
+	look = func() {
+		switch {
+		case over:
+			return
+		case n.state.Next == 0 || n.state.Member(n.Self.ID) == nil:
+			end()
+			return
+		}
+		var standby *chain.Member
+		left, voters, behind := 1, 0, []uint64(nil)
+		asked := map[netip.AddrPort]bool{}
+		heard := func(i identity, ok bool) {
+			if ok {
+				switch {
+				case n.state.Member(i.ID) == nil:
+					if i.next+limits.NodeJoinLag >= n.state.Next && i.next > 0 {
+						standby = &i.Member
+					}
+				case i.next < n.state.Next:
+					behind = append(behind, i.ID)
+				default:
+					voters++
+				}
+			}
+			if left--; left > 0 || over {
+				return
+			}
+			switch {
+			case standby != nil:
+				n.handOver(*standby, e.Until, func(err error) {
+					if err != nil {
+						again()
+						return
+					}
+					end()
+				})
+			case len(behind) == 0 && voters >= ballot.Majority(len(n.state.Members)):
+				end()
+			default:
+				for _, id := range behind {
+					n.bring(id, n.state.Members)
+				}
+				again()
+			}
+		}
+		ask := func(to netip.AddrPort) {
+			if !asked[to] {
+				asked[to] = true
+				left++
+				n.who(to, heard)
+			}
+		}
+		for i := range n.state.Members {
+			if to, ok := addr(&n.state.Members[i]); ok && n.state.Members[i].ID != n.Self.ID {
+				ask(to)
+			}
+		}
+		for _, to := range n.Others() {
+			ask(to)
+		}
+		heard(identity{}, false)
+	}
+	look()
+}
+
+// handOver has another keeper vote in this one's place.
+func (n *Node) handOver(to chain.Member, until time.Duration, done func(error)) {
+	n.change(func(s *chain.State) ([]chain.Member, error) {
+		at := slices.IndexFunc(s.Members, func(m chain.Member) bool { return m.ID == n.Self.ID })
+		if at < 0 || s.Member(to.ID) != nil {
+			return nil, nil
+		}
+		n.log.Info("handing its vote over", "to", to.Name, "member", member(to.ID))
+		voters := slices.Clone(s.Members)
+		voters[at] = to
+		return voters, nil
+	}, until, done)
+}
--- a/internal/control/core/operate.go
+++ b/internal/control/core/operate.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
@@ -95,64 +94,3 @@
 		})
 	})
 }
-
-// dismiss takes members of a name out that are gone for good, so that a majority need not be made up of who will never
-// answer. Those that are left must still be as many as the losses that are to be borne want. Who runs is taken in again.
-func (n *Node) dismiss(e Dismiss) {
-	if n.state.Member(n.Self.ID) == nil {
-		n.do(Answered{e.Of, api.Result{Status: http.StatusServiceUnavailable, Says: "this keeper is no member itself"}})
-		return
-	}
-	n.settle(e.Until, func(err error) {
-		if err != nil {
-			n.answer(e.Of, err, nil)
-			return
-		}
-		done := false
-		var res api.Result
-		n.propose(func(s *chain.State) []byte {
-			x := &chain.Entry{Kind: chain.Members, Nonce: n.rnd.Uint64()}
-			for _, m := range s.Members {
-				if m.Name != e.Name {
-					x.Members = append(x.Members, m)
-				}
-			}
-			switch {
-			case len(x.Members) == len(s.Members) && done:
-				res = api.Result{Status: http.StatusOK, Rev: s.Revision}
-			case len(x.Members) == len(s.Members):
-				res = api.Result{Status: http.StatusNotFound, Says: fmt.Sprintf("no member is named %q", e.Name)}
-			case len(x.Members) < n.Least:
-				res = api.Result{Status: http.StatusConflict, Says: fmt.Sprintf("%d members would be left; %d are wanted", len(x.Members), n.Least)}
-			default:
-				done = true
-				n.log.Info("taking a member out", "name", e.Name, "left", len(x.Members))
-				return x.Encode()
-			}
-			return nil
-		}, e.Until, func(err error) { n.answer(e.Of, err, func() api.Result { return res }) })
-	})
-}
-
-// admit has a keeper taken in, in the place of the one of its name whose disk is gone, or as a further one. Who asks has
-// caught up, so that a majority does not come to depend on who knows nothing.
-func (n *Node) admit(i identity, done func(error)) {
-	if n.state.Member(n.Self.ID) == nil || i.next < n.state.Next {
-		done(errBehind)
-		return
-	}
-	n.propose(func(s *chain.State) []byte {
-		if s.Member(i.ID) != nil || i.ID == 0 || len(s.Members) > mostVoters {
-			return nil
-		}
-		e := &chain.Entry{Kind: chain.Members, Nonce: n.rnd.Uint64(), Members: slices.Clone(s.Members)}
-		at := slices.IndexFunc(e.Members, func(m chain.Member) bool { return m.Name == i.Name })
-		if at >= 0 {
-			e.Members[at] = i.Member
-		} else {
-			e.Members = append(e.Members, i.Member)
-		}
-		n.log.Info("taking a member in", "name", i.Name, "member", member(i.ID), "instead_of_its_former_disk", at >= 0)
-		return e.Encode()
-	}, n.now+settleWithin, done)
-}
--- a/internal/control/core/propose.go
+++ b/internal/control/core/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"notchhinge/internal/control/ballot"
@@ -193,6 +194,12 @@
 		}
 		n.call(to, kind, b, limits.NodeAsk, nil)
 	}
+	for i := range n.state.Members { // and those whom it has made members
+		m := &n.state.Members[i]
+		if to, ok := addr(m); ok && m.ID != n.Self.ID && !slices.ContainsFunc(a.members, func(x chain.Member) bool { return x.ID == m.ID }) {
+			n.call(to, CallLearn, whole, limits.NodeAsk, nil)
+		}
+	}
 }
 
 // bring brings a member up that is behind: it is told where the state is, and takes it.
--- a/internal/control/core/tend.go
+++ b/internal/control/core/tend.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	mostVoters   = limits.NodeMembers
 	settleWithin = limits.NodeSettle
 	foundWithin  = 3 * time.Second // one set of founders; and so long only the first of them tries
 )
@@ -28,6 +27,7 @@
 
 func (n *Node) startTending() {
 	n.tend.began, n.tend.stable = n.now, n.now
+	n.readVoters()
 	n.look()
 }
 
@@ -65,13 +65,19 @@
 		return
 	}
 	to := all[n.rnd.IntN(len(all))]
+	if answering := slices.DeleteFunc(slices.Clone(all), func(a netip.AddrPort) bool {
+		_, silent := n.members.silent[a]
+		return silent
+	}); len(answering) > 0 && n.rnd.IntN(4) > 0 {
+		to = answering[n.rnd.IntN(len(answering))]
+	}
 	n.who(to, func(i identity, ok bool) {
 		then := func() {
-			if n.state.Next > 0 && n.state.Member(n.Self.ID) == nil {
+			if ok && n.state.Next > 0 && n.state.Member(n.Self.ID) == nil && !n.members.leaving {
 				n.join(to)
 				return
 			}
-			n.look()
+			n.trim(n.look)
 		}
 		if ok && i.next > n.state.Next {
 			n.catchUp(to, then)
@@ -84,10 +90,14 @@
 // join asks a keeper to have this one taken in as a member. What it was before, with another disk, it is no more.
 func (n *Node) join(to netip.AddrPort) {
 	i := identity{n.Self, n.state.Next, n.Founder}
-	n.call(to, CallJoin, i.encode(), settleWithin, func(_ []byte, err error) {
+	n.call(to, CallJoin, i.encode(), settleWithin, func(body []byte, err error) {
 		if err != nil {
 			n.log.Info("not taken in as a member yet", "by", to.String(), "err", err)
 		}
+		if err == nil && len(body) == 1 && body[0] == joinFull {
+			n.after(limits.NodeStandby, n.lookAtOne)
+			return
+		}
 		n.look()
 	})
 }
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -350,6 +350,10 @@
 	return !g.Fresh && !g.granted && now < g.Started+g.Lease
 }
 
+// Joined notes that this member has just been given its vote. Whoever voted in its place may have granted a lease until now,
+// which it knows nothing of, so that it grants none for a lease's time.
+func (g *Grants) Joined(now time.Duration) { g.Started, g.Fresh, g.granted = now, false, false }
+
 // Ask extends the lease of who asks, unless another's may run. Two who both hold themselves for the holder (one has not
 // heard yet that another was agreed) can't both have a majority of grants: each member gives its own to one at a time.
 func (g *Grants) Ask(now time.Duration, holder uint64) bool {
--- a/internal/control/duty/node.go
+++ b/internal/control/duty/node.go
@@ -1,7 +1,9 @@
 package duty
 
 import (
+	"encoding/binary"
 	"errors"
+	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -85,6 +87,10 @@
 	Life    uint64        // of the book
 	Rank    time.Duration // so much later than others it stands, so that not all do at once
 	Others  func() []netip.AddrPort
+	// Changing tells whether this keeper has accepted other members that may have been chosen; nil = it never does. It must not
+	// wait. It grants nothing meanwhile: a holder that has not heard of new members, and asks the former ones, has a majority
+	// only with somebody who has accepted the change, so that its lease ends before those who are new grant their first.
+	Changing func() bool
 	// Services are those whose engines may be ordered, as they are now.
 	Services func() []Service
 }
@@ -135,6 +141,9 @@
 func (n *Node) Reduce(now time.Duration, wall time.Time, s *chain.State, e Event) []Effect {
 	n.now, n.wall = max(n.now, now), wall
 	if s.Next >= n.state.Next {
+		if n.state.Next > 0 && n.state.Member(n.Self.ID) == nil && s.Member(n.Self.ID) != nil {
+			n.grants.Joined(n.now)
+		}
 		n.state = *s
 	}
 	clear(n.out)
@@ -199,11 +208,14 @@
 		return n.book.Encode(from, to), nil
 	case CallRenew, CallStand:
 		r := form.Reader{B: body}
-		place, node := r.Uint(), r.Word()
+		place, node, voters := r.Uint(), r.Word(), n.voters()
+		if len(r.B) > 0 { // a program of before does not say
+			voters = r.Word()
+		}
 		if err := r.End(); err != nil {
 			return nil, err
 		}
-		if kind == CallRenew && n.grant(place, node) || kind == CallStand && n.free(place, node) {
+		if kind == CallRenew && voters == n.voters() && n.grant(place, node) || kind == CallStand && n.free(place, node) {
 			return []byte{1}, nil
 		}
 		return []byte{0}, nil
@@ -211,9 +223,22 @@
 	return nil, errKind
 }
 
+// voters names the members that are known here: who asks for a lease and who grants it must know of the same, or a majority of
+// former members and one of those that followed them might each have a holder.
+func (n *Node) voters() uint64 {
+	h := fnv.New64a()
+	for i := range n.state.Members {
+		h.Write(binary.BigEndian.AppendUint64(nil, n.state.Members[i].ID))
+	}
+	return h.Sum64()
+}
+
 // grant gives the holder more time, if it is that here as well.
 func (n *Node) grant(place, node uint64) bool {
 	s := &n.state
+	if n.Changing != nil && n.Changing() {
+		return false
+	}
 	return s.HolderPlace == place && s.Holder == node && s.Member(n.Self.ID) != nil && n.grants.Ask(n.now, node)
 }
 
@@ -297,6 +322,7 @@
 	w := form.Writer{}
 	w.Uint(s.HolderPlace)
 	w.Word(n.Self.ID)
+	w.Word(n.voters())
 	n.polls++
 	poll, good, need := n.polls, 0, ballot.Majority(len(s.Members))
 	yes := func() {
--- a/internal/control/duty/node_test.go
+++ b/internal/control/duty/node_test.go
@@ -9,6 +9,7 @@
 
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/form"
 )
 
 // keeper is a Node among three members, whose effects a test answers by hand.
@@ -180,3 +181,48 @@
 		t.Error("after it whoever knows the newest holder may stand")
 	}
 }
+
+// TestNewVotersGrantNothingAtOnce: who has just been given its vote grants no lease for as long as one may run that the one
+// before it has granted; who has accepted other members grants none; and none goes to who knows of other members.
+func TestNewVotersGrantNothingAtOnce(t *testing.T) {
+	ask := func(k *keeper, voters uint64) bool {
+		w := form.Writer{}
+		w.Uint(k.state.HolderPlace)
+		w.Word(2)
+		w.Word(voters)
+		for _, f := range k.Reduce(k.now, k.wall(), &k.state, core.Called{Kind: CallRenew, Body: w.B}) {
+			if r, ok := f.(core.Reply); ok && r.Err == nil {
+				return len(r.Body) == 1 && r.Body[0] == 1
+			}
+		}
+		return false
+	}
+	k := newKeeper()
+	k.state.Holder, k.state.HolderPlace, k.state.Next = 2, 3, 4
+	all := k.state.Members
+	k.state.Members = append([]chain.Member{{ID: 8, Name: "z", Addr: "10.0.0.8:1"}}, all[1:]...)
+	k.take(core.Tick{}) // it has no vote
+	if ask(k, k.voters()) {
+		t.Error("granted without a vote")
+	}
+	k.now += time.Minute
+	k.state.Members, k.state.Next = all, 5
+	k.take(core.Tick{})
+	if ask(k, k.voters()) {
+		t.Error("granted while what it grants may be another's still")
+	}
+	if k.now += 3*sec + 1; !ask(k, k.voters()) {
+		t.Error("not granted after a lease's time")
+	}
+	if ask(k, k.voters()+1) {
+		t.Error("granted to who knows of other members")
+	}
+	changing := false
+	k.Changing = func() bool { return changing }
+	if changing = true; ask(k, k.voters()) {
+		t.Error("granted with other members accepted")
+	}
+	if changing = false; !ask(k, k.voters()) {
+		t.Error("not granted once that is decided")
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -310,7 +310,14 @@
 	NodeLately     = 10 * time.Second        // a router that has reported so lately counts as there
 	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
 	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
-	NodeMembers    = 9                       // keepers that vote, at the most
+	NodeGone       = 1200 * time.Millisecond // a voter that has been silent for so long may lose its place to a standby: three answers missed
+	NodeSurplus    = 10 * time.Second        // and its vote, where there are more than are wanted: as long as a machine takes to start again
+	NodeWatch      = 200 * time.Millisecond  // between two looks at silent voters while somebody could have the place of one
+	NodeHandOver   = 2500 * time.Millisecond // for a keeper that ends to hand over: most of what grace_period_s leaves beside the data plane's own end
+	NodeCandidate  = 3 * time.Second         // a keeper that has asked for a vote so long ago may be gone itself
+	NodeCandidates = 8                       // of them, at the most
+	NodeStandby    = time.Second             // between two tries of a keeper that no voter's place is free for
+	NodeJoinLag    = 16                      // places that a keeper may lack to be taken in; it is brought up with the next ballot
 	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
 	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
 	// Once an engine has forgotten a connection that rested, for so long no request that must not run twice uses one that has
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -147,6 +147,8 @@
 			f.Of.(chan api.Result) <- f.Result // likewise
 		case core.Proposed:
 			f.Of.(chan error) <- f.Err // likewise
+		case core.Left:
+			close(f.Of.(chan struct{}))
 		case core.Changed:
 			k.changed(&f.State)
 		case core.Log:
@@ -192,6 +194,23 @@
 	return k.core.State()
 }
 
+// changing tells whether other members have been accepted here for the place that is open.
+func (k *keeper) changing() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.core.Changing()
+}
+
+// leave hands over to those that stay, until a context is over at the latest.
+func (k *keeper) leave(ctx context.Context) {
+	of := make(chan struct{})
+	k.turn(core.Leave{Of: of, Until: k.end(ctx)})
+	select {
+	case <-of:
+	case <-ctx.Done():
+	}
+}
+
 // end is a context's end by the keeper's clock.
 func (k *keeper) end(ctx context.Context) time.Duration {
 	if at, ok := ctx.Deadline(); ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,11 +287,23 @@
 func (n *Node) stop(ctx context.Context, front net.Listener) {
 	n.stopping.Store(true)
 	n.log.Info("stopping")
+	began := time.Now()
+	end := began.Add(time.Duration(n.cfg.Bounds.GraceS*float64(time.Second)) - limits.NodeLeast)
+	handed := make(chan struct{})
+	go func() {
+		defer close(handed)
+		if n.keeper == nil {
+			return
+		}
+		left, cancel := context.WithDeadline(ctx, earlier(began.Add(limits.NodeHandOver), end))
+		defer cancel()
+		n.keeper.leave(left)
+		n.log.Info("handed over", "after", time.Since(began).Round(time.Millisecond).String())
+	}()
+	defer func() { <-handed }()
 	if n.data == nil {
 		return
 	}
-	began := time.Now()
-	end := began.Add(time.Duration(n.cfg.Bounds.GraceS*float64(time.Second)) - limits.NodeLeast)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	n.data.front.Drain()
@@ -306,6 +318,13 @@
 	n.log.Info("stopped", "after", time.Since(began).Round(time.Millisecond).String(), "connections_left", n.data.front.Conns())
 }
 
+func earlier(x, y time.Time) time.Time {
+	if y.Before(x) {
+		return y
+	}
+	return x
+}
+
 // changed follows the state of a keeper. It must not wait.
 func (n *Node) changed(s *chain.State) {
 	var ids []uint64
