Model: a voter is replaced, planned or not, and any one more is lost right after

The walk plays three voters and a standby, with words lost and proposers dying between their phases, and asks at the change's end (a place chosen after it) whether any one loss leaves all that was chosen and a majority.

--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -23,6 +23,7 @@
 		{"members, every life of six steps", func(int) (string, int) {
 			return everyLife(newCore(), bounds{rounds: 2, wipes: 1, places: 2, depth: 6})
 		}},
+		{"a voter replaced, and another lost right after", func(lives int) (string, int) { return replace(lives, false) }},
 		{"founding, with cuts", func(lives int) (string, int) {
 			for seed := range lives {
 				if sets := found(draws(seed), 3+seed%3, 3, func(set int) int { return set }); len(sets) > 1 {
@@ -55,6 +56,7 @@
 		{"counts its rounds anew", ballots(func(w *world) { w.again = true })},
 		{"a wiped machine goes on under its number", members(func(c *core) { c.forget = true })},
 		{"a change counts before it is chosen", members(func(c *core) { c.eager = true })},
+		{"a change counts as finished once it is chosen", func(lives int) (string, int) { return replace(lives, true) }},
 		{"a majority founds", func(lives int) (string, int) {
 			for seed := range lives {
 				if sets := found(draws(seed), 5, 3, ballot.Majority); len(sets) > 1 {
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -131,6 +131,16 @@
 // TestTwoHalvesNeverBothFound has machines found a core that do not know how many they are: cuts come and go between them,
 // words are lost, processes start again with their disks, and each proposes those whom it can see, as soon as they are 2f+1.
 // All whom a set names must accept it; so two sets can't both be founded as long as there are fewer than 4f+2 machines.
+// TestAnotherLossAfterAReplacement: once a change of voters is finished, planned or not, any one of them may go.
+func TestAnotherLossAfterAReplacement(t *testing.T) {
+	if found, met := replace(4000, false); found != "" || met < 500 {
+		t.Errorf("%q, %d changes came to their end", found, met)
+	}
+	if found, met := replace(4000, true); found == "" {
+		t.Errorf("finished once it is chosen: not found in %d changes", met)
+	}
+}
+
 func TestTwoHalvesNeverBothFound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		founded := found(drawn(t), rapid.IntRange(3, 5).Draw(t, "machines"), 3, func(set int) int { return set })
