An order is looked up before it is judged, and refused for its form once settled

Cause: put judged a configuration's form first. What an earlier, more lenient program had taken was answered 400 when it was sent again after a lost answer.

Every other answer was gone through. 200 for what the chain has and 412 where a later version than the one it builds on is known hold upon an old state, since revisions rise and Apply takes a configuration upon its very version alone; 400 for a number that is not above that version needs no state. A version that is not known here, and now a fault of form, asks a majority first. A text that cannot be read is refused at once: Apply reads it alike.

A 412 says so where the number is older than the history goes.

Not had: an order that an earlier program has proposed and not settled may be taken after this one has refused it for its form.

--- a/internal/control/core/operate.go
+++ b/internal/control/core/operate.go
@@ -20,16 +20,21 @@
 	n.do(Answered{of, f()})
 }
 
-// put does the operator's Replace.
+// put does the operator's Replace. What is said for good is said upon a state that no later one contradicts, though it be
+// old: that it was taken (the chain has it), and that it never will be, where a later version than the one it builds on is
+// known, or its number is not above that (Apply takes it upon that very version alone). All else asks a majority first: a
+// ballot, or settle where the operator names a version that is not known here, or where this program takes for invalid what
+// an earlier one may have taken.
 func (n *Node) put(e Put) {
 	c, digest, err := declared.Decode(e.Text)
-	if err == nil {
-		err = c.Check()
-	}
-	if err != nil {
+	if err != nil { // then no member has taken it: Apply reads it alike
 		n.do(Answered{e.Of, api.Result{Status: http.StatusBadRequest, Says: err.Error()}})
 		return
 	}
+	if err := c.Check(); err != nil {
+		n.invalid(e, c.Revision, digest, err)
+		return
+	}
 	entry := chain.Entry{Kind: chain.Config, Nonce: n.rnd.Uint64(), On: e.On, Text: e.Text}
 	value := entry.Encode()
 	var res api.Result
@@ -43,6 +48,9 @@
 			case chain.Late:
 				res = api.Result{Status: http.StatusPreconditionFailed, Rev: s.Revision,
 					Says: fmt.Sprintf("X-Revision-Match: version %d is current, not %d", s.Revision, e.On)}
+				if c.Revision < s.Oldest() {
+					res.Says += fmt.Sprintf("; whether %d was ever taken is not known any more", c.Revision)
+				}
 			case chain.Low:
 				res = api.Result{Status: http.StatusBadRequest,
 					Says: fmt.Sprintf("revision: %d is not above the current one, %d", c.Revision, s.Revision)}
@@ -63,6 +71,26 @@
 	})
 }
 
+// invalid refuses a configuration with a fault, unless it was taken by an earlier program that was more lenient.
+func (n *Node) invalid(e Put, revision uint64, d declared.Digest, fault error) {
+	taken := func() api.Result {
+		if n.state.Was(revision, d) {
+			return api.Result{Status: http.StatusOK, Rev: revision}
+		}
+		return api.Result{Status: http.StatusBadRequest, Says: fault.Error()}
+	}
+	if revision <= n.state.Revision {
+		n.do(Answered{e.Of, taken()})
+		return
+	}
+	n.settle(e.Until, func(err error) {
+		if err != nil {
+			err = fmt.Errorf("%w: %w", err, fault)
+		}
+		n.answer(e.Of, err, taken)
+	})
+}
+
 // get does the operator's Describe.
 func (n *Node) get(e Get) {
 	n.settle(e.Until, func(err error) {
