lab/check: operators under one number, before the real keepers, with cuts of 20 s

core.Node of three or five keepers in simulated time: links that delay, lose and are cut one way or both for 20 s, processes killed at any write, disks lost, two to four operators at once upon one version under one number, answers lost once and twice, each order sent to the next keeper until there is a clear answer and again long after. Held against the chain: two confirmed upon one version, refused by one and confirmed by another, refused and taken, confirmed and not there, an old configuration read, no clear answer 8 s after all is well.

--- /dev/null
+++ b/internal/lab/check/cuts.go
@@ -0,0 +1,333 @@
+package check
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	replica "notchhinge/internal/control/core"
+	"notchhinge/internal/control/duty"
+	"notchhinge/internal/deadline"
+	"notchhinge/internal/limits"
+)
+
+// site is keepers as the program has them (core.Node, and duty.Node where duties are owed) in simulated time, with links that
+// delay and are cut one way or both for about 20 s, processes that are killed at any write and start anew with their disks, and
+// disks that are lost. Nothing reads a clock: a seed's life is the same everywhere.
+type site struct {
+	draw   func(n int) int
+	now    time.Duration
+	due    *deadline.Queue[func()]
+	hosts  []*host
+	blind  map[[2]int]bool // who does not hear whom: from, to
+	broken string          // a rule that is broken on purpose; "" = none
+	ids    uint64
+	found  string // the first broken rule
+	calm   bool   // nothing is killed or lost any more
+
+	names  []string // holders that the platform has heard, with their fences: rule ONE
+	fences uint64
+}
+
+// host is a machine with a keeper on it.
+type host struct {
+	s      *site
+	i      int
+	id     uint64 // of its disk
+	up     bool
+	life   int
+	core   *replica.Node
+	duty   *duty.Node
+	state  chain.State // as the disk has it
+	vote   ballot.Vote
+	places map[uint64][]byte
+	wake   time.Duration
+}
+
+var errAway = errors.New("no answer")
+
+func hostAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
+}
+
+// newSite starts so many keepers that have founded a core.
+func newSite(draw func(n int) int, n int, broken string) *site {
+	s := &site{draw: draw, due: deadline.New[func()](), blind: map[[2]int]bool{}, broken: broken, ids: 1, now: time.Hour}
+	var all []chain.Member
+	for i := range n {
+		h := &host{s: s, i: i}
+		h.format()
+		s.hosts = append(s.hosts, h)
+		all = append(all, h.member())
+	}
+	for _, h := range s.hosts {
+		h.state.Apply((&chain.Entry{Kind: chain.Members, Members: all}).Encode())
+		h.start()
+	}
+	return s
+}
+
+func (s *site) in(d time.Duration, do func()) { s.due.Add(s.now+d, do) }
+
+// run plays for a time, or until a rule is broken.
+func (s *site) run(d time.Duration) {
+	until := s.now + d
+	for at, ok := s.due.Next(); ok && at <= until && s.found == ""; at, ok = s.due.Next() {
+		s.now = at
+		do, _ := s.due.Due(at)
+		do()
+	}
+	s.now = until
+}
+
+func (s *site) breaks(says string, args ...any) {
+	if s.found == "" {
+		s.found = fmt.Sprintf(says, args...)
+	}
+}
+
+// cut has a side of the machines not be heard by the others, or not hear them, or neither, for a time.
+func (s *site) cut(side int, how int, length time.Duration) {
+	var lines [][2]int
+	for a := range s.hosts {
+		for b := range s.hosts {
+			if from, to := side>>a&1, side>>b&1; from != to && (how == 0 || how == 1 && from == 1 || how == 2 && to == 1) {
+				lines = append(lines, [2]int{a, b})
+				s.blind[[2]int{a, b}] = true
+			}
+		}
+	}
+	s.in(length, func() {
+		for _, l := range lines {
+			delete(s.blind, l)
+		}
+	})
+}
+
+// heal ends every cut, starts whatever does not run, and has nothing happen any more.
+func (s *site) heal() {
+	clear(s.blind)
+	s.calm = true
+	for _, h := range s.hosts {
+		if !h.up {
+			h.start()
+		}
+	}
+}
+
+// newest is the state that has come furthest on any machine.
+func (s *site) newest() *chain.State {
+	best := s.hosts[0].known()
+	for _, h := range s.hosts {
+		if x := h.known(); x.Next > best.Next {
+			best = x
+		}
+	}
+	return best
+}
+
+// spare tells whether one more disk may be lost: as many as the core is to bear, until others have been taken in for them and
+// every machine knows that. Who is only behind or away is not lost.
+func (s *site) spare() bool {
+	for _, at := range s.hosts {
+		gone := 0
+		for _, m := range at.known().Members {
+			if !slices.ContainsFunc(s.hosts, func(h *host) bool { return h.id == m.ID }) {
+				gone++
+			}
+		}
+		if gone >= (len(s.hosts)-1)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// known is the state that a machine has come to.
+func (h *host) known() *chain.State {
+	if h.up {
+		x := h.core.State()
+		return &x
+	}
+	return &h.state
+}
+
+// format gives a machine an empty disk.
+func (h *host) format() {
+	h.s.ids++
+	h.id = h.s.ids
+	h.state, h.vote, h.places = chain.State{}, ballot.Vote{}, map[uint64][]byte{}
+}
+
+func (h *host) member() chain.Member {
+	return chain.Member{ID: h.id, Name: fmt.Sprint("k-", h.i), Addr: hostAddr(h.i).String()}
+}
+
+// start starts the process with what its disk has.
+func (h *host) start() {
+	s := h.s
+	h.up, h.wake = true, 0
+	h.life++
+	s.ids++
+	var others []netip.AddrPort
+	for _, o := range s.hosts {
+		if o != h {
+			others = append(others, hostAddr(o.i))
+		}
+	}
+	h.core = replica.New(replica.Config{
+		Self: h.member(), Least: len(s.hosts), Life: s.ids, Seed: uint64(s.draw(1 << 30)), State: h.state, Vote: h.vote,
+		Others: func() []netip.AddrPort { return others },
+		Chosen: func(place uint64) ([]byte, bool) { v, ok := h.places[place]; return v, ok },
+	})
+	h.duty = nil
+	h.plan()
+}
+
+// die ends the process.
+func (h *host) die() {
+	h.up, h.core, h.duty = false, nil, nil
+	h.life++
+}
+
+// kill ends the process for a time.
+func (h *host) kill(length time.Duration) {
+	if h.s.calm {
+		return
+	}
+	h.die()
+	life := h.life
+	h.s.in(length, func() {
+		if h.life == life {
+			h.start()
+		}
+	})
+}
+
+// take has the process take an event.
+func (h *host) take(e any) {
+	if !h.up {
+		return
+	}
+	if c, ok := e.(replica.Called); ok && duty.Owns(c.Kind) {
+		h.owe(e)
+		return
+	}
+	h.perform(h.core.Reduce(h.s.now, e))
+	h.plan()
+}
+
+// plan has the process woken when it wants to be.
+func (h *host) plan() {
+	if !h.up {
+		return
+	}
+	next, ok := h.core.Next()
+	if next = max(next, h.s.now+time.Millisecond); !ok || h.wake > h.s.now && h.wake <= next {
+		return
+	}
+	h.wake = next
+	life := h.life
+	h.s.in(next-h.s.now, func() {
+		if h.life == life && h.wake == next {
+			h.wake = 0
+			h.take(replica.Tick{})
+		}
+	})
+}
+
+// perform does what follows, in order, as a keeper does; the process may be killed as it writes.
+func (h *host) perform(effects []replica.Effect) {
+	s, life := h.s, h.life
+	for effects = append([]replica.Effect(nil), effects...); len(effects) > 0; effects = effects[1:] {
+		switch f := effects[0].(type) {
+		case replica.Write:
+			dies := s.draw(1500)
+			if s.calm {
+				dies = 2
+			}
+			if dies != 1 {
+				h.keep(&f)
+			}
+			if dies < 2 { // before it is durable, or right after
+				h.kill(time.Duration(50+s.draw(3000)) * time.Millisecond)
+				return
+			}
+			effects = append(effects, h.core.Reduce(s.now, replica.Wrote{ID: f.ID, OK: true})...)
+		case replica.Call:
+			s.call(h, f, func(body []byte, err error) {
+				if h.life == life {
+					h.take(replica.Returned{ID: f.ID, Body: body, Err: err})
+				}
+			})
+		case replica.Reply:
+			f.Of.(func([]byte, error))(f.Body, f.Err)
+		case replica.Answered:
+			f.Of.(func(api.Result))(f.Result)
+		case replica.Proposed:
+			s.in(0, func() { f.Of.(func(error))(f.Err) })
+		}
+		if h.life != life {
+			return
+		}
+	}
+}
+
+// keep makes a write durable.
+func (h *host) keep(f *replica.Write) {
+	switch {
+	case f.Whole:
+		h.state = *f.State
+		h.places = map[uint64][]byte{}
+	case f.Value != nil:
+		h.state = *f.State
+		h.places = maps.Clone(h.places)
+		h.places[f.State.Next-1] = f.Value
+		delete(h.places, f.State.Next-33)
+	default:
+		h.vote = f.Vote
+	}
+}
+
+// call carries a call there, and its answer back.
+func (s *site) call(from *host, c replica.Call, then func(body []byte, err error)) {
+	over := false
+	back := func(body []byte, err error) {
+		if !over {
+			over = true
+			then(body, err)
+		}
+	}
+	s.in(c.Within, func() { back(nil, errAway) })
+	to := s.hosts[c.To.Addr().As4()[3]]
+	way := func(a, b *host, do func()) {
+		if !s.blind[[2]int{a.i, b.i}] && s.draw(60) > 0 {
+			s.in(time.Duration(500+s.draw(3000))*time.Microsecond, do)
+		}
+	}
+	way(from, to, func() {
+		to.take(replica.Called{Kind: c.Kind, Body: c.Body, From: hostAddr(from.i).Addr(), Of: func(body []byte, err error) {
+			const noVote, known = byte(ballot.NoVote), byte(ballot.Known)
+			if s.broken == "who is no member counts" && c.Kind == replica.CallAsk && len(body) > 0 && body[0] == noVote && c.Body[0] == byte(ballot.Query) {
+				body = append([]byte{known}, body[1:]...)
+			}
+			way(to, from, func() { back(body, err) })
+		}})
+	})
+}
+
+// Lengths of the cuts and the stops of a life.
+const (
+	cutMost  = 20 * time.Second
+	patience = time.Second // of an operator, for an answer
+	within   = limits.NodeSettle
+)
+
+// owe has the keeper's part in the duties take an event.
+func (h *host) owe(any) {}
