Who catches up says which formats of the state it reads

So a keeper of the earlier program, which would refuse the second format, is sent the first one by those that are replaced already: it says nothing, and what is said here it takes no notice of. TestStateForAnEarlierProgram.

--- a/internal/control/core/calls.go
+++ b/internal/control/core/calls.go
@@ -11,7 +11,7 @@
 const (
 	CallAsk      uint8 = 1  // a ballot's: ballot.Ask, answered by ballot.Answer
 	CallLearn    uint8 = 2  // a place and the value that was chosen for it, or only word that there is more
-	CallState    uint8 = 3  // the whole state, where it is further than a place
+	CallState    uint8 = 3  // the whole state, where it is further than a place, in the newest format that the caller says it reads
 	CallIdentity uint8 = 4  // who a keeper is and how far it has come
 	CallJoin     uint8 = 10 // a keeper wants to be a member: identity
 	CallChosen   uint8 = 14 // what a member has accepted for a place, under a number, was chosen
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -282,12 +282,16 @@
 			n.chosen(c.From, place, number)
 		}
 	case CallState:
-		place, _, err := DecodePlace(c.Body)
+		place, reads, err := DecodePlace(c.Body)
 		if err != nil || n.state.Next <= place {
 			reply(nil, err)
 			return
 		}
-		reply(n.state.Encode(), nil)
+		newest := byte(1) // an earlier program says nothing of formats
+		if len(reads) > 0 {
+			newest = reads[0]
+		}
+		reply(n.state.EncodeAs(newest), nil)
 	case CallIdentity:
 		i := identity{n.Self, n.state.Next, n.Founder}
 		reply(i.encode(), nil)
@@ -367,7 +371,7 @@
 
 // catchUp takes the state of another, if it has come further.
 func (n *Node) catchUp(from netip.AddrPort, then func()) {
-	n.call(from, CallState, EncodePlace(n.state.Next, nil), 2*limits.NodeAsk, func(body []byte, err error) {
+	n.call(from, CallState, EncodePlace(n.state.Next, []byte{chain.Version}), 2*limits.NodeAsk, func(body []byte, err error) {
 		if err != nil || len(body) == 0 {
 			then()
 			return
--- a/internal/control/core/core_test.go
+++ b/internal/control/core/core_test.go
@@ -5,9 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
+	"notchhinge/internal/control/declared"
 )
 
 func keeper(voter bool) *Node {
@@ -95,3 +98,25 @@
 		}
 	}
 }
+
+// TestStateForAnEarlierProgram: who does not say which formats it reads is sent the first, and catches up.
+func TestStateForAnEarlierProgram(t *testing.T) {
+	n := keeper(true)
+	for k := range uint64(200) {
+		text, err := cbor.Marshal(declared.Config{Revision: k + 1, Routes: []declared.Route{}, Services: []declared.Service{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if said, _ := replies(n, time.Second, Put{On: k, Text: text, Of: k, Until: 2 * time.Second}, true); len(said) != 1 || said[0].(Answered).Status != 200 {
+			t.Fatalf("%d: %+v", k, said)
+		}
+	}
+	for reads, format := range map[string]byte{"": 1, "\x01": 1, "\x02": 2, "\x09": 2} {
+		said, _ := replies(n, time.Second, Called{Kind: CallState, Body: EncodePlace(3, []byte(reads))}, true)
+		b := said[0].(Reply).Body
+		s, err := chain.DecodeState(b)
+		if err != nil || b[0] != format || s.Revision != 200 || s.Next != n.State().Next {
+			t.Errorf("who reads %q: %v, format %d", reads, err, b[0])
+		}
+	}
+}
