A lease counts among those who know the same members

Cause: the holder asks a majority of the members that it knows. Where a member that lives is replaced in one change, majorities before and after share nobody: a holder that was cut off with some that knew nothing of the change went on acting while another acted among the new members.

Change: the holder names the members it counts in (a hash, in CallRenew); who has accepted a change that may have been chosen grants nothing until it knows; who becomes a member grants nothing for a lease.

Ruled out: the fence alone (fencing is not enabled everywhere).

lab/check: core.Node and duty.Node with members swapped and cuts of up to 20 s. An earlier program does not take the longer question: in a roll one of the earlier keepers takes the duties over.

--- a/internal/control/duty/node.go
+++ b/internal/control/duty/node.go
@@ -1,7 +1,9 @@
 package duty
 
 import (
+	"encoding/binary"
 	"errors"
+	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -19,7 +21,7 @@
 const (
 	CallReport uint8 = 8  // a router's counts and loads: Report, answered by Word
 	CallBook   uint8 = 9  // what a keeper has heard of these, from a window up to another
-	CallRenew  uint8 = 11 // the holder asks for more time: its fence and its member
+	CallRenew  uint8 = 11 // the holder asks for more time: its fence, its member, and which members it knows
 	CallStand  uint8 = 15 // would another holder's lease be in the way: the newest fence and who wants to follow
 )
 
@@ -85,6 +87,8 @@
 	Life    uint64        // of the book
 	Rank    time.Duration // so much later than others it stands, so that not all do at once
 	Others  func() []netip.AddrPort
+	// Unsure tells whether a change of members has been accepted here that may have been chosen already; nil = never.
+	Unsure func() bool
 	// Services are those whose engines may be ordered, as they are now.
 	Services func() []Service
 }
@@ -135,7 +139,10 @@
 func (n *Node) Reduce(now time.Duration, wall time.Time, s *chain.State, e Event) []Effect {
 	n.now, n.wall = max(n.now, now), wall
 	if s.Next >= n.state.Next {
-		n.state = *s
+		founds, was := n.state.Next == 0, n.state.Member(n.Self.ID) != nil
+		if n.state = *s; !was && s.Member(n.Self.ID) != nil && !(founds && n.grants.Fresh) {
+			n.grants = Grants{Lease: n.Lease, Started: n.now} // those in whose place it came may have granted a lease
+		}
 	}
 	clear(n.out)
 	n.out = n.out[:0]
@@ -200,10 +207,14 @@
 	case CallRenew, CallStand:
 		r := form.Reader{B: body}
 		place, node := r.Uint(), r.Word()
+		known := voters(n.state.Members)
+		if kind == CallRenew && len(r.B) > 0 { // an earlier program does not say
+			known = r.Word()
+		}
 		if err := r.End(); err != nil {
 			return nil, err
 		}
-		if kind == CallRenew && n.grant(place, node) || kind == CallStand && n.free(place, node) {
+		if kind == CallRenew && n.grant(place, node, known) || kind == CallStand && n.free(place, node) {
 			return []byte{1}, nil
 		}
 		return []byte{0}, nil
@@ -211,10 +222,37 @@
 	return nil, errKind
 }
 
-// grant gives the holder more time, if it is that here as well.
-func (n *Node) grant(place, node uint64) bool {
+// grant gives the holder more time, if it is that here as well, and counts its majority among the members that are known
+// here. A change of members is accepted by a majority of those before it: each of these gives no more grants among them, and
+// who is new grants none for a lease. So when a majority of the members that follow can grant a lease, the last one that was
+// granted among those before has passed, though the holder and some of them may be cut off and know nothing of the change.
+func (n *Node) grant(place, node, known uint64) bool {
 	s := &n.state
-	return s.HolderPlace == place && s.Holder == node && s.Member(n.Self.ID) != nil && n.grants.Ask(n.now, node)
+	switch {
+	case s.HolderPlace != place || s.Holder != node || s.Member(n.Self.ID) == nil || known != voters(s.Members):
+		return false
+	case n.Unsure != nil && n.Unsure():
+		return false
+	}
+	return n.grants.Ask(n.now, node)
+}
+
+// voters is a hash of who the members are.
+func voters(members []chain.Member) uint64 {
+	h := fnv.New64a()
+	for _, m := range members {
+		h.Write(binary.BigEndian.AppendUint64(nil, m.ID))
+	}
+	return h.Sum64()
+}
+
+// Unsure tells whether a vote may have decided a change of members that the state, to which it belongs, does not have yet.
+func Unsure(s *chain.State, v *ballot.Vote) bool {
+	if v.Place != s.Next || v.Accepted == (ballot.Number{}) {
+		return false
+	}
+	e, err := chain.Decode(v.Value)
+	return err == nil && e.Kind == chain.Members
 }
 
 // free tells whether no other holder's lease would be in the way of one who wants to follow the newest that is known here.
@@ -287,7 +325,7 @@
 // extend asks the members for more time, from now on.
 func (n *Node) extend() {
 	asked := n.now
-	n.poll(CallRenew, n.grant(n.state.HolderPlace, n.Self.ID), func() { n.held.Extended(asked) })
+	n.poll(CallRenew, n.grant(n.state.HolderPlace, n.Self.ID, voters(n.state.Members)), func() { n.held.Extended(asked) })
 }
 
 // poll asks the members something about this keeper and the newest holder, and does what follows once a majority has said
@@ -297,6 +335,9 @@
 	w := form.Writer{}
 	w.Uint(s.HolderPlace)
 	w.Word(n.Self.ID)
+	if kind == CallRenew {
+		w.Word(voters(s.Members))
+	}
 	n.polls++
 	poll, good, need := n.polls, 0, ballot.Majority(len(s.Members))
 	yes := func() {
--- a/internal/lab/check/cuts.go
+++ b/internal/lab/check/cuts.go
@@ -31,8 +31,11 @@
 	found  string // the first broken rule
 	calm   bool   // nothing is killed or lost any more
 
-	names  []string // holders that the platform has heard, with their fences: rule ONE
-	fences uint64
+	closed bool // nobody is taken in by its own asking
+	duties bool // are owed
+	acts   int  // calls that the platform has taken
+	fence  uint64
+	holder map[uint64]int // by fence, who has sent it
 }
 
 // host is a machine with a keeper on it.
@@ -48,6 +51,8 @@
 	vote   ballot.Vote
 	places map[uint64][]byte
 	wake   time.Duration
+	votes  bool   // is a member, as far as the duties have been told
+	anew   func() // has the part in the duties begin as if nobody had ever granted anything
 }
 
 var errAway = errors.New("no answer")
@@ -56,18 +61,19 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 7000)
 }
 
-// newSite starts so many keepers that have founded a core.
-func newSite(draw func(n int) int, n int, broken string) *site {
-	s := &site{draw: draw, due: deadline.New[func()](), blind: map[[2]int]bool{}, broken: broken, ids: 1, now: time.Hour}
+// newSite starts so many keepers that have founded a core, and further ones that may be taken in.
+func newSite(draw func(n int) int, n, further int, broken string) *site {
+	s := &site{draw: draw, due: deadline.New[func()](), blind: map[[2]int]bool{}, broken: broken, ids: 1, now: time.Hour, holder: map[uint64]int{}}
+	s.closed, s.duties = further > 0, further > 0
 	var all []chain.Member
-	for i := range n {
+	for i := range n + further {
 		h := &host{s: s, i: i}
 		h.format()
 		s.hosts = append(s.hosts, h)
 		all = append(all, h.member())
 	}
 	for _, h := range s.hosts {
-		h.state.Apply((&chain.Entry{Kind: chain.Members, Members: all}).Encode())
+		h.state.Apply((&chain.Entry{Kind: chain.Members, Members: all[:n]}).Encode())
 		h.start()
 	}
 	return s
@@ -186,7 +192,9 @@
 		Others: func() []netip.AddrPort { return others },
 		Chosen: func(place uint64) ([]byte, bool) { v, ok := h.places[place]; return v, ok },
 	})
-	h.duty = nil
+	if h.duty = nil; s.duties {
+		h.startDuties(others)
+	}
 	h.plan()
 }
 
@@ -297,6 +305,9 @@
 
 // call carries a call there, and its answer back.
 func (s *site) call(from *host, c replica.Call, then func(body []byte, err error)) {
+	if s.broken == "a lease among members that nobody names" && c.Kind == duty.CallRenew {
+		c.Body = c.Body[:len(c.Body)-8] // as an earlier program asks
+	}
 	over := false
 	back := func(body []byte, err error) {
 		if !over {
@@ -306,6 +317,9 @@
 	}
 	s.in(c.Within, func() { back(nil, errAway) })
 	to := s.hosts[c.To.Addr().As4()[3]]
+	if s.closed && c.Kind == replica.CallJoin {
+		return
+	}
 	way := func(a, b *host, do func()) {
 		if !s.blind[[2]int{a.i, b.i}] && s.draw(60) > 0 {
 			s.in(time.Duration(500+s.draw(3000))*time.Microsecond, do)
@@ -327,7 +341,165 @@
 	cutMost  = 20 * time.Second
 	patience = time.Second // of an operator, for an answer
 	within   = limits.NodeSettle
+	lease    = 3 * time.Second
 )
 
-// owe has the keeper's part in the duties take an event.
-func (h *host) owe(any) {}
+// startDuties starts the keeper's part in the duties: engines of one service are ordered once a second.
+func (h *host) startDuties(others []netip.AddrPort) {
+	s, life := h.s, h.life
+	c := duty.Config{
+		Self: h.member(), Lease: lease, Window: 5 * time.Second, Delay: 10 * time.Second, Lately: limits.NodeLately, Orders: true, Life: s.ids,
+		Rank: time.Duration(h.id) * 100 * time.Millisecond, Others: func() []netip.AddrPort { return others },
+		Services: func() []duty.Service {
+			n := 1 + int(s.now/time.Second)%9
+			return []duty.Service{{Name: "s", Bounds: duty.Bounds{Min: n, Max: n}, Ready: map[string]int{"z": 1}, Slots: 4}}
+		},
+	}
+	if s.broken != "a lease among members that may be others by now" {
+		c.Unsure = func() bool {
+			state, vote := h.core.State(), h.core.Vote()
+			return duty.Unsure(&state, &vote)
+		}
+	}
+	h.duty = duty.New(s.now, c)
+	h.anew = func() {
+		c.Fresh = true
+		h.duty = duty.New(s.now, c)
+	}
+	h.votes = h.state.Member(h.id) != nil
+	var tick func()
+	tick = func() {
+		if h.life != life {
+			return
+		}
+		report := duty.Report{Source: 1, Loads: []duty.Load{{Service: "s", Running: 400, Arrived: uint64(s.now / time.Millisecond)}}}
+		h.owe(replica.Called{Kind: duty.CallReport, Body: report.Encode(), Of: func([]byte, error) {}})
+		h.owe(replica.Tick{})
+		s.in(limits.NodeDuty, tick)
+	}
+	s.in(time.Duration(s.draw(500))*time.Millisecond, tick)
+}
+
+// owe has the keeper's part in the duties take an event, and does what follows.
+func (h *host) owe(e duty.Event) {
+	if !h.up || h.duty == nil {
+		return
+	}
+	s, life := h.s, h.life
+	state := h.core.State()
+	if is := state.Member(h.id) != nil; is != h.votes {
+		if h.votes = is; is && s.broken == "a new member grants a lease at once" {
+			h.anew()
+		}
+	}
+	for _, f := range append([]duty.Effect(nil), h.duty.Reduce(s.now, time.Unix(0, 0).Add(s.now), &state, e)...) {
+		switch f := f.(type) {
+		case replica.Call:
+			s.call(h, f, func(body []byte, err error) {
+				if h.life == life {
+					h.owe(replica.Returned{ID: f.ID, Body: body, Err: err})
+				}
+			})
+		case replica.Reply:
+			f.Of.(func([]byte, error))(f.Body, f.Err)
+		case duty.Propose:
+			h.take(replica.Propose{Want: f.Want, Until: s.now + f.Within, Of: func(err error) {
+				if h.life == life {
+					h.owe(duty.Proposed{Err: err})
+				}
+			}})
+		case duty.Order: // the platform can always be reached, and takes every call
+			s.in(time.Millisecond, func() { s.act(h, f.Fence) })
+			s.in(2*time.Millisecond, func() {
+				if h.life == life {
+					h.owe(duty.Took{})
+				}
+			})
+		}
+	}
+}
+
+// act is a holder's call at the platform, which watches rule ONE.
+func (s *site) act(h *host, fence uint64) {
+	s.acts++
+	if other, known := s.holder[fence]; known && other != h.i {
+		s.breaks("keepers %d and %d have both sent fence %d", other, h.i, fence)
+	}
+	s.holder[fence] = h.i
+	if fence < s.fence {
+		s.breaks("keeper %d sends fence %d, and the platform has seen %d", h.i, fence, s.fence)
+	}
+	s.fence = max(s.fence, fence)
+}
+
+// swap has a member that lives replaced by a machine that has caught up, in one change, as somebody asks of one of the others.
+func (s *site) swap() {
+	now := s.newest()
+	var in *host
+	for _, h := range s.hosts {
+		if now.Member(h.id) == nil && h.known().Next == now.Next {
+			in = h
+		}
+	}
+	out := now.Members[s.draw(len(now.Members))]
+	if in == nil {
+		return
+	}
+	s.hosts[s.draw(len(s.hosts))].take(replica.Propose{Until: s.now + within, Of: func(error) {}, Want: func(x *chain.State) []byte {
+		e := &chain.Entry{Kind: chain.Members, Nonce: uint64(s.draw(1 << 30)), Members: slices.Clone(x.Members)}
+		at := slices.IndexFunc(e.Members, func(m chain.Member) bool { return m.ID == out.ID })
+		if at < 0 || x.Member(in.id) != nil {
+			return nil
+		}
+		e.Members[at] = in.member()
+		return e.Encode()
+	}})
+}
+
+// leases plays lives in which members are replaced while the holder of the duties is cut off with some of them, and returns the
+// first in which two act at once.
+func leases(lives int, broken string) (found string, seed int) {
+	for seed := range lives {
+		draw := draws(seed)
+		s := newSite(draw, 3+2*draw(2), 2, broken)
+		s.run(12 * time.Second) // somebody holds them
+		for range 10 {
+			s.swap()
+			if draw(3) > 0 {
+				s.run(time.Duration(draw(12000)) * time.Microsecond)
+				s.cut(1+draw(1<<len(s.hosts)-2), draw(3), time.Duration(2+draw(19))*time.Second)
+			}
+			if h := s.hosts[draw(len(s.hosts))]; draw(6) == 0 && h.up {
+				h.kill(time.Duration(50+draw(3000)) * time.Millisecond)
+			}
+			s.run(time.Duration(draw(9000)) * time.Millisecond)
+		}
+		if s.heal(); s.found == "" {
+			acts := s.acts
+			if s.run(12 * time.Second); s.acts == acts {
+				s.breaks("12 s after all is well nobody acts")
+			}
+		}
+		if s.found != "" {
+			return s.found, seed
+		}
+	}
+	return "", lives
+}
+
+// brokenLeases are the rules that are broken on purpose; each must be found.
+var brokenLeases = []string{
+	"a lease among members that nobody names", "a lease among members that may be others by now", "a new member grants a lease at once",
+}
+
+// brokenSites are the walks of all that is broken on purpose at a site.
+func brokenSites() (all []Walk) {
+	add := func(walk func(int, string) (string, int), names []string) {
+		for _, broken := range names {
+			all = append(all, Walk{broken, func(lives int) (string, int) { return walk(lives, broken) }})
+		}
+	}
+	add(orders, brokenOrders)
+	add(leases, brokenLeases)
+	return all
+}
--- a/internal/lab/check/orders.go
+++ b/internal/lab/check/orders.go
@@ -289,7 +289,7 @@
 // ordersLife plays a life, and says what is wrong.
 func ordersLife(seed int, broken string) (found string, answers, reads int) {
 	draw := draws(seed)
-	o := &operators{site: newSite(draw, 3+2*draw(2), broken)}
+	o := &operators{site: newSite(draw, 3+2*draw(2), 0, broken)}
 	o.run(time.Second)
 	for range 45 {
 		switch k := draw(8); {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -107,7 +107,7 @@
 		Fresh:  n.keeper.founder && n.keeper.at().Next == 0,
 		Lately: max(seconds(b.RetryWindowS), limits.NodeLately), Rank: time.Duration(id%1000) * time.Millisecond, Life: rand.Uint64(),
 		Reports: n.cfg.Cloud.Has("usage_reporting"), Orders: n.cfg.Cloud.Has("autoscaler"),
-		Others: n.keeper.others, Services: n.scaled,
+		Others: n.keeper.others, Services: n.scaled, Unsure: n.keeper.unsure,
 	})
 	return d
 }
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -14,6 +14,7 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/duty"
 	"notchhinge/internal/control/store"
 	"notchhinge/internal/limits"
 )
@@ -192,6 +193,14 @@
 	return k.core.State()
 }
 
+// unsure tells whether a change of members was accepted here that may have been chosen.
+func (k *keeper) unsure() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, v := k.core.State(), k.core.Vote()
+	return duty.Unsure(&s, &v)
+}
+
 // end is a context's end by the keeper's clock.
 func (k *keeper) end(ctx context.Context) time.Duration {
 	if at, ok := ctx.Deadline(); ok {
