--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -32,6 +32,8 @@
 			return "", lives
 		}},
 		{"two operators upon one version, with cuts", func(lives int) (string, int) { return races(lives, false) }},
+		{"operators under one number, with answers lost", func(lives int) (string, int) { return orders(lives, "") }},
+		{"leases, while members are replaced in cuts", func(lives int) (string, int) { return leases(lives, "") }},
 		{"engines that leave, and who hears of it dies", func(lives int) (string, int) { return leaving(lives, false) }},
 		{"power lost at every step of a store's life", func(int) (string, int) {
 			faults, points := powerLost(false, 1)
@@ -49,7 +51,7 @@
 	ballots := func(breaks func(*world)) func(int) (string, int) {
 		return func(lives int) (string, int) { return deep(breaks, lives) }
 	}
-	return []Walk{
+	return append([]Walk{
 		{"votes after a wipe", ballots(func(w *world) { w.forgets = true })},
 		{"answers before the sync", ballots(func(w *world) { w.skipDisk = true })},
 		{"counts its rounds anew", ballots(func(w *world) { w.again = true })},
@@ -69,7 +71,7 @@
 			faults, points := powerLost(true, 5)
 			return first(faults), points
 		}},
-	}
+	}, brokenSites()...)
 }
 
 func first(faults []error) string {
