A router that starts asks a keeper that reaches a majority which configuration is newest

Cause: any keeper's answer made a router ready, also of one that was cut off and behind and the only one known; it then asked nobody again.

Change: the fetch of a start says that it wants what is settled; a keeper settles first, as for Describe, and answers nothing where it can't. The router is not ready before one has answered so, for 3 s; then it serves with what a keeper has, and asks on. An earlier keeper takes no notice and answers as before.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -324,6 +324,11 @@
 	NodeTexts       = 4                      // configurations that are kept so that differences to them can be sent
 	NodeTextBytes   = 16 << 20               // of them, at the most
 	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
+	// A router that has started is not ready before a keeper that reaches a majority has said which configuration is the newest,
+	// or for so long: where none does it serves with what another keeper has, and where no keeper answers at all it waits
+	// longer for one. No machine is in touch (5 s) by then.
+	NodeUnsettled = 3 * time.Second
+	NodeUnasked   = 10 * time.Second
 	// Configurations that a late repeat of an operator's call may name, beside the newest 64: at the 14 a second that eight
 	// orders under way come to these are 4.8 minutes, where an operator repeats for one; at 8,500 a day eleven hours. 17 to 18
 	// bytes each, in a keeper's state (70 kB) and where one catches up.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -10,6 +10,10 @@
 // those of the state (core) and of the duties (duty). 6, 7, 12 and 13 were the operator's, passed on.
 const callFetch uint8 = 5
 
+// fetchSettled, with a callFetch, asks for the newest configuration that there is: a keeper says nothing before a majority has
+// told it that there is no newer one. An earlier program takes no notice of it.
+const fetchSettled byte = 1
+
 // causeOf is what a call is for.
 func causeOf(kind uint8) account.Cause {
 	switch kind {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,8 @@
 	place    atomic.Uint64 // of the newest configuration that is held here
 	texts    texts
 	wanted   atomic.Uint64 // of the newest that is known of
-	asked    atomic.Bool   // a keeper has said what the newest is
+	asked    atomic.Bool   // a keeper that reached a majority has said what the newest is
+	answered atomic.Bool   // some keeper has said what it has
 	sent     atomic.Uint32 // callers that were sent to a keeper
 	fetching chan gossip.Peer
 	stopping atomic.Bool
@@ -273,8 +274,10 @@
 		return "no traffic here"
 	case n.data.at.Load() == nil:
 		return "no configuration yet"
-	case !n.asked.Load() && time.Since(n.began) < 10*time.Second:
+	case !n.asked.Load() && !n.answered.Load() && time.Since(n.began) < limits.NodeUnasked:
 		return "no keeper has said yet which configuration is the newest"
+	case !n.asked.Load() && time.Since(n.began) < limits.NodeUnsettled:
+		return "no keeper that reaches a majority has said yet which configuration is the newest"
 	case n.place.Load() < n.wanted.Load():
 		return "a newer configuration is on its way"
 	case !n.data.known():
@@ -373,7 +376,7 @@
 				ask = append(ask, from)
 			}
 			for _, p := range append(ask, n.news.keepers()...) {
-				if n.get(ctx, p.Addr) && n.place.Load() >= n.wanted.Load() {
+				if n.get(ctx, p.Addr, false) && n.place.Load() >= n.wanted.Load() {
 					break
 				}
 			}
@@ -384,13 +387,18 @@
 	}
 }
 
-// get asks another for a configuration that is newer than the one here. It tells whether it answered.
-func (n *Node) get(ctx context.Context, to netip.AddrPort) bool {
+// get asks another for a configuration that is newer than the one here; settled: for the newest there is, which a keeper asks a
+// majority for first. It tells whether it answered. A keeper of an earlier program says what it has itself in either case.
+func (n *Node) get(ctx context.Context, to netip.AddrPort, settled bool) bool {
+	var how []byte
+	if settled {
+		how = []byte{fetchSettled}
+	}
 	ctx, cancel := context.WithTimeout(ctx, limits.NodePass)
 	defer cancel()
 	has, had := n.texts.newest()
 	for {
-		b, err := n.net.Call(ctx, to, callFetch, core.EncodePlace(has, nil))
+		b, err := n.net.Call(ctx, to, callFetch, core.EncodePlace(has, how))
 		if err != nil {
 			return false
 		}
@@ -410,12 +418,20 @@
 	}
 }
 
-// start finds out at the start which configuration is the newest.
+// start finds out at the start which configuration is the newest. It goes on until a keeper that reaches a majority has said
+// so: one that is cut off may be the only one that is known here. What that has is held meanwhile.
 func (n *Node) start(ctx context.Context) {
 	for !n.asked.Load() && ctx.Err() == nil {
-		for _, p := range n.news.keepers() {
-			if n.get(ctx, p.Addr) {
+		all := n.news.keepers()
+		for _, p := range all {
+			if n.get(ctx, p.Addr, true) {
 				n.asked.Store(true)
+				return
+			}
+		}
+		for _, p := range all {
+			if n.get(ctx, p.Addr, false) {
+				n.answered.Store(true)
 				break
 			}
 		}
@@ -428,10 +444,18 @@
 // handle answers another process.
 func (n *Node) handle(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error) {
 	if kind == callFetch {
-		place, _, err := core.DecodePlace(body)
+		place, how, err := core.DecodePlace(body)
 		if err != nil {
 			return nil, err
 		}
+		if len(how) > 0 && how[0] == fetchSettled && n.keeper != nil {
+			ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
+			defer cancel()
+			r := n.keeper.operate(ctx, func(of chan api.Result, until time.Duration) core.Event { return core.Get{Of: of, Until: until} })
+			if r.Status >= http.StatusInternalServerError { // 404: there is none yet
+				return nil, errors.New(r.Says)
+			}
+		}
 		return n.texts.answer(place), nil
 	}
 	k := n.keeper
