--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -194,8 +194,8 @@
 	return k.core.State()
 }
 
-// changing tells whether other members have been accepted here for the place that is open.
-func (k *keeper) changing() bool {
+// unsure tells whether a change of members was accepted here that may have been chosen.
+func (k *keeper) unsure() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.core.Changing()
