--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -45,8 +46,20 @@
 func (n *Node) heard(from netip.AddrPort, sent time.Duration, err error) {
 	if err == nil {
 		delete(n.members.silent, from)
-	} else if _, known := n.members.silent[from]; !known {
-		n.members.silent[from] = sent
+		return
+	}
+	silent := n.members.silent
+	if _, known := silent[from]; !known {
+		silent[from] = sent
+	}
+	if len(silent) > limits.NodeSilent { // of those that were replaced long ago
+		voters := map[netip.AddrPort]bool{}
+		for i := range n.state.Members {
+			if to, ok := addr(&n.state.Members[i]); ok {
+				voters[to] = true
+			}
+		}
+		maps.DeleteFunc(silent, func(a netip.AddrPort, _ time.Duration) bool { return !voters[a] })
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -315,6 +315,7 @@
 	NodeWatch      = 200 * time.Millisecond  // between two looks at silent voters while somebody could have the place of one
 	NodeHandOver   = 2500 * time.Millisecond // for a keeper that ends to hand over: most of what grace_period_s leaves beside the data plane's own end
 	NodeCandidate  = 3 * time.Second         // a keeper that has asked for a vote so long ago may be gone itself
+	NodeSilent     = 128                     // keepers that do not answer, of whom it is kept since when
 	NodeCandidates = 8                       // of them, at the most
 	NodeStandby    = time.Second             // between two tries of a keeper that no voter's place is free for
 	NodeJoinLag    = 16                      // places that a keeper may lack to be taken in; it is brought up with the next ballot
