A request of which some has left may have run, though it was not written whole

Legs may be run in their caller's goroutine (Config.Go), and connections that are no sockets tell themselves whether they are quiet, for the walk. TestRequestCutShort fails without it.

--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -90,6 +90,8 @@
 	// Forgot is told that a host has ended a line that rested, though it takes new ones: it may forget others as well. It
 	// must not wait; nil = nobody wants to know.
 	Forgot func()
+	// Go runs a leg beside its caller; nil = in a goroutine of its own. A walk over the orders of events runs all in one.
+	Go func(func())
 }
 
 // Client does what the broker asks of issuer hosts.
@@ -113,6 +115,9 @@
 	if c.Dialect == nil {
 		c.Dialect = platform{}
 	}
+	if c.Go == nil {
+		c.Go = func(f func()) { go f() }
+	}
 	return &Client{
 		Config: c, legs: map[broker.LegID]*leg{}, pools: map[pool.ID]*Reports{},
 		lines: lines{
@@ -204,7 +209,7 @@
 	c.mu.Lock()
 	c.legs[e.Leg], l.reports = l, c.reports(e.Pool)
 	c.mu.Unlock()
-	go c.run(ctx, l, e)
+	c.Go(func() { c.run(ctx, l, e) })
 }
 
 // Perform does an effect that concerns legs and lines, and tells whether it was one. It does not wait.
@@ -311,15 +316,19 @@
 		return
 	}
 	ln.SetWriteDeadline(l.began.Add(e.Wait))
-	if _, err := ln.Write(c.Dialect.Head(customer.Order(), &e, e.Wait-lined.Sub(l.began), l.span)); err != nil {
-		end.Result = policy.ConnectFailed // not written to its last byte, so that it cannot have run
+	var until time.Time
+	if n, err := ln.Write(c.Dialect.Head(customer.Order(), &e, e.Wait-lined.Sub(l.began), l.span)); err != nil && n == 0 {
+		end.Result = policy.ConnectFailed // nothing of it is on its way, so that it cannot have run
 		end.Stale = c.stale(ln)
 		return
+	} else if err != nil {
+		// Some of it is, and a host may begin before it has all. If it has answered, that is there or comes at once.
+		ln.unclean, until = true, time.Now().Add(cutWait)
 	}
 	if l.times != nil {
 		l.stamp(&l.times.Written, time.Now())
 	}
-	resp, first, err := c.readResponse(ln, customer.Order(), time.Time{})
+	resp, first, err := c.readResponse(ln, customer.Order(), until)
 	if l.times != nil && !first.IsZero() {
 		l.stamp(&l.times.First, first)
 	}
@@ -333,7 +342,7 @@
 	}
 	ln.idle = c.Dialect.Idle(resp)
 	if result := c.Dialect.Judge(resp); result != policy.OK {
-		end.Result = result
+		end.Result, end.Arrived = result, result == policy.ConnectFailed
 		if k, ok := customer.(Keeper); ok && c.Dialect != (platform{}) {
 			if k.Keep(result, resp, ln) && !resp.Close {
 				keep = ln
@@ -352,6 +361,9 @@
 	}
 }
 
+// cutWait is how long the answer to a request is waited for whose connection has ended before it was written whole.
+const cutWait = 100 * time.Millisecond
+
 // stale tells whether a line that ended without a word of an answer had served before. Its host may have closed it
 // long ago, which says nothing of the host now; the lines parked beside it are no better.
 func (c *Client) stale(ln *line) bool {
@@ -360,7 +372,7 @@
 	}
 	c.lines.clear(ln.to)
 	if c.Forgot != nil {
-		go c.forgot(ln.to)
+		c.Go(func() { c.forgot(ln.to) })
 	}
 	return true
 }
@@ -673,7 +685,7 @@
 			if whose == Own {
 				return resp, first, nil
 			}
-			ln.stutters = true
+			ln.unclean = true
 			if whose == Nobodys {
 				return nil, first, errSpoilt
 			}
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"path/filepath"
 	"strings"
@@ -154,6 +155,26 @@
 	}
 }
 
+// TestRequestCutShort: a host may begin with a request of which it has some. Only where nothing has left is it sure not to run.
+func TestRequestCutShort(t *testing.T) {
+	for read, want := range map[int]policy.Result{0: policy.ConnectFailed, 1: policy.Reset, 200: policy.Reset} {
+		synctest.Test(t, func(t *testing.T) {
+			dial, far := pipes()
+			d := newDesk(dial)
+			d.Send(send(0, &customer{body: []byte(strings.Repeat("x", 300))}))
+			conn := <-far
+			if n, err := io.ReadFull(conn, make([]byte, read)); n != read {
+				t.Fatal(n, err)
+			}
+			conn.Close()
+			synctest.Wait()
+			if len(d.ends) != 1 || d.ends[0].Result != want || d.lines.open != 0 {
+				t.Errorf("%d bytes had left: ends %v, %d lines open", read, d.ends, d.lines.open)
+			}
+		})
+	}
+}
+
 func TestConnectFails(t *testing.T) {
 	// Refused at once, or a connection that never comes up: both prove that nothing ran.
 	for name, refused := range map[string]bool{"refused": true, "silent": false} {
--- a/internal/issuer/lines.go
+++ b/internal/issuer/lines.go
@@ -24,10 +24,10 @@
 	number uint64 // under which it is parked
 	since  time.Time
 	idle   time.Duration // so long it may wait for its next order; 0 = as the limits say
-	// stutters: an answer came on it that nobody had asked for.
-	stutters bool
-	once     sync.Once
-	closed   func()
+	// unclean: an answer came on it that nobody had asked for, or a request was not written whole. It serves no other.
+	unclean bool
+	once    sync.Once
+	closed  func()
 }
 
 // Close closes the line; further calls do nothing.
@@ -172,7 +172,7 @@
 // put parks a line that can serve again; the broker has it hung up before the host would.
 func (p *lines) put(l *line) {
 	p.mu.Lock()
-	if l.br.Buffered() > 0 || l.stutters || l.idle < 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
+	if l.br.Buffered() > 0 || l.unclean || l.idle < 0 || len(p.idle[l.to]) >= p.lim.IdlePerHost {
 		p.mu.Unlock()
 		l.Close()
 		return
@@ -226,9 +226,15 @@
 	p.closeIf(func(other dest) bool { return other.addr == to.addr && other.host == to.host })
 }
 
+// Quieter is a connection that is no socket and tells by itself whether it is open and nothing waits to be read.
+type Quieter interface{ Quiet() bool }
+
 // alive looks, without waiting, whether the host has closed an idle line or sent what nobody asked for. A
 // leg on such a line would be lost as a reset. What closes in the moment after is reported as it is.
 func alive(c net.Conn) bool {
+	if q, ok := c.(Quieter); ok {
+		return q.Quiet()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
