Half a head before an answer spoils it

A surplus answer that breaks off within its head, where the next one follows, read as one head with the next request's id: a client got a piece of another's head, and another's status. A head with a status line inside is spoilt. TestHalfAHeadReachesNobody fails without it.

--- a/internal/edge/stutter_test.go
+++ b/internal/edge/stutter_test.go
@@ -24,13 +24,15 @@
 	body  strings.Builder
 	whole bool
 	broke bool
+	head  string
 }
 
 func (a *asker) Order() *issuer.Order {
 	return &issuer.Order{Method: "POST", Target: "/x", Host: "h", CallID: a.id, Header: []byte("X-Request-Id: " + a.id + "\r\n")}
 }
-func (a *asker) Relay(part []byte) error { a.body.Write(part); return nil }
-func (a *asker) Finish(whole bool) error { a.whole, a.broke = whole, !whole; return nil }
+func (a *asker) Answer(resp *http.Response) { a.head = fmt.Sprint(resp.Status, resp.Header) }
+func (a *asker) Relay(part []byte) error    { a.body.Write(part); return nil }
+func (a *asker) Finish(whole bool) error    { a.whole, a.broke = whole, !whole; return nil }
 
 // stutterer is an engine's side of all connections: what it says to a request is its script's. It writes from a goroutine of
 // its own, so that it may say something while nobody asks.
@@ -164,6 +166,32 @@
 	}
 }
 
+// TestHalfAHeadReachesNobody: an engine breaks off a surplus answer anywhere and goes on with the next request's. The two read as
+// one, of which no client gets a byte of the other's, nor its own under the other's status.
+func TestHalfAHeadReachesNobody(t *testing.T) {
+	for k := range 4 {
+		chunked, status := k&1 > 0, []string{"200 OK", "500 Bad"}[k>>1]
+		surplus := whole("0000", chunked)
+		for cut := 1; cut < len(surplus); cut++ {
+			all, _ := play(t, 3, func(id string, _ bool) []string {
+				switch id {
+				case "0000":
+					return []string{surplus}
+				case "0001":
+					return []string{surplus[:cut] + strings.Replace(whole(id, chunked), "200 OK", status, 1)}
+				}
+				return []string{whole(id, chunked)}
+			})
+			if a := all[1]; a.body.Len() > 0 || a.whole || a.head != "" {
+				t.Errorf("cut at %d, %s: %q, %q", cut, status, a.head, a.body.String())
+			}
+			if a := all[2]; a.body.String() != text(a.id, chunked) || !a.whole {
+				t.Errorf("cut at %d, %v: the next was not served: %q", cut, chunked, a.body.String())
+			}
+		}
+	}
+}
+
 // TestAnswersOfNobody: an answer that does not say whose it is, or says so twice, or comes alone for another, serves nobody.
 func TestAnswersOfNobody(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -61,6 +61,26 @@
 	return lengths+codings <= 1 && bytes.Count(head, []byte("\r")) == bytes.Count(head, []byte("\r\n"))
 }
 
+// Merged tells whether the status line of another answer stands within the head of one: a peer that broke off within a head
+// and then went on with the next answer gives both in one, which reads as a head with an odd header.
+func Merged(head []byte) bool {
+	const version, rest = "HTTP/1.", len("1 200 ")
+	for at := len(version); ; {
+		i := bytes.Index(head[min(at, len(head)):], []byte(version))
+		if i < 0 {
+			return false
+		}
+		if at += i + len(version); at+rest > len(head) {
+			return false
+		}
+		code := head[at+2 : at+5]
+		if head[at+1] == ' ' && (head[at+5] == ' ' || head[at+5] == '\r' || head[at+5] == '\n') &&
+			bytes.IndexFunc(code, func(c rune) bool { return c < '0' || c > '9' }) < 0 {
+			return true
+		}
+	}
+}
+
 // Plain tells whether a head has no control characters but those that end its lines, and tabs.
 func Plain(head []byte) bool {
 	for _, c := range head {
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -669,7 +669,7 @@
 		if err != nil {
 			return nil, first, err
 		}
-		if !framing.Single(head) {
+		if !framing.Single(head) || framing.Merged(head) {
 			return nil, first, errSpoilt
 		}
 		blank(head)
