--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -424,8 +424,20 @@
 	return reply
 }
 
-// Keep makes what is kept of an answer that is not passed on.
+// promises tells whether a status promises a client that its request has not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Keep makes what is kept of an answer that is not passed on: nothing of one whose status promises what its engine has not said.
 func (d *Dialect) Keep(m *acquirer.Message, result policy.Result, resp *http.Response, body []byte) *acquirer.Kept {
+	if result == policy.Error && promises(resp.StatusCode) {
+		return nil
+	}
 	reply := d.head(m, resp)
 	reply.Length = int64(len(body))
 	return &acquirer.Kept{Result: result, Reply: reply, Body: body}
@@ -495,7 +507,7 @@
 		return policy.ConnectFailed // another engine is at the address
 	case resp.Header.Get(notRunHeader) != "" && resp.StatusCode != http.StatusBadRequest:
 		return policy.Full
-	case resp.StatusCode >= 500, resp.StatusCode == http.StatusTooManyRequests:
+	case resp.StatusCode >= 500, promises(resp.StatusCode):
 		return policy.Error
 	}
 	return policy.OK
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -199,6 +199,20 @@
 	}
 }
 
+// TestNoPromiseOfOurs: an engine's 408, 429 or 503 without its word that it has not run is not passed on: to a client it would be one.
+func TestNoPromiseOfOurs(t *testing.T) {
+	d := dialect(t)
+	for status, want := range map[int]bool{408: false, 429: false, 503: false, 500: true, 504: true, 501: true} {
+		resp := &http.Response{StatusCode: status, Status: http.StatusText(status), Header: http.Header{}}
+		if got := (Legs{}).Judge(resp); got != policy.Error {
+			t.Errorf("%d: %v", status, got)
+		}
+		if kept := d.Keep(&acquirer.Message{}, policy.Error, resp, nil); (kept != nil) != want {
+			t.Errorf("%d is kept: %v", status, kept)
+		}
+	}
+}
+
 func TestJudge(t *testing.T) {
 	answer := func(status int, headers ...string) *http.Response {
 		r := &http.Response{StatusCode: status, Header: http.Header{}}
