--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -61,6 +61,8 @@
 	key   deadline.Key
 	ended bool // its one outcome was told
 	stale bool // its line was at fault
+	// arrived: it was answered, though by another host than was meant
+	arrived bool
 }
 
 // due is what a deadline is for: a leg, an authorisation, a parked line, a front's reminder or a timer of the module.
@@ -145,7 +147,7 @@
 			b.journal.Late(b.now, e.Leg.Auth, e.Leg.N, e.Result, e.Stale, e.Times)
 		}
 		if l != nil && !l.ended {
-			l.stale = e.Stale
+			l.stale, l.arrived = e.Stale, e.Arrived
 			b.end(a, l, e.Result, e.Kept, e.Report)
 		}
 	case Probed:
@@ -361,7 +363,7 @@
 func (b *Broker) tell(a *auth, l *leg, r policy.Result, kept float64, report policy.Report) {
 	p := a.pool
 	a.running--
-	a.arrived = a.arrived || r != policy.ConnectFailed && r != policy.Moot
+	a.arrived = a.arrived || l.arrived || r != policy.ConnectFailed && r != policy.Moot
 	a.mayRun = a.mayRun || r != policy.Full && r != policy.ConnectFailed && r != policy.Moot
 	p.counts.Outcomes[r]++
 	if b.journal != nil {
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -332,3 +332,17 @@
 		}
 	}
 }
+
+// TestMisdirectedCounts: 421 is another host's word. It has not run, and has arrived at the service all the same: the next is a repeat.
+func TestMisdirectedCounts(t *testing.T) {
+	for _, arrived := range []bool{false, true} {
+		r := newRig(t, 3, nil)
+		r.Reduce(r.now, PoolSet{Repeats: &share.Repeats{Extra: 1, Window: 10 * sec}})
+		r.expect(0, taken("a", r.now, 4*sec), "send 1.0 for 4s")
+		r.expect(0, LegEnded{Leg: LegID{1, 0}, Result: policy.ConnectFailed, Arrived: arrived}, "send 1.1 for 4s")
+		again := r.turn(0, LegEnded{Leg: LegID{1, 1}, Result: policy.ConnectFailed, Arrived: arrived})
+		if sent := len(again) == 1 && again[0] == "send 1.2 for 4s"; sent == arrived {
+			t.Errorf("arrived %v: %v", arrived, again)
+		}
+	}
+}
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -79,9 +79,12 @@
 		Leg    LegID
 		Result policy.Result
 		Stale  bool // its line had served before and ended without a word of an answer
-		Kept   float64
-		Report policy.Report
-		Times  *trace.Times // nil where nothing is traced
+		// Arrived: with ConnectFailed, that a host has answered all the same, which is not the one that was meant. It has
+		// not run, and counts as sent.
+		Arrived bool
+		Kept    float64
+		Report  policy.Report
+		Times   *trace.Times // nil where nothing is traced
 	}
 	// Probed answers a Probe.
 	Probed struct {
