--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -33,6 +33,8 @@
 		}},
 		{"two operators upon one version, with cuts", func(lives int) (string, int) { return races(lives, false) }},
 		{"engines that leave, and who hears of it dies", func(lives int) (string, int) { return leaving(lives, false) }},
+		{"legs, every order of events of one request and one more", func(int) (string, int) { return legs(slips{}, legPairs(), legsFine()...) }},
+		{"legs, every order of events of two requests", everyTwo},
 		{"power lost at every step of a store's life", func(int) (string, int) {
 			faults, points := powerLost(false, 1)
 			return first(faults), points
@@ -49,7 +51,7 @@
 	ballots := func(breaks func(*world)) func(int) (string, int) {
 		return func(lives int) (string, int) { return deep(breaks, lives) }
 	}
-	return []Walk{
+	return append([]Walk{
 		{"votes after a wipe", ballots(func(w *world) { w.forgets = true })},
 		{"answers before the sync", ballots(func(w *world) { w.skipDisk = true })},
 		{"counts its rounds anew", ballots(func(w *world) { w.again = true })},
@@ -69,7 +71,7 @@
 			faults, points := powerLost(true, 5)
 			return first(faults), points
 		}},
-	}
+	}, legsBroken()...)
 }
 
 func first(faults []error) string {
