Only who holds the duties says how many lives of routers there are

And only after a window and what a word holds, but for the very first holder: all that it cannot have heard of has left the window by then. Wired into the node through share.Part. TestWhoSaysHowManyThereAre.

--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -154,7 +154,7 @@
 // Word is a keeper's answer to a report.
 type Word struct {
 	Book  uint64 // a life of the keeper's book: another one has nothing of what was reported before
-	Lives uint64 // of routers that have reported lately, this one's among them
+	Lives uint64 // of routers that have reported lately, this one's among them; 0 = it cannot say
 }
 
 // Encode writes a word.
--- a/internal/control/duty/node.go
+++ b/internal/control/duty/node.go
@@ -79,7 +79,7 @@
 	Lease   time.Duration
 	Window  time.Duration // of usage
 	Delay   time.Duration // after its end a window is due
-	Lately  time.Duration // a router that has reported so lately counts as there
+	Lately  time.Duration // a router that has reported so lately counts as there; who holds the duties for less does not say how many
 	Reports bool          // usage is owed
 	Orders  bool          // engines are ordered
 	Life    uint64        // of the book
@@ -108,6 +108,7 @@
 
 	fence   uint64          // the newest holder's, as far as it is known here
 	fenceAt time.Duration   // when that was heard of
+	first   bool            // it is the very first holder
 	polls   uint64          // of the members
 	then    func(err error) // what follows from what is under way; nil = nothing is
 	stopped bool            // nothing more is sent before the next tick
@@ -188,7 +189,7 @@
 			return nil, err
 		}
 		n.book.Take(n.now, p, true)
-		word := Word{Book: n.Life, Lives: uint64(n.book.Lives(n.now, n.Lately))}
+		word := Word{Book: n.Life, Lives: uint64(n.lives())}
 		return word.Encode(), nil
 	case CallBook:
 		r := form.Reader{B: body}
@@ -211,6 +212,15 @@
 	return nil, errKind
 }
 
+// lives tells how many lives of routers share what may be sent again, as share.Part wants it: by one who counts, and only once
+// it has heard of all that may have used their parts within a window. At the very first start nobody has. 0 = it does not say.
+func (n *Node) lives() int {
+	if _, ok := n.holds(); !ok || n.now-n.fenceAt < n.Lately && !n.first {
+		return 0
+	}
+	return n.book.Lives(n.now, n.Lately)
+}
+
 // grant gives the holder more time, if it is that here as well.
 func (n *Node) grant(place, node uint64) bool {
 	s := &n.state
@@ -238,6 +248,7 @@
 		return
 	}
 	if s.HolderPlace != n.fence {
+		n.first = n.Fresh && n.fence == 0 && s.Holder == n.Self.ID
 		n.fence, n.fenceAt = s.HolderPlace, n.now
 	}
 	if s.Holder != n.Self.ID {
--- a/internal/control/duty/node_test.go
+++ b/internal/control/duty/node_test.go
@@ -180,3 +180,52 @@
 		t.Error("after it whoever knows the newest holder may stand")
 	}
 }
+
+// TestWhoSaysHowManyThereAre: only the holder does, and not before all that it cannot have heard of has left the window; the
+// very first one at once.
+func TestWhoSaysHowManyThereAre(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		k := newKeeper()
+		k.Node.Fresh, k.Node.grants.Fresh = fresh, fresh
+		said := func() uint64 {
+			p := Report{Source: 9}
+			for _, f := range k.Reduce(k.now, k.wall(), &k.state, core.Called{Kind: CallReport, Body: p.Encode()}) {
+				if r, ok := f.(core.Reply); ok {
+					word, err := DecodeWord(r.Body)
+					if err != nil {
+						t.Fatal(err)
+					}
+					return word.Lives
+				}
+			}
+			return 99
+		}
+		if n := said(); n != 0 {
+			t.Errorf("%d are told by one that holds nothing", n)
+		}
+		since := time.Duration(0)
+		for range 60 {
+			k.pass(sec / 2)
+			k.granted(2)
+			k.chosen()
+			k.granted(2)
+			if _, ok := k.holds(); ok && since == 0 {
+				since = k.now
+			}
+			want := uint64(0)
+			if since > 0 && (fresh || k.now-k.fenceAt >= k.Lately) {
+				want = 1
+			}
+			if n := said(); n != want {
+				t.Fatalf("fresh %v, %v after it holds: %d are told", fresh, k.now-since, n)
+			}
+		}
+		if since == 0 {
+			t.Fatal("it never held")
+		}
+		k.now += 5 * sec // without a grant
+		if n := said(); n != 0 {
+			t.Errorf("%d are told once its lease is over", n)
+		}
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -307,12 +307,14 @@
 	// window: a router has one of this many parts until it is told how many lives of routers there are, then one of half as
 	// many again as there are, so that all may start anew at once.
 	NodeRetryParts = 400
-	NodeLately     = 10 * time.Second        // a router that has reported so lately counts as there
-	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
-	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
-	NodeMembers    = 9                       // keepers that vote, at the most
-	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
-	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
+	// A word of how many there are holds for so long from when it was asked for. It is looked at with every report.
+	NodePart     = 2500 * time.Millisecond
+	NodeLately   = NodePart + 2*NodeReport // beyond a window: a router that has reported so lately counts as there
+	NodeReopen   = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
+	NodeJoin     = 300 * time.Millisecond  // between two tries to be taken in as a member
+	NodeMembers  = 9                       // keepers that vote, at the most
+	NodeFounding = 150 * time.Millisecond  // between two tries to found the core
+	NodeUnheard  = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
 	// Once an engine has forgotten a connection that rested, for so long no request that must not run twice uses one that has
 	// rested for longer than this: others that may run again go on trying, and cost nothing where they fail. So often it
 	// is news.
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -41,7 +41,7 @@
 	spent   *account.Book
 	zone    string        // this machine's
 	repeats share.Repeats // of each service; no Window = there is no such budget
-	extra   float64       // of all routers together, beyond the ratio
+	part    share.Part    // of the extra that all routers have together, beyond the ratio
 
 	forgot  func()       // told that an engine has forgotten a connection; it must not wait
 	careful atomic.Int64 // until then, by the loop's clock, connections that have rested are not for every request
@@ -212,12 +212,14 @@
 	return 0
 }
 
-// parts takes in how many lives of routers share what may be sent again.
-func (d *data) parts(lives int) {
+// parts takes in how many lives of routers share what may be sent again, as was said to a question of a time; 0 = it was not.
+func (d *data) parts(asked time.Duration, lives int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	extra := d.extra / limits.RetryParts(lives)
-	if d.repeats.Window == 0 || lives == 0 || extra == d.repeats.Extra {
+	now := d.loop.Now()
+	d.part.Told(asked, now, lives)
+	extra := d.part.At(now)
+	if d.repeats.Window == 0 || extra == d.repeats.Extra {
 		return
 	}
 	d.repeats.Extra = extra
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -17,6 +17,7 @@
 	"notchhinge/internal/control/platform"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/share"
 )
 
 // counter is a router's duty.Meter under one lock.
@@ -59,6 +60,8 @@
 	case <-ctx.Done():
 		return
 	}
+	asked := n.data.loop.Now()
+	n.data.parts(asked, 0)
 	keepers := n.news.keepers()
 	ids := make([]uint64, len(keepers))
 	for i, k := range keepers {
@@ -77,7 +80,7 @@
 			if err != nil || bad != nil {
 				return
 			}
-			n.data.parts(int(word.Lives))
+			n.data.parts(asked, int(word.Lives))
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.meter.Heard(k.ID, word, &all[i])
@@ -105,7 +108,7 @@
 		Self: n.keeper.self, Lease: time.Duration(b.LeaseMS) * time.Millisecond, Window: seconds(b.UsageWindowS), Delay: seconds(b.UsageDelayS),
 		// A machine whose disk was wiped may have granted a lease before: only at the very first start there was none.
 		Fresh:  n.keeper.founder && n.keeper.at().Next == 0,
-		Lately: max(seconds(b.RetryWindowS), limits.NodeLately), Rank: time.Duration(id%1000) * time.Millisecond, Life: rand.Uint64(),
+		Lately: share.Counts(seconds(b.RetryWindowS), limits.NodeLately), Rank: time.Duration(id%1000) * time.Millisecond, Life: rand.Uint64(),
 		Reports: n.cfg.Cloud.Has("usage_reporting"), Orders: n.cfg.Cloud.Has("autoscaler"),
 		Others: n.keeper.others, Services: n.scaled,
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,10 +145,9 @@
 		drain := time.Duration(n.cfg.Bounds.DrainMS) * time.Millisecond
 		n.data = newData(n.log, lim, limits.DrainGrace(drain), rand.Uint64(), n.news.list)
 		if b := n.cfg.Bounds; b.RetryWindowS > 0 {
-			n.data.extra = b.RetryExtra
-			n.data.repeats = share.Repeats{
-				Ratio: b.RetryRatio / 2, Window: time.Duration(b.RetryWindowS * float64(time.Second)), Extra: b.RetryExtra / limits.NodeRetryParts,
-			}
+			window := time.Duration(b.RetryWindowS * float64(time.Second))
+			n.data.part = share.Part{Whole: b.RetryExtra, First: b.RetryExtra / limits.NodeRetryParts, Window: window, Hold: limits.NodePart}
+			n.data.repeats = share.Repeats{Ratio: b.RetryRatio / 2, Window: window, Extra: n.data.part.First}
 		}
 		n.data.spent, n.data.zone = &n.spent, n.cfg.Zone
 		n.news.engines, n.news.forgets = n.data.engines, n.data.forgets
