--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 
 	"notchhinge/internal/control/ballot"
 )
@@ -36,6 +37,8 @@
 		{"operators under one number, with answers lost", func(lives int) (string, int) { return orders(lives, "") }},
 		{"leases, while members are replaced in cuts", func(lives int) (string, int) { return leases(lives, "") }},
 		{"engines that leave, and who hears of it dies", func(lives int) (string, int) { return leaving(lives, false) }},
+		{"legs, every order of events of one request and one more", func(int) (string, int) { return legs(slips{}, legPairs(), legsFine()...) }},
+		{"legs, every order of events of two requests", everyTwo},
 		{"power lost at every step of a store's life", func(int) (string, int) {
 			faults, points := powerLost(false, 1)
 			return first(faults), points
@@ -73,7 +76,7 @@
 			faults, points := powerLost(true, 5)
 			return first(faults), points
 		}},
-	}, brokenSites()...)
+	}, slices.Concat(brokenSites(), legsBroken())...)
 }
 
 func first(faults []error) string {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -307,7 +307,9 @@
 	// window: a router has one of this many parts until it is told how many lives of routers there are, then one of half as
 	// many again as there are, so that all may start anew at once.
 	NodeRetryParts = 400
-	NodeLately     = 10 * time.Second        // a router that has reported so lately counts as there
+	// A word of how many there are holds for so long from when it was asked for. It is looked at with every report.
+	NodePart       = 2500 * time.Millisecond
+	NodeLately     = NodePart + 2*NodeReport // beyond a window: a router that has reported so lately counts as there
 	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
 	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
 	NodeGone       = 1200 * time.Millisecond // a voter that has been silent for so long may lose its place to a standby: three answers missed
