What waits of a call to the platform is thrown away once the lease is over

Found by reading what fences an effect. A call to the platform has the rest of the lease for its time, counted from when its goroutine began: a process that stood still in between began it after the lease. Now it ends at a time set before the lease is looked at. And a call that was given up closed its connection, but what the kernel held for a cut link was sent on afterwards, up to seconds after the heal, beside the calls of the next holder: such a connection is reset now (SO_LINGER 0 while a call is under way), which throws it away.

Not had: a process that stands still between the last look at the clock and the write to the socket; what is on the wire already.

--- a/internal/control/platform/platform.go
+++ b/internal/control/platform/platform.go
@@ -1,6 +1,8 @@
 // Package platform makes the calls that the fleet owes the platform: HTTP/1.1 with CBOR bodies at the cloud's address. It owns
 // their form and their pace. Whether one may be made at all is its user's to know: each carries the holder and the fence that
-// it is given. An error says nothing of whether the platform has taken the call; the same call may be made again.
+// it is given. An error says nothing of whether the platform has taken the call; the same call may be made again. Once its
+// context is over, what has not left of a call never does: what this machine's kernel still holds for a link that is cut is
+// thrown away with the connection, lest it arrive when another acts.
 package platform
 
 import (
@@ -11,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -62,12 +65,21 @@
 	req.Header.Set("Content-Type", "application/cbor")
 	req.Header.Set("X-Duty-Holder", c.Holder)
 	req.Header.Set("X-Fence-Token", strconv.FormatUint(fence, 10))
-	resp, err := c.client.Do(req)
+	var line *net.TCPConn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if line, _ = i.Conn.(*net.TCPConn); line != nil {
+			line.SetLinger(0)
+		}
+	}})
+	resp, err := c.client.Do(req.WithContext(ctx))
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	says, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+	says, err := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+	if err == nil && line != nil {
+		line.SetLinger(-1) // it has been answered, and may rest and end as others do
+	}
 	switch {
 	case resp.StatusCode < 300:
 		return nil
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -143,6 +143,7 @@
 // turn reduces an event and does what follows.
 func (d *duties) turn(e duty.Event) {
 	s := d.k.at()
+	began := time.Now() // before the lease is looked at: a process that stands still after that sends nothing once it is over
 	d.mu.Lock()
 	effects := append([]duty.Effect(nil), d.node.Reduce(d.clock(), time.Now(), &s, e)...)
 	d.mu.Unlock()
@@ -163,19 +164,20 @@
 				d.turn(duty.Proposed{Err: err})
 			}()
 		case duty.Usage:
-			d.platform(f.Within, func(ctx context.Context) error { return d.cloud.Usage(ctx, f.Fence, f.Window, f.Counts) })
+			d.platform(began.Add(f.Within), func(ctx context.Context) error { return d.cloud.Usage(ctx, f.Fence, f.Window, f.Counts) })
 		case duty.Order:
-			d.platform(f.Within, func(ctx context.Context) error { return d.cloud.Scale(ctx, f.Fence, f.Service, f.Zone, f.Count) })
+			d.platform(began.Add(f.Within), func(ctx context.Context) error { return d.cloud.Scale(ctx, f.Fence, f.Service, f.Zone, f.Count) })
 		}
 	}
 }
 
-// platform makes a call to the platform.
-func (d *duties) platform(limit time.Duration, do func(context.Context) error) {
+// platform makes a call to the platform, until a time.
+func (d *duties) platform(until time.Time, do func(context.Context) error) {
 	d.spent.Add(account.Platform, 0, false)
 	go func() {
-		_, err := within(limit, func(ctx context.Context) ([]byte, error) { return nil, do(ctx) })
-		d.turn(duty.Took{Err: err})
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		d.turn(duty.Took{Err: do(ctx)})
 	}()
 }
 
