core: a read waits for what was chosen before it, and asks the members that follow

A read asked for the newest at each look. What the first majority says is enough now: what is chosen later was not acknowledged before the call.

Where the former members had accepted a change of members, and had not learnt it, a read brought that to its end and was answered upon it, though the members that follow may have gone on without any of the former ones: old state after an acknowledgement. They are asked now (TestReadAfterOthersHaveFollowed, which fails on the former text in just that case).

Ruled out: proposing less often what is open (the duels cost a try or two, no seconds once the aim stands still).

--- a/internal/control/core/core_test.go
+++ b/internal/control/core/core_test.go
@@ -95,3 +95,58 @@
 		}
 	}
 }
+
+// TestReadAfterOthersHaveFollowed: who learns as it settles a read that the members are others now asks these, too: they may
+// have gone on since without any of the former ones.
+func TestReadAfterOthersHaveFollowed(t *testing.T) {
+	members := func(ids ...uint64) (all []chain.Member) {
+		for _, id := range ids {
+			all = append(all, chain.Member{ID: id, Name: "k", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 7000).String()})
+		}
+		return all
+	}
+	former, now := chain.State{Next: 5, Members: members(1, 2, 3)}, chain.State{Next: 6, Members: members(4, 5, 6)}
+	newest := now
+	newest.Next, newest.Revision, newest.Text = 7, 9, []byte("newest")
+	change := (&chain.Entry{Kind: chain.Members, Members: now.Members}).Encode()
+	for name, former3 := range map[string]func(ask ballot.Ask) ballot.Answer{ // what the former members say
+		"they know it": func(ballot.Ask) ballot.Answer { return ballot.Answer{Verdict: ballot.Known, Next: now.Next} },
+		"they have accepted it": func(ask ballot.Ask) ballot.Answer {
+			ans := ballot.Answer{Verdict: ballot.Granted, Next: former.Next, Accepted: ballot.Number{Round: 1, Node: 3}, Value: change}
+			if ask.Kind == ballot.Query {
+				ans.Verdict = ballot.Known
+			}
+			return ans
+		},
+	} {
+		n := New(Config{Self: former.Members[0], Least: 1, Life: 9, State: former, Others: func() []netip.AddrPort { return nil },
+			Chosen: func(uint64) ([]byte, bool) { return nil, false }})
+		var said []api.Result
+		effects := append([]Effect(nil), n.Reduce(time.Second, Get{Of: "get", Until: 2 * time.Second})...)
+		for at := time.Second; len(effects) > 0; effects = effects[1:] {
+			at += time.Millisecond
+			switch f := effects[0].(type) {
+			case Write:
+				effects = append(effects, n.Reduce(at, Wrote{f.ID, true})...)
+			case Answered:
+				said = append(said, f.Result)
+			case Call:
+				ans, id := ballot.Answer{Verdict: ballot.Known, Next: newest.Next}, f.To.Addr().As4()[3]
+				state := &newest
+				if ask, err := decodeAsk(f.Body); id <= 3 {
+					if state = &now; err == nil {
+						ans = former3(ask)
+					}
+				}
+				body := encodeAnswer(&ans)
+				if f.Kind == CallState {
+					body = state.Encode()
+				}
+				effects = append(effects, n.Reduce(at, Returned{ID: f.ID, Body: body})...)
+			}
+		}
+		if len(said) != 1 || said[0].Rev != 9 {
+			t.Errorf("%s: %+v; what the new members have acknowledged is version 9", name, said)
+		}
+	}
+}
--- a/internal/control/core/propose.go
+++ b/internal/control/core/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"notchhinge/internal/control/ballot"
@@ -216,6 +217,10 @@
 		}
 	}
 	key = n.timers.Add(max(until, n.now+1), func() { then(ErrTime) })
+	// need is the first place that is not wanted, as a majority of those who were members there has said: what is chosen from there
+	// on was not acknowledged before the call. Were the newest wanted at each look, changes that go on would be followed for as
+	// long as they do. A state with other members says nothing until they are asked: they may have gone on without the former ones.
+	need, asked := uint64(0), []chain.Member(nil)
 	var look func()
 	again := func(d time.Duration) { n.after(d, look) }
 	look = func() {
@@ -223,6 +228,13 @@
 		if ended {
 			return
 		}
+		if need > 0 && state.Next >= need {
+			if slices.Equal(asked, state.Members) {
+				then(nil)
+				return
+			}
+			need = 0
+		}
 		if state.Next == 0 {
 			then(ErrNoCore)
 			return
@@ -246,9 +258,16 @@
 			if over = enough || left == 0; !over {
 				return
 			}
+			if enough && need == 0 {
+				if need, asked = next, state.Members; open {
+					need++
+				}
+			}
 			switch {
 			case !enough:
 				again(50 * time.Millisecond)
+			case n.state.Next >= need:
+				look()
 			case next > state.Next:
 				n.catchUp(best, func() {
 					if n.state.Next >= next {
@@ -257,17 +276,21 @@
 					}
 					again(20 * time.Millisecond)
 				})
-			case open:
+			default:
 				// Something was accepted for the place that is open, and may have been chosen: it is brought to its end.
 				nothing := (&chain.Entry{Kind: chain.Nothing, Nonce: n.rnd.Uint64()}).Encode()
 				n.propose(func(now *chain.State) []byte {
-					if now.Next > state.Next {
+					if now.Next >= need {
 						return nil
 					}
 					return nothing
-				}, until, then)
-			default:
-				then(nil)
+				}, until, func(err error) {
+					if err != nil {
+						then(err)
+						return
+					}
+					look()
+				})
 			}
 		}
 		own := false
