core: a keeper is taken in while changes go on, and one that is back looks at once

Four causes, each mended by itself:

- It asked to be taken in with the place that it had, and by the time that was read one more had been chosen: "it has not caught up", by chance for as long as changes go on.
It may lack limits.NodeAlmost (8) places now.
- Who was asked proposed it beside the keeper that proposed the changes: a ballot for a few bytes against large ones, 9 tries in 0.9 s and lost.
The call is passed on to the keeper that has told lately what was chosen, once, if the one to be taken in has called itself; there it waits for its turn between two changes.
- A keeper that did not answer who it is was asked to take it in all the same, and by chance again and again: 0.4 and 0.9 s where it is dark.
They are asked in turn, and only who has answered.
- A keeper that comes back with its disk first looked after 2 s whether that is old.
It looks after 0.15 s until one has answered.

Ruled out: the transfer itself (18 ms of 800), the 32 places that are kept, more than one round (1 to 5 states are fetched).

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -159,6 +159,8 @@
 	id     uint64
 	queue  []*proposal // the first one is being proposed
 	tend   tending
+	teller netip.Addr // who has told last what was chosen
+	toldAt time.Duration
 	log    logger
 	out    []Effect
 }
@@ -297,6 +299,10 @@
 			reply(nil, err)
 			return
 		}
+		if to, ok := n.proposer(&i, c.From); ok {
+			n.call(to, CallJoin, c.Body, settleWithin, reply)
+			return
+		}
 		n.admit(i, func(err error) { reply(nil, err) })
 	default:
 		reply(nil, errKind)
@@ -389,6 +395,7 @@
 
 // told takes in a value for the next place, or only word that there is more.
 func (n *Node) told(from netip.Addr, place uint64, value []byte) {
+	n.teller, n.toldAt = from, n.now
 	if len(value) > 0 && n.learn(place, value) {
 		return
 	}
--- a/internal/control/core/operate.go
+++ b/internal/control/core/operate.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
+	"notchhinge/internal/limits"
 )
 
 // answer answers the operator: what f makes of it, or that it is not settled.
@@ -134,10 +136,25 @@
 	})
 }
 
+// proposer is the keeper that has changes settled just now, if that is another and who asks to be taken in has called here
+// itself. Where changes are made all the time only that one can have a further one settled, between two of them: another's
+// ballot for a few bytes is in the way of its large ones, and loses against them.
+func (n *Node) proposer(i *identity, from netip.Addr) (to netip.AddrPort, ok bool) {
+	if own, ok := addr(&i.Member); !ok || own.Addr() != from || n.now-n.toldAt > limits.NodeAsk || n.teller == from || len(n.queue) > 0 {
+		return to, false
+	}
+	all := n.Others()
+	at := slices.IndexFunc(all, func(a netip.AddrPort) bool { return a.Addr() == n.teller })
+	if at < 0 {
+		return to, false
+	}
+	return all[at], true
+}
+
 // admit has a keeper taken in, in the place of the one of its name whose disk is gone, or as a further one. Who asks has
-// caught up, so that a majority does not come to depend on who knows nothing.
+// caught up but for what was chosen as it asked, so that a majority does not come to depend on who knows nothing.
 func (n *Node) admit(i identity, done func(error)) {
-	if n.state.Member(n.Self.ID) == nil || i.next < n.state.Next {
+	if n.state.Member(n.Self.ID) == nil || i.next == 0 || i.next+limits.NodeAlmost < n.state.Next {
 		done(errBehind)
 		return
 	}
--- a/internal/control/core/tend.go
+++ b/internal/control/core/tend.go
@@ -24,10 +24,12 @@
 	known   int           // founders
 	stable  time.Duration // since when they are so many
 	founded time.Duration // a founding goes on until then
+	looked  bool          // another has said in this life how far it has come
+	turn    int           // who is asked that next
 }
 
 func (n *Node) startTending() {
-	n.tend.began, n.tend.stable = n.now, n.now
+	n.tend.began, n.tend.stable, n.tend.turn = n.now, n.now, n.rnd.IntN(mostVoters)
 	n.look()
 }
 
@@ -37,7 +39,7 @@
 	switch {
 	case state.Next == 0 && n.Founder:
 		n.after(limits.NodeFounding, n.gather)
-	case state.Next == 0:
+	case state.Next == 0 || !n.tend.looked: // what it has on its disk may be old
 		n.after(limits.NodeFounding, n.lookAtOne)
 	case state.Member(n.Self.ID) == nil:
 		n.after(limits.NodeJoin, n.lookAtOne)
@@ -57,17 +59,20 @@
 	})
 }
 
-// lookAtOne looks whether another has come further, and asks it to be taken in where this one is no member.
+// lookAtOne looks whether another has come further, and asks it to be taken in where this one is no member. They are asked in
+// turn, so that one that does not answer is not asked again before all others.
 func (n *Node) lookAtOne() {
 	all := n.Others()
 	if len(all) == 0 {
 		n.look()
 		return
 	}
-	to := all[n.rnd.IntN(len(all))]
+	n.tend.turn++
+	to := all[n.tend.turn%len(all)]
 	n.who(to, func(i identity, ok bool) {
+		n.tend.looked = n.tend.looked || ok
 		then := func() {
-			if n.state.Next > 0 && n.state.Member(n.Self.ID) == nil {
+			if ok && n.state.Next > 0 && n.state.Member(n.Self.ID) == nil {
 				n.join(to)
 				return
 			}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -310,6 +310,7 @@
 	NodeLately     = 10 * time.Second        // a router that has reported so lately counts as there
 	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
 	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
+	NodeAlmost     = 8                       // places that a keeper may lack as it is taken in: half a second of changes, which do not wait for it
 	NodeMembers    = 9                       // keepers that vote, at the most
 	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
 	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
