store: places are bounded in bytes, too, and none is written that the state has

32 places were kept whatever their size. From 16 MiB of places on the state is written in their stead now.

After a refused write the disk was told the whole state and then what was under way once more, which the state had: such a place was left in the database until the next state. It is not written any more.

Each state written passed over all that had been deleted before and was not compacted yet; it begins at the first place that is kept now, but for the first time in a process's life.

--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -19,6 +19,7 @@
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/form"
+	"notchhinge/internal/limits"
 )
 
 // Identity is who a disk belongs to.
@@ -32,8 +33,10 @@
 	files func() (storage.Storage, error)
 	under storage.Storage // that db is on
 	db    *leveldb.DB
-	since int // places written since the state was
-	kept  uint64
+	since int    // places written since the state was
+	bytes int    // of them
+	kept  uint64 // the first place that is not in the state
+	swept bool   // no place that is in the state is left in the database
 }
 
 // Kept is what a store holds.
@@ -51,10 +54,7 @@
 	keyPlace    = []byte("place/")
 )
 
-const (
-	stateEvery = 32 // places after which the state is written anew and the places in it go
-	version    = 1
-)
+const version = 1
 
 // memory is what the database may hold: the state is small, and so is a keeper's machine.
 var memory = opt.Options{
@@ -215,6 +215,7 @@
 		}
 		k.State.Apply(v)
 		s.since++
+		s.bytes += len(v)
 	}
 	if b, err = s.get(keyVote); err != nil {
 		return nil, fmt.Errorf("store: %w", err)
@@ -266,10 +267,14 @@
 	return v, r.End()
 }
 
-// Chose writes what was chosen for the place before state.Next; state is what it has led to.
+// Chose writes what was chosen for the place before state.Next; state is what it has led to. What the state has already that was
+// written last is not written again.
 func (s *Store) Chose(value []byte, state *chain.State) error {
+	if state.Next <= s.kept && s.db != nil {
+		return nil
+	}
 	s.since++
-	if s.since < stateEvery {
+	if s.bytes += len(value); s.since < limits.NodePlaces && s.bytes < limits.NodePlaceBytes {
 		return s.put(place(state.Next-1), value)
 	}
 	return s.Whole(state)
@@ -282,7 +287,11 @@
 	}
 	b := new(leveldb.Batch)
 	b.Put(keyState, state.Encode())
-	it := s.db.NewIterator(util.BytesPrefix(keyPlace), nil)
+	places := util.BytesPrefix(keyPlace)
+	if s.swept { // what was deleted before is there as long as the database keeps it, and would be passed over each time
+		places.Start = place(s.kept)
+	}
+	it := s.db.NewIterator(places, nil)
 	for it.Next() {
 		b.Delete(append([]byte{}, it.Key()...))
 	}
@@ -293,7 +302,7 @@
 	if err := s.db.Write(b, &opt.WriteOptions{Sync: true}); err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
-	s.since, s.kept = 0, state.Next
+	s.since, s.bytes, s.kept, s.swept = 0, 0, state.Next, true
 	return nil
 }
 
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
+	"notchhinge/internal/limits"
 )
 
 func open(t *testing.T, dir string, fresh Identity) (*Store, *Kept) {
@@ -165,3 +168,62 @@
 		t.Errorf("%+v", k)
 	}
 }
+
+// TestPlacesAreBounded: of large values fewer places are kept, and a place that the state has is not written again, as it would
+// be after a refused write, where nothing would ever remove it.
+func TestPlacesAreBounded(t *testing.T) {
+	s, _ := open(t, t.TempDir(), Identity{ID: 7})
+	defer s.Close()
+	large := make([]byte, limits.NodePlaceBytes/4)
+	for next := range uint64(6) {
+		if err := s.Chose(large, &chain.State{Next: next + 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Chose(large, &chain.State{Next: 2}); err != nil {
+		t.Fatal(err)
+	}
+	it := s.db.NewIterator(util.BytesPrefix(keyPlace), nil)
+	defer it.Release()
+	left := 0
+	for it.Next() {
+		left++
+	}
+	if _, ok := s.Place(5); left != 2 || !ok {
+		t.Errorf("%d places are left of 6, of which 4 are in the state", left)
+	}
+}
+
+// BenchmarkChanges is a life of a keeper's disk with configurations of a size: a promise, a vote and what was chosen, each synced.
+func BenchmarkChanges(b *testing.B) {
+	for name, size := range map[string]int{"100": 100, "262kB": 262_000, "8MiB": 8 << 20} {
+		b.Run(name, func(b *testing.B) {
+			dir := b.TempDir()
+			s, _, err := Open(dir, Identity{ID: 7})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			value := make([]byte, size)
+			rand.NewChaCha8([32]byte{}).Read(value) // which the database makes no smaller
+			peak := int64(0)
+			for next := uint64(0); b.Loop(); next++ {
+				v := ballot.Vote{Place: next, Promised: ballot.Number{Round: next + 1}}
+				err := s.Vote(v)
+				v.Accepted, v.Value = v.Promised, value
+				if err = errors.Join(err, s.Vote(v), s.Chose(value, &chain.State{Next: next + 1, Text: value})); err != nil {
+					b.Fatal(err)
+				}
+				files, _ := os.ReadDir(filepath.Join(dir, "state"))
+				used := int64(0)
+				for _, f := range files {
+					if i, err := f.Info(); err == nil {
+						used += i.Size()
+					}
+				}
+				peak = max(peak, used)
+			}
+			b.ReportMetric(float64(peak), "bytes-at-most")
+		})
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -312,6 +312,8 @@
 	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
 	NodeAlmost     = 8                       // places that a keeper may lack as it is taken in: half a second of changes, which do not wait for it
 	NodeMembers    = 9                       // keepers that vote, at the most
+	NodePlaces     = 32                      // places that a keeper's disk holds beside its state: what others lack of them is sent by itself
+	NodePlaceBytes = 16 << 20                // of them, at the most: a disk of 256 MB holds many times that while it is compacted
 	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
 	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
 	// Once an engine has forgotten a connection that rested, for so long no request that must not run twice uses one that has
