check: members away for a thousand changes, killed as they catch up, states old or torn

Keepers, each the program's own core.Node with its own store on the disk of ours, under an operator who changes the configuration 14 times a second; links of 120 Mbit/s, disks of 2 ms and 250 MB/s, processes that do one thing at a time. Members come back with their disk, without it, and as another machine in their place; lose power at every step of the disk from their start on (each third time the disk too); are given old states and such as are cut off anywhere. Oracles: two states before one place, a disk that has less than it acknowledged, a read older than what was acknowledged, a member that is not back in catch_up_s, a change that is refused or not made.

--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -37,6 +37,8 @@
 			faults, points := powerLost(false, 1)
 			return first(faults), points
 		}},
+		{"members away for a thousand changes", snapshots},
+		{"power lost at every step of catching up, states torn", snapshotsTorn},
 		{"writes refused at every second step", func(int) (string, int) { return first(refused(2)), 0 }},
 	}
 }
@@ -49,6 +51,9 @@
 	ballots := func(breaks func(*world)) func(int) (string, int) {
 		return func(lives int) (string, int) { return deep(breaks, lives) }
 	}
+	broken := func(rule string) Walk {
+		return Walk{rule, func(lives int) (string, int) { return snapshotsBroken(rule, lives) }}
+	}
 	return []Walk{
 		{"votes after a wipe", ballots(func(w *world) { w.forgets = true })},
 		{"answers before the sync", ballots(func(w *world) { w.skipDisk = true })},
@@ -65,6 +70,7 @@
 		}},
 		{"a ballot that was won is taken for one's own", func(lives int) (string, int) { return races(lives, true) }},
 		{"a drain is acknowledged before others know", func(lives int) (string, int) { return leaving(lives, true) }},
+		broken(breaksBatch), broken(breaksOrder), broken(breaksReads), broken(breaksStep),
 		{"a journal's name is not durable", func(int) (string, int) {
 			faults, points := powerLost(true, 5)
 			return first(faults), points
--- a/internal/lab/check/disk.go
+++ b/internal/lab/check/disk.go
@@ -30,6 +30,9 @@
 	fails   int // so many steps fail
 	err     error
 	noNames bool // the folder is not synced after a journal is made: must be found out
+	held    int  // bytes of all files
+	peak    int  // the most that they were
+	room    int  // bytes that it has; 0 = no bound
 }
 
 type file struct {
@@ -52,6 +55,27 @@
 	return nil
 }
 
+// empty is another disk of the same size.
+func (d *disk) empty() *disk {
+	next := newDisk()
+	next.room, next.peak = d.room, d.peak
+	return next
+}
+
+// used is how many bytes there are, and how many there were at the most.
+func (d *disk) used() (held, peak int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held, d.peak
+}
+
+// dead tells whether the power is lost.
+func (d *disk) dead() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.err == errPower && d.failAt > 0 && d.steps >= d.failAt
+}
+
 func (d *disk) open() (storage.Storage, error) {
 	if d.noNames {
 		return diskFiles{d}, nil
@@ -125,7 +149,7 @@
 	if f == nil {
 		return nil, os.ErrNotExist
 	}
-	return reader{bytes.NewReader(bytes.Clone(f.data))}, nil
+	return reader{bytes.NewReader(f.data)}, nil // what is added later is behind it
 }
 
 func (x diskFiles) Create(fd storage.FileDesc) (storage.Writer, error) {
@@ -145,6 +169,9 @@
 	if err := x.d.step(); err != nil {
 		return err
 	}
+	if f := x.d.files[fd]; f != nil {
+		x.d.held -= len(f.data)
+	}
 	delete(x.d.files, fd)
 	return nil
 }
@@ -169,13 +196,17 @@
 func (w *writer) Write(b []byte) (int, error) {
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
-	if err := w.d.step(); err != nil {
-		n := len(b) / 2 // a disk that is full takes a part
-		w.f.data = append(w.f.data, b[:n]...)
-		return n, err
+	err := w.d.step()
+	if w.d.room > 0 && w.d.held+len(b) > w.d.room && err == nil {
+		err = syscall.ENOSPC
+	}
+	if err != nil {
+		b = b[:len(b)/2] // a disk that is full takes a part
 	}
 	w.f.data = append(w.f.data, b...)
-	return len(b), nil
+	w.d.held += len(b)
+	w.d.peak = max(w.d.peak, w.d.held)
+	return len(b), err
 }
 
 func (w *writer) Sync() error {
@@ -236,6 +267,10 @@
 		}
 	}
 	next.named = maps.Clone(next.files)
+	for _, f := range next.files {
+		next.held += len(f.data)
+	}
+	next.room, next.peak = d.room, max(d.peak, next.held)
 	return next
 }
 
--- /dev/null
+++ b/internal/lab/check/snapshots.go
@@ -0,0 +1,679 @@
+package check
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
+
+	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/ballot"
+	"notchhinge/internal/control/chain"
+	keeper "notchhinge/internal/control/core"
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/control/store"
+	"notchhinge/internal/deadline"
+)
+
+// storm is keepers, each the program's own core.Node with its own store on a disk of ours, while one operator changes the
+// configuration many times a second. Links and disks take their time for what is large, a process does one thing at a time,
+// and members are away for as many changes as is wanted, come back with or without their disks, and are killed as they catch
+// up. It is in simulated time and is given its seed.
+type storm struct {
+	stormOf
+	rnd     *rand.Rand
+	now     time.Duration
+	due     *deadline.Queue[func()]
+	keepers []*voter
+	states  map[uint64][sha256.Size]byte // by the next place: what the chain adds up to
+	texts   map[uint64][]byte            // these states, where a rule is broken that wants them
+	head    uint64                       // the furthest that any has come
+	acked   uint64                       // revision
+	goal    uint64                       // changes are made up to this revision
+	last    int                          // where the operator was answered last
+	wrong   string                       // the first broken rule; "" = none
+	asks    int                          // for a state
+	slowest time.Duration                // of a change
+	took    time.Duration                // the longest that a member took to be back
+	noise   []byte
+	garble  func(state []byte) []byte // what becomes of a state on its way
+}
+
+// stormOf is what a storm is played with.
+type stormOf struct {
+	members  int
+	spares   int           // machines that were none of the founders, and are not started
+	filling  int           // bytes of a configuration beside its routes
+	routes   int           // of a configuration
+	gap      time.Duration // between changes, at the least
+	link     float64       // bytes a second into and out of a machine
+	sync     time.Duration // of a disk
+	disk     float64       // bytes a second to it
+	decoding float64       // bytes of a configuration that a keeper reads in a second
+	turns    bool          // the operator turns to each in its turn, not to the one that answered last
+	breaks   string        // a rule that is broken on purpose; "" = none
+}
+
+// The rules that are broken on purpose.
+const (
+	breaksBatch = "the state and the places in it go in two writes"
+	breaksOrder = "it votes upon a state that its disk does not have"
+	breaksStep  = "a place at a time is taken from another"
+	breaksReads = "reads are answered from what is known here"
+)
+
+// small and large are storms of 14 changes a second on three members of 120 Mbit/s, with disks as the control sites have
+// them; configurations are of a few bytes, or of 262 kB.
+func small() stormOf {
+	return stormOf{members: 3, gap: time.Second / 14, link: 15e6, sync: 2 * time.Millisecond, disk: 250e6, decoding: 20e6}
+}
+
+func large() stormOf {
+	s := small()
+	s.filling = 262_000
+	return s
+}
+
+// voter is a machine of a storm.
+type voter struct {
+	w       *storm
+	i       int
+	disk    *disk
+	store   *store.Store
+	node    *keeper.Node
+	up      bool
+	life    int
+	busy    bool
+	shut    bool
+	queue   []keeper.Event
+	wakeAt  time.Duration
+	out, in time.Duration // its link is free from then on
+	next    uint64        // acknowledged by its disk
+	vote    ballot.Vote   // the newest that its disk has acknowledged
+	id      uint64
+	slow    float64 // its disk takes so many times longer
+}
+
+func newStorm(of stormOf, seed uint64) *storm {
+	w := &storm{stormOf: of, rnd: rand.New(rand.NewPCG(seed, 33)), due: deadline.New[func()](), states: map[uint64][sha256.Size]byte{},
+		texts: map[uint64][]byte{}, garble: func(b []byte) []byte { return b }}
+	for i := range of.members + of.spares {
+		w.keepers = append(w.keepers, &voter{w: w, i: i, disk: newDisk()})
+	}
+	w.noise = make([]byte, of.filling) // which no database makes smaller
+	for i := range w.noise {
+		w.noise[i] = byte(w.rnd.Uint32())
+	}
+	for _, m := range w.keepers[:of.members] {
+		m.start()
+	}
+	w.until(10*time.Second, func() bool { return w.head > 0 })
+	return w
+}
+
+// in has something done after a time.
+func (w *storm) in(d time.Duration, do func()) { w.due.Add(w.now+d, do) }
+
+// breaksRule notes a broken rule.
+func (w *storm) breaksRule(says string, args ...any) {
+	if w.wrong == "" {
+		w.wrong = fmt.Sprintf("%v: ", w.now) + fmt.Sprintf(says, args...)
+	}
+}
+
+// until plays until something is so, for some time at the most, and tells how long it took; false = it never was.
+func (w *storm) until(most time.Duration, so func() bool) (time.Duration, bool) {
+	began := w.now
+	for !so() {
+		at, ok := w.due.Next()
+		if !ok || at > began+most || w.wrong != "" {
+			w.now = max(w.now, min(began+most, at))
+			return w.now - began, false
+		}
+		w.now = at
+		do, _ := w.due.Due(at)
+		do()
+	}
+	return w.now - began, true
+}
+
+func (w *storm) play(d time.Duration) { w.until(d, func() bool { return false }) }
+
+func stormAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 7000)
+}
+
+// start starts a process with what its disk holds.
+func (m *voter) start() {
+	w := m.w
+	id := w.rnd.Uint64() | 1
+	s, kept, err := store.OpenOn(m.disk.open, store.Identity{ID: id, Founder: w.head == 0})
+	if err != nil {
+		if !m.disk.dead() {
+			w.breaksRule("member %d does not open its disk: %v", m.i, err)
+		}
+		m.die(true)
+		return
+	}
+	if m.id != kept.ID {
+		m.id, m.next, m.vote = kept.ID, 0, ballot.Vote{}
+	}
+	if v := &kept.Vote; kept.State.Next < m.next || cmp.Or(cmp.Compare(v.Place, m.vote.Place), v.Promised.Compare(m.vote.Promised),
+		v.Accepted.Compare(m.vote.Accepted)) < 0 {
+		w.breaksRule("member %d has state %d and vote %+v on its disk, which had acknowledged %d and %+v", m.i, kept.State.Next, v, m.next, m.vote)
+	}
+	w.knows(m, &kept.State)
+	m.store, m.up, m.busy, m.shut, m.queue, m.wakeAt = s, true, false, false, nil, 0
+	m.life++
+	m.node = keeper.New(keeper.Config{
+		Self: chain.Member{ID: kept.ID, Name: fmt.Sprintf("k%d", m.i), Addr: stormAddr(m.i).String()}, Founder: kept.Founder, Least: min(3, w.members),
+		Life: w.rnd.Uint64(), Seed: w.rnd.Uint64(), State: kept.State, Vote: kept.Vote, Chosen: s.Place,
+		Others: func() (all []netip.AddrPort) {
+			for i := range w.keepers {
+				if i != m.i {
+					all = append(all, stormAddr(i))
+				}
+			}
+			return all
+		},
+	})
+	m.take(keeper.Tick{})
+}
+
+// die ends a process; with power what its disk had not synced is gone or torn.
+func (m *voter) die(power bool) {
+	left := leavesAll
+	if power {
+		left = m.w.rnd.IntN(kinds)
+	}
+	next := m.disk.after(left, m.w.rnd.Uint64())
+	if m.store != nil {
+		m.store.Close()
+	}
+	m.store, m.disk, m.up, m.busy, m.queue = nil, next, false, false, nil
+	m.life++
+}
+
+// knows holds a state against what the chain adds up to.
+func (w *storm) knows(m *voter, s *chain.State) {
+	if s.Next == 0 {
+		return
+	}
+	text := s.Encode()
+	is := sha256.Sum256(text)
+	if w.breaks == breaksStep {
+		w.texts[s.Next] = text
+	}
+	if was, known := w.states[s.Next]; known && was != is {
+		w.breaksRule("member %d has another state before place %d than others", m.i, s.Next)
+	}
+	w.states[s.Next], w.head = is, max(w.head, s.Next)
+}
+
+// take has a process take an event once it is free.
+func (m *voter) take(e keeper.Event) {
+	if m.up {
+		m.queue = append(m.queue, e)
+		m.work()
+	}
+}
+
+// work takes the events that wait, one at a time.
+func (m *voter) work() {
+	for m.up && !m.busy && len(m.queue) > 0 {
+		e := m.queue[0]
+		m.queue = m.queue[1:]
+		switch x := e.(type) {
+		case keeper.Put:
+			m.works(m.w.reading(len(x.Text)), func() { m.reduce(e) })
+		case keeper.Get:
+			if m.w.breaks == breaksReads {
+				s := m.node.State()
+				x.Of.(func(api.Result))(api.Result{Status: 200, Rev: s.Revision})
+				continue
+			}
+			m.reduce(e)
+		default:
+			m.reduce(e)
+		}
+	}
+	m.plan()
+}
+
+// works has a process do nothing else for a time.
+func (m *voter) works(d time.Duration, then func()) {
+	life := m.life
+	m.busy = true
+	m.w.in(d, func() {
+		if m.life == life {
+			m.busy = false
+			then()
+			m.work()
+		}
+	})
+}
+
+func (m *voter) reduce(e keeper.Event) {
+	m.perform(append([]keeper.Effect(nil), m.node.Reduce(m.w.now, e)...))
+}
+
+// plan has the process woken when it wants to be.
+func (m *voter) plan() {
+	if !m.up || m.busy {
+		return
+	}
+	at, ok := m.node.Next()
+	if at = max(at, m.w.now+time.Millisecond); !ok || m.wakeAt > m.w.now && m.wakeAt <= at {
+		return
+	}
+	m.wakeAt = at
+	life := m.life
+	m.w.in(at-m.w.now, func() {
+		if m.life == life && m.wakeAt == at {
+			m.wakeAt = 0
+			m.take(keeper.Tick{})
+		}
+	})
+}
+
+// perform does what the node asks for, in order.
+func (m *voter) perform(effects []keeper.Effect) {
+	w := m.w
+	for len(effects) > 0 {
+		f := effects[0]
+		effects = effects[1:]
+		switch f := f.(type) {
+		case keeper.Write:
+			rest := effects
+			m.works(w.costs(&f, m.slow), func() {
+				ok := m.write(&f)
+				if m.up {
+					m.perform(append(rest, m.node.Reduce(w.now, keeper.Wrote{ID: f.ID, OK: ok})...))
+				}
+			})
+			return
+		case keeper.Call:
+			w.call(m, f)
+		case keeper.Reply:
+			c := f.Of.(*calling)
+			body := f.Body
+			if c.kind == keeper.CallState && len(body) > 0 {
+				if body = w.garble(body); w.breaks == breaksStep {
+					body = w.texts[c.place+1]
+				}
+			}
+			w.carry(m, c.from, len(body), func() { c.back(body, f.Err) })
+		case keeper.Answered:
+			f.Of.(func(api.Result))(f.Result)
+		case keeper.Changed:
+			w.knows(m, &f.State)
+		}
+	}
+}
+
+// reading is how long a keeper reads a configuration of so many bytes.
+func (w *storm) reading(size int) time.Duration {
+	return time.Duration(float64(size) / w.decoding * float64(time.Second))
+}
+
+// costs is how long a write keeps a process: its disk's time, and what is chosen is read as well.
+func (w *storm) costs(f *keeper.Write, slow float64) time.Duration {
+	size := len(f.Vote.Value)
+	read := time.Duration(0)
+	switch {
+	case f.Whole:
+		size = len(f.State.Text)
+	case f.Value != nil:
+		size, read = len(f.Value), w.reading(len(f.Value))
+	}
+	return time.Duration((1+slow)*(float64(w.sync)+float64(size)/w.disk*float64(time.Second))) + read
+}
+
+// write writes to the disk, as a keeper does: after a refused write it is opened anew, and told all that stands first.
+func (m *voter) write(f *keeper.Write) bool {
+	err := error(nil)
+	state := m.node.State()
+	if m.shut {
+		if err = m.store.Reopen(); err == nil {
+			err = m.store.Whole(&state)
+		}
+		if err == nil {
+			err = m.store.Vote(m.node.Vote())
+		}
+	}
+	switch {
+	case err != nil:
+	case f.Whole && m.w.breaks == breaksOrder:
+	case f.Whole && m.w.breaks == breaksBatch:
+		err = m.twice(f.State)
+	case f.Whole:
+		err = m.store.Whole(f.State)
+	case f.Value != nil:
+		err = m.store.Chose(f.Value, f.State)
+	default:
+		err = m.store.Vote(f.Vote)
+	}
+	if m.disk.dead() {
+		m.die(true)
+		return false
+	}
+	if m.shut = err != nil; m.shut {
+		return false
+	}
+	if f.Whole || f.Value != nil {
+		m.next = max(m.next, f.State.Next)
+	} else {
+		m.vote = f.Vote
+	}
+	return true
+}
+
+// twice breaks a rule: the places go, and then the state is written.
+func (m *voter) twice(s *chain.State) error {
+	m.store.Close()
+	files, err := m.disk.open()
+	if err != nil {
+		return err
+	}
+	db, err := leveldb.Open(files, nil)
+	if err != nil {
+		return err
+	}
+	it := db.NewIterator(util.BytesPrefix([]byte("place/")), nil)
+	gone := new(leveldb.Batch)
+	for it.Next() {
+		gone.Delete(bytes.Clone(it.Key()))
+	}
+	it.Release()
+	err = db.Write(gone, &opt.WriteOptions{Sync: true})
+	if err == nil {
+		err = db.Put([]byte("state"), s.Encode(), &opt.WriteOptions{Sync: true})
+	}
+	db.Close()
+	return errors.Join(err, m.store.Reopen())
+}
+
+// calling is a call that waits for its answer.
+type calling struct {
+	from  *voter
+	kind  uint8
+	place uint64 // with CallState: the first that is lacking
+	back  func(body []byte, err error)
+}
+
+// carry brings bytes from one machine to another, behind what their links have to carry already.
+func (w *storm) carry(from, to *voter, size int, do func()) {
+	took := time.Duration(float64(size+64) / w.link * float64(time.Second))
+	from.out = max(from.out, w.now) + took
+	to.in = max(to.in, from.out-took) + took
+	w.in(max(from.out, to.in)-w.now+500*time.Microsecond+time.Duration(w.rnd.Int64N(int64(300*time.Microsecond))), do)
+}
+
+// call carries a call, whose answer comes back or does not in its time.
+func (w *storm) call(m *voter, c keeper.Call) {
+	b := c.To.Addr().As4()
+	to, life, over := w.keepers[b[3]-1], m.life, false
+	of := &calling{from: m, kind: c.Kind}
+	if c.Kind == keeper.CallState {
+		w.asks++
+		of.place, _, _ = keeper.DecodePlace(c.Body) // it is the node's own
+	}
+	of.back = func(body []byte, err error) {
+		if !over && m.life == life {
+			over = true
+			m.take(keeper.Returned{ID: c.ID, Body: body, Err: err})
+		}
+	}
+	w.in(c.Within, func() { of.back(nil, errLate) })
+	if !to.up {
+		w.in(time.Millisecond, func() { of.back(nil, errLate) })
+		return
+	}
+	w.carry(m, to, len(c.Body), func() {
+		to.take(keeper.Called{Kind: c.Kind, Body: c.Body, From: stormAddr(m.i).Addr(), Of: of})
+	})
+}
+
+var errLate = errors.New("no answer in time")
+
+// text is a configuration of a revision.
+func (w *storm) text(revision uint64) []byte {
+	c := map[string]any{"revision": revision, "services": []declared.Service{{Name: "s"}}, "later": w.noise}
+	routes := make([]declared.Route, w.routes)
+	for i := range routes {
+		routes[i] = declared.Route{Name: fmt.Sprintf("route-%05d", i), Host: "a.example", Prefix: fmt.Sprintf("/p%05d/", i), Type: declared.Streaming,
+			Timeout: 12000, Service: "s", Attempts: 2}
+	}
+	c["routes"] = routes
+	b, err := cbor.Marshal(c)
+	if err != nil {
+		w.breaksRule("%v", err)
+	}
+	return b
+}
+
+// firstRevision has as many bytes as all after it.
+const firstRevision = 70_000
+
+// change has the operator make the next change, and then others until the goal is reached.
+func (w *storm) change() {
+	if w.acked >= w.goal {
+		w.in(w.gap, w.change)
+		return
+	}
+	revision, on, began := max(w.acked+1, firstRevision), w.acked, w.now
+	text := w.text(revision)
+	over := false
+	var send func(at int)
+	send = func(at int) {
+		m := w.keepers[at%w.members]
+		answered := false
+		next := func(d time.Duration) {
+			if !answered && !over {
+				answered = true
+				w.in(d, func() { send(at + 1) })
+			}
+		}
+		if !m.up {
+			next(5 * time.Millisecond)
+			return
+		}
+		w.in(time.Second, func() { next(0) })
+		m.take(keeper.Put{On: on, Text: text, Until: w.now + 900*time.Millisecond, Of: func(r api.Result) {
+			switch {
+			case over:
+			case r.Status == 200:
+				over, w.acked, w.last = true, revision, at
+				w.slowest = max(w.slowest, w.now-began)
+				w.in(max(began+w.gap-w.now, time.Millisecond), w.change)
+			case r.Status == 503:
+				next(20 * time.Millisecond)
+			default:
+				w.breaksRule("change %d upon %d is answered %d: %s", revision, on, r.Status, r.Says)
+			}
+		}})
+	}
+	if w.turns {
+		w.last++
+	}
+	send(w.last)
+}
+
+// read has the operator read the configuration at a member, until it is told.
+func (w *storm) read(m *voter, then func()) {
+	least, life := w.acked, m.life
+	m.take(keeper.Get{Until: w.now + 900*time.Millisecond, Of: func(r api.Result) {
+		switch {
+		case r.Status == 200 && r.Rev < least:
+			w.breaksRule("member %d reads version %d, and %d was acknowledged before", m.i, r.Rev, least)
+		case r.Status == 200:
+			then()
+		case m.life == life:
+			w.in(50*time.Millisecond, func() { w.read(m, then) })
+		}
+	}})
+}
+
+// catchUpWithin is the time that the platform gives a member that is back (catch_up_s of the control sites).
+const catchUpWithin = 4 * time.Second
+
+// begun is a storm in which a few changes were made.
+func begun(of stormOf, seed uint64) *storm {
+	w := newStorm(of, seed)
+	w.change()
+	w.changes(3)
+	return w
+}
+
+// changes has some more made, without an end to wait for if there are none.
+func (w *storm) changes(n uint64) {
+	if w.goal = max(w.acked, firstRevision-1) + n; n == 0 {
+		w.goal = 1 << 30
+		return
+	}
+	most := time.Duration(n) * time.Second
+	if _, ok := w.until(most, func() bool { return w.acked >= w.goal }); !ok {
+		w.breaksRule("%d changes are not made in %v: %d is acknowledged", n, most, w.acked)
+	}
+}
+
+// back has a member come back that was away, while changes go on, and asks for the newest configuration there at once. Within
+// its time it must know all that was chosen before it came, be a member, and have answered as it must.
+func (w *storm) back(m *voter) {
+	before, read := w.head, false
+	w.changes(0)
+	if m.start(); !m.up {
+		return
+	}
+	w.read(m, func() { read = true })
+	took, ok := w.until(catchUpWithin, func() bool {
+		s := m.node.State()
+		return !m.up || read && s.Next >= before && s.Member(m.id) != nil
+	})
+	if w.took = max(w.took, took); !ok {
+		s := m.node.State()
+		w.breaksRule("member %d has not caught up in %v: place %d of %d, read %v, member %v", m.i, took, s.Next, w.head, read, s.Member(m.id) != nil)
+	}
+}
+
+// away is a member that is away for so many changes and comes back with its disk, another time without, and then never, with
+// a machine of another name and address in its place. It takes the longest time that any has taken to be a member again that
+// has caught up.
+func away(of stormOf, n uint64, seed uint64) *storm {
+	of.spares = 1
+	w := begun(of, seed)
+	m := w.keepers[of.members-1]
+	for _, how := range []string{"back", "wiped", "replaced"} {
+		m.die(true)
+		if w.changes(n); how == "wiped" {
+			m.disk = m.disk.empty()
+		}
+		if how == "replaced" {
+			m = w.keepers[of.members]
+		}
+		w.play(time.Duration(w.rnd.Int64N(int64(of.gap))))
+		w.back(m)
+	}
+	w.changes(3)
+	return w
+}
+
+// torn is a member that loses power at every step of its disk from its start on, as it catches up, each time after more changes
+// than there are places kept. Each third time its disk is gone afterwards. It returns at how many steps that was.
+func torn(of stormOf, stride int, seed uint64) (w *storm, points int) {
+	w = begun(of, seed)
+	m := w.keepers[of.members-1]
+	for at := 1; w.wrong == ""; at += stride {
+		m.die(true)
+		w.changes(40)
+		m.disk.failAt, m.disk.err = m.disk.steps+at, errPower
+		w.back(m)
+		if m.up && !m.disk.dead() { // it had caught up before
+			return w, points
+		}
+		if points++; m.up {
+			m.die(true)
+		}
+		if at%3 == 0 {
+			m.disk = m.disk.empty()
+		}
+		w.back(m)
+	}
+	return w, points
+}
+
+// stale is a member that is given old states, and such as are cut off anywhere, each time that it comes back; then good ones.
+func stale(of stormOf, times int, seed uint64) *storm {
+	w := begun(of, seed)
+	m := w.keepers[of.members-1]
+	var old [][]byte
+	for range times {
+		m.die(true)
+		w.changes(40)
+		w.changes(0)
+		w.garble = func(b []byte) []byte {
+			old = append(old, b)
+			if w.rnd.IntN(2) == 0 {
+				return old[w.rnd.IntN(len(old))]
+			}
+			return b[:w.rnd.IntN(len(b))]
+		}
+		if m.start(); !m.up {
+			return w
+		}
+		w.play(500 * time.Millisecond)
+		w.garble = func(b []byte) []byte { return b }
+		m.die(false)
+		w.back(m)
+	}
+	return w
+}
+
+// snapshots walks through members that are away and come back; from so many lives on at full size.
+func snapshots(lives int) (found string, met int) {
+	of, n := large(), uint64(40)
+	if of.filling = 262_000; lives >= 20_000 {
+		of.filling, of.routes, n = 0, 1280, 1000 // 261 kB that are read route by route
+	}
+	return away(of, n, 1).wrong, int(n)
+}
+
+// snapshotsTorn walks through power losses as members catch up, and through states that are old or torn on their way.
+func snapshotsTorn(lives int) (found string, met int) {
+	for seed := range uint64(max(lives/1000, 1)) {
+		of := small()
+		if seed%8 == 7 {
+			of = large()
+		}
+		w, points := torn(of, 1, seed)
+		if met += points; w.wrong == "" {
+			w = stale(small(), 5, seed)
+		}
+		if w.wrong != "" {
+			return fmt.Sprintf("seed %d: %s", seed, w.wrong), met
+		}
+	}
+	return "", met
+}
+
+// snapshotsBroken are the same with a rule broken, which must be found.
+func snapshotsBroken(rule string, lives int) (found string, met int) {
+	of := small()
+	of.breaks = rule
+	for seed := range uint64(lives) {
+		w, points := torn(of, 1, seed)
+		if met += points; w.wrong != "" {
+			return w.wrong, met
+		}
+	}
+	return "", met
+}
