--- a/internal/control/core/operate.go
+++ b/internal/control/core/operate.go
@@ -4,13 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/netip"
-	"slices"
 
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/declared"
-	"notchhinge/internal/limits"
 )
 
 // answer answers the operator: what f makes of it, or that it is not settled.
@@ -22,16 +19,21 @@
 	n.do(Answered{of, f()})
 }
 
-// put does the operator's Replace.
+// put does the operator's Replace. What is said for good is said upon a state that no later one contradicts, though it be
+// old: that it was taken (the chain has it), and that it never will be, where a later version than the one it builds on is
+// known, or its number is not above that (Apply takes it upon that very version alone). All else asks a majority first: a
+// ballot, or settle where the operator names a version that is not known here, or where this program takes for invalid what
+// an earlier one may have taken.
 func (n *Node) put(e Put) {
 	c, digest, err := declared.Decode(e.Text)
-	if err == nil {
-		err = c.Check()
-	}
-	if err != nil {
+	if err != nil { // then no member has taken it: Apply reads it alike
 		n.do(Answered{e.Of, api.Result{Status: http.StatusBadRequest, Says: err.Error()}})
 		return
 	}
+	if err := c.Check(); err != nil {
+		n.invalid(e, c.Revision, digest, err)
+		return
+	}
 	entry := chain.Entry{Kind: chain.Config, Nonce: n.rnd.Uint64(), On: e.On, Text: e.Text}
 	value := entry.Encode()
 	var res api.Result
@@ -45,6 +47,9 @@
 			case chain.Late:
 				res = api.Result{Status: http.StatusPreconditionFailed, Rev: s.Revision,
 					Says: fmt.Sprintf("X-Revision-Match: version %d is current, not %d", s.Revision, e.On)}
+				if c.Revision < s.Oldest() {
+					res.Says += fmt.Sprintf("; whether %d was ever taken is not known any more", c.Revision)
+				}
 			case chain.Low:
 				res = api.Result{Status: http.StatusBadRequest,
 					Says: fmt.Sprintf("revision: %d is not above the current one, %d", c.Revision, s.Revision)}
@@ -65,6 +70,26 @@
 	})
 }
 
+// invalid refuses a configuration with a fault, unless it was taken by an earlier program that was more lenient.
+func (n *Node) invalid(e Put, revision uint64, d declared.Digest, fault error) {
+	taken := func() api.Result {
+		if n.state.Was(revision, d) {
+			return api.Result{Status: http.StatusOK, Rev: revision}
+		}
+		return api.Result{Status: http.StatusBadRequest, Says: fault.Error()}
+	}
+	if revision <= n.state.Revision {
+		n.do(Answered{e.Of, taken()})
+		return
+	}
+	n.settle(e.Until, func(err error) {
+		if err != nil {
+			err = fmt.Errorf("%w: %w", err, fault)
+		}
+		n.answer(e.Of, err, taken)
+	})
+}
+
 // get does the operator's Describe.
 func (n *Node) get(e Get) {
 	n.settle(e.Until, func(err error) {
@@ -97,79 +122,3 @@
 		})
 	})
 }
-
-// dismiss takes members of a name out that are gone for good, so that a majority need not be made up of who will never
-// answer. Those that are left must still be as many as the losses that are to be borne want. Who runs is taken in again.
-func (n *Node) dismiss(e Dismiss) {
-	if n.state.Member(n.Self.ID) == nil {
-		n.do(Answered{e.Of, api.Result{Status: http.StatusServiceUnavailable, Says: "this keeper is no member itself"}})
-		return
-	}
-	n.settle(e.Until, func(err error) {
-		if err != nil {
-			n.answer(e.Of, err, nil)
-			return
-		}
-		done := false
-		var res api.Result
-		n.propose(func(s *chain.State) []byte {
-			x := &chain.Entry{Kind: chain.Members, Nonce: n.rnd.Uint64()}
-			for _, m := range s.Members {
-				if m.Name != e.Name {
-					x.Members = append(x.Members, m)
-				}
-			}
-			switch {
-			case len(x.Members) == len(s.Members) && done:
-				res = api.Result{Status: http.StatusOK, Rev: s.Revision}
-			case len(x.Members) == len(s.Members):
-				res = api.Result{Status: http.StatusNotFound, Says: fmt.Sprintf("no member is named %q", e.Name)}
-			case len(x.Members) < n.Least:
-				res = api.Result{Status: http.StatusConflict, Says: fmt.Sprintf("%d members would be left; %d are wanted", len(x.Members), n.Least)}
-			default:
-				done = true
-				n.log.Info("taking a member out", "name", e.Name, "left", len(x.Members))
-				return x.Encode()
-			}
-			return nil
-		}, e.Until, func(err error) { n.answer(e.Of, err, func() api.Result { return res }) })
-	})
-}
-
-// proposer is the keeper that has changes settled just now, if that is another and who asks to be taken in has called here
-// itself. Where changes are made all the time only that one can have a further one settled, between two of them: another's
-// ballot for a few bytes is in the way of its large ones, and loses against them.
-func (n *Node) proposer(i *identity, from netip.Addr) (to netip.AddrPort, ok bool) {
-	if own, ok := addr(&i.Member); !ok || own.Addr() != from || n.now-n.toldAt > limits.NodeAsk || n.teller == from || len(n.queue) > 0 {
-		return to, false
-	}
-	all := n.Others()
-	at := slices.IndexFunc(all, func(a netip.AddrPort) bool { return a.Addr() == n.teller })
-	if at < 0 {
-		return to, false
-	}
-	return all[at], true
-}
-
-// admit has a keeper taken in, in the place of the one of its name whose disk is gone, or as a further one. Who asks has
-// caught up but for what was chosen as it asked, so that a majority does not come to depend on who knows nothing.
-func (n *Node) admit(i identity, done func(error)) {
-	if n.state.Member(n.Self.ID) == nil || i.next == 0 || i.next+limits.NodeAlmost < n.state.Next {
-		done(errBehind)
-		return
-	}
-	n.propose(func(s *chain.State) []byte {
-		if s.Member(i.ID) != nil || i.ID == 0 || len(s.Members) > mostVoters {
-			return nil
-		}
-		e := &chain.Entry{Kind: chain.Members, Nonce: n.rnd.Uint64(), Members: slices.Clone(s.Members)}
-		at := slices.IndexFunc(e.Members, func(m chain.Member) bool { return m.Name == i.Name })
-		if at >= 0 {
-			e.Members[at] = i.Member
-		} else {
-			e.Members = append(e.Members, i.Member)
-		}
-		n.log.Info("taking a member in", "name", i.Name, "member", member(i.ID), "instead_of_its_former_disk", at >= 0)
-		return e.Encode()
-	}, n.now+settleWithin, done)
-}
--- a/internal/control/core/propose.go
+++ b/internal/control/core/propose.go
@@ -194,6 +194,12 @@
 		}
 		n.call(to, kind, b, limits.NodeAsk, nil)
 	}
+	for i := range n.state.Members { // and those whom it has made members
+		m := &n.state.Members[i]
+		if to, ok := addr(m); ok && m.ID != n.Self.ID && !slices.ContainsFunc(a.members, func(x chain.Member) bool { return x.ID == m.ID }) {
+			n.call(to, CallLearn, whole, limits.NodeAsk, nil)
+		}
+	}
 }
 
 // bring brings a member up that is behind: it is told where the state is, and takes it.
@@ -247,7 +253,13 @@
 				return
 			}
 			if ok {
-				good++
+				// At a member's address may be one with another disk, who has not seen what the member had accepted: it counts for
+				// nothing, but may have come further.
+				if ans.Verdict == ballot.Known {
+					good++
+				} else if ans.Next < state.Next {
+					n.bring(m.ID, state.Members)
+				}
 				if ans.Next > next {
 					next, open = ans.Next, false
 					best, _ = addr(m)
@@ -264,9 +276,7 @@
 				}
 			}
 			switch {
-			case !enough:
-				again(50 * time.Millisecond)
-			case n.state.Next >= need:
+			case need > 0 && n.state.Next >= need:
 				look()
 			case next > state.Next:
 				n.catchUp(best, func() {
@@ -276,6 +286,8 @@
 					}
 					again(20 * time.Millisecond)
 				})
+			case !enough:
+				again(50 * time.Millisecond)
 			default:
 				// Something was accepted for the place that is open, and may have been chosen: it is brought to its end.
 				nothing := (&chain.Entry{Kind: chain.Nothing, Nonce: n.rnd.Uint64()}).Encode()
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -23,6 +23,7 @@
 		{"members, every life of six steps", func(int) (string, int) {
 			return everyLife(newCore(), bounds{rounds: 2, wipes: 1, places: 2, depth: 6})
 		}},
+		{"a voter replaced, and another lost right after", func(lives int) (string, int) { return replace(lives, false) }},
 		{"founding, with cuts", func(lives int) (string, int) {
 			for seed := range lives {
 				if sets := found(draws(seed), 3+seed%3, 3, func(set int) int { return set }); len(sets) > 1 {
@@ -32,6 +33,8 @@
 			return "", lives
 		}},
 		{"two operators upon one version, with cuts", func(lives int) (string, int) { return races(lives, false) }},
+		{"operators under one number, with answers lost", func(lives int) (string, int) { return orders(lives, "") }},
+		{"leases, while members are replaced in cuts", func(lives int) (string, int) { return leases(lives, "") }},
 		{"engines that leave, and who hears of it dies", func(lives int) (string, int) { return leaving(lives, false) }},
 		{"power lost at every step of a store's life", func(int) (string, int) {
 			faults, points := powerLost(false, 1)
@@ -54,12 +57,13 @@
 	broken := func(rule string) Walk {
 		return Walk{rule, func(lives int) (string, int) { return snapshotsBroken(rule, lives) }}
 	}
-	return []Walk{
+	return append([]Walk{
 		{"votes after a wipe", ballots(func(w *world) { w.forgets = true })},
 		{"answers before the sync", ballots(func(w *world) { w.skipDisk = true })},
 		{"counts its rounds anew", ballots(func(w *world) { w.again = true })},
 		{"a wiped machine goes on under its number", members(func(c *core) { c.forget = true })},
 		{"a change counts before it is chosen", members(func(c *core) { c.eager = true })},
+		{"a change counts as finished once it is chosen", func(lives int) (string, int) { return replace(lives, true) }},
 		{"a majority founds", func(lives int) (string, int) {
 			for seed := range lives {
 				if sets := found(draws(seed), 5, 3, ballot.Majority); len(sets) > 1 {
@@ -75,7 +79,7 @@
 			faults, points := powerLost(true, 5)
 			return first(faults), points
 		}},
-	}
+	}, brokenSites()...)
 }
 
 func first(faults []error) string {
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -178,6 +178,8 @@
 			f.Of.(chan api.Result) <- f.Result // likewise
 		case core.Proposed:
 			f.Of.(chan error) <- f.Err // likewise
+		case core.Left:
+			close(f.Of.(chan struct{}))
 		case core.Changed:
 			k.changed(&f.State)
 		case core.Log:
@@ -223,6 +225,23 @@
 	return k.core.State()
 }
 
+// unsure tells whether a change of members was accepted here that may have been chosen.
+func (k *keeper) unsure() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.core.Changing()
+}
+
+// leave hands over to those that stay, until a context is over at the latest.
+func (k *keeper) leave(ctx context.Context) {
+	of := make(chan struct{})
+	k.turn(core.Leave{Of: of, Until: k.end(ctx)})
+	select {
+	case <-of:
+	case <-ctx.Done():
+	}
+}
+
 // end is a context's end by the keeper's clock.
 func (k *keeper) end(ctx context.Context) time.Duration {
 	if at, ok := ctx.Deadline(); ok {
