store: a file that the disk does not remove is no error for the database

A run of this package tree under load (96 s with -race beside other work) ended with a nil pointer in goleveldb: a compaction that can neither write its table nor remove what it has of it keeps the table that it has given up, tries again after a second, and uses it. A keeper whose disk refuses everything for more than a second, EIO and not only ENOSPC, would end by itself.

Removing never fails for the database now. What is left is removed at its next opening, which lists what no manifest names (TestWhatCannotBeRemovedIsLeft); what Recover may read of it is older than what stands, by its sequence numbers.

--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -100,7 +100,8 @@
 	return s, k, nil
 }
 
-// Named returns files whose journals' names are durable as they are made; sync is of the folder. The database syncs a journal's bytes, and its folder only with the
+// Named returns files whose journals' names are durable as they are made, and which the database never fails to remove; sync is of
+// the folder. The database syncs a journal's bytes, and its folder only with the
 // next manifest: what is written to a new journal before that would be gone with its name if the power were lost.
 func Named(files storage.Storage, sync func() error) storage.Storage { return named{files, sync} }
 
@@ -122,6 +123,14 @@
 	return w, nil
 }
 
+// Remove implements storage.Storage. A file that the disk does not remove is left for the next opening, which removes what no
+// manifest names: a compaction that fails twice, to write a table and to remove it, goes on with it at its next try, a second
+// later, and ends the process (docs/incidents, a table that was given up).
+func (n named) Remove(fd storage.FileDesc) error {
+	_ = n.Storage.Remove(fd)
+	return nil
+}
+
 func (s *Store) open() error {
 	under, err := s.files()
 	if err != nil {
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"notchhinge/internal/control/ballot"
@@ -227,3 +229,40 @@
 		})
 	}
 }
+
+// refusing is a disk that removes nothing for a while.
+type refusing struct {
+	storage.Storage
+	on *bool
+}
+
+func (r refusing) Remove(fd storage.FileDesc) error {
+	if *r.on {
+		return syscall.EIO
+	}
+	return r.Storage.Remove(fd)
+}
+
+// TestWhatCannotBeRemovedIsLeft: the database is not told that a table which it has given up cannot be removed, since it would go
+// on with it and end the process; the next opening removes it.
+func TestWhatCannotBeRemovedIsLeft(t *testing.T) {
+	on := true
+	files := refusing{storage.NewMemStorage(), &on}
+	table := storage.FileDesc{Type: storage.TypeTable, Num: 99}
+	w, err := files.Create(table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	left := func() int { all, _ := files.List(storage.TypeTable); return len(all) }
+	disk := Named(files, func() error { return nil })
+	if err := disk.Remove(table); err != nil || left() != 1 {
+		t.Errorf("%v, %d tables", err, left())
+	}
+	on = false
+	s, _, err := OpenOn(func() (storage.Storage, error) { return disk, nil }, Identity{ID: 7})
+	if err != nil || left() != 0 {
+		t.Fatalf("%v, %d tables after it was opened", err, left())
+	}
+	s.Close()
+}
--- a/internal/lab/check/disk.go
+++ b/internal/lab/check/disk.go
@@ -78,7 +78,7 @@
 
 func (d *disk) open() (storage.Storage, error) {
 	if d.noNames {
-		return diskFiles{d}, nil
+		return store.Named(diskFiles{d}, func() error { return nil }), nil
 	}
 	return store.Named(diskFiles{d}, d.syncNames), nil
 }
