--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -208,6 +208,21 @@
 	heard(identity{}, true)
 }
 
+// proposer is the keeper that has changes settled just now, if that is another and who asks to be taken in has called here
+// itself. Where changes are made all the time only that one can have a further one settled, between two of them: another's
+// ballot for a few bytes is in the way of its large ones, and loses against them.
+func (n *Node) proposer(i *identity, from netip.Addr) (to netip.AddrPort, ok bool) {
+	if own, ok := addr(&i.Member); !ok || own.Addr() != from || n.now-n.toldAt > limits.NodeAsk || n.teller == from || len(n.queue) > 0 {
+		return to, false
+	}
+	all := n.Others()
+	at := slices.IndexFunc(all, func(a netip.AddrPort) bool { return a.Addr() == n.teller })
+	if at < 0 {
+		return to, false
+	}
+	return all[at], true
+}
+
 // admit has a keeper taken in that asks for a vote, if there is a place for it, or notes it as a candidate for the next that
 // becomes free. Who asks has caught up but for a few places, so that a majority does not come to depend on who knows nothing.
 func (n *Node) admit(i identity, done func(error)) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -321,6 +321,8 @@
 	NodeCandidates = 8                       // of them, at the most
 	NodeStandby    = time.Second             // between two tries of a keeper that no voter's place is free for
 	NodeJoinLag    = 16                      // places that a keeper may lack to be taken in; it is brought up with the next ballot
+	NodePlaces     = 32                      // places that a keeper's disk holds beside its state: what others lack of them is sent by itself
+	NodePlaceBytes = 16 << 20                // of them, at the most: a disk of 256 MB holds many times that while it is compacted
 	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
 	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
 	// Once an engine has forgotten a connection that rested, for so long no request that must not run twice uses one that has
