--- a/internal/control/duty/node_test.go
+++ b/internal/control/duty/node_test.go
@@ -202,27 +202,27 @@
 	all := k.state.Members
 	k.state.Members = append([]chain.Member{{ID: 8, Name: "z", Addr: "10.0.0.8:1"}}, all[1:]...)
 	k.take(core.Tick{}) // it has no vote
-	if ask(k, k.voters()) {
+	if ask(k, voters(k.state.Members)) {
 		t.Error("granted without a vote")
 	}
 	k.now += time.Minute
 	k.state.Members, k.state.Next = all, 5
 	k.take(core.Tick{})
-	if ask(k, k.voters()) {
+	if ask(k, voters(k.state.Members)) {
 		t.Error("granted while what it grants may be another's still")
 	}
-	if k.now += 3*sec + 1; !ask(k, k.voters()) {
+	if k.now += 3*sec + 1; !ask(k, voters(k.state.Members)) {
 		t.Error("not granted after a lease's time")
 	}
-	if ask(k, k.voters()+1) {
+	if ask(k, voters(k.state.Members)+1) {
 		t.Error("granted to who knows of other members")
 	}
 	changing := false
-	k.Changing = func() bool { return changing }
-	if changing = true; ask(k, k.voters()) {
+	k.Unsure = func() bool { return changing }
+	if changing = true; ask(k, voters(k.state.Members)) {
 		t.Error("granted with other members accepted")
 	}
-	if changing = false; !ask(k, k.voters()) {
+	if changing = false; !ask(k, voters(k.state.Members)) {
 		t.Error("not granted once that is decided")
 	}
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -315,6 +315,7 @@
 	NodeWatch      = 200 * time.Millisecond  // between two looks at silent voters while somebody could have the place of one
 	NodeHandOver   = 2500 * time.Millisecond // for a keeper that ends to hand over: most of what grace_period_s leaves beside the data plane's own end
 	NodeCandidate  = 3 * time.Second         // a keeper that has asked for a vote so long ago may be gone itself
+	NodeSilent     = 128                     // keepers that do not answer, of whom it is kept since when
 	NodeCandidates = 8                       // of them, at the most
 	NodeStandby    = time.Second             // between two tries of a keeper that no voter's place is free for
 	NodeJoinLag    = 16                      // places that a keeper may lack to be taken in; it is brought up with the next ballot
@@ -331,6 +332,11 @@
 	NodeTexts       = 4                      // configurations that are kept so that differences to them can be sent
 	NodeTextBytes   = 16 << 20               // of them, at the most
 	NodeStable      = 500 * time.Millisecond // no further keeper has come for so long
+	// A router that has started is not ready before a keeper that reaches a majority has said which configuration is the newest,
+	// or for so long: where none does it serves with what another keeper has, and where no keeper answers at all it waits
+	// longer for one. No machine is in touch (5 s) by then.
+	NodeUnsettled = 3 * time.Second
+	NodeUnasked   = 10 * time.Second
 	// Configurations that a late repeat of an operator's call may name, beside the newest 64: at the 14 a second that eight
 	// orders under way come to these are 4.8 minutes, where an operator repeats for one; at 8,500 a day eleven hours. 17 to 18
 	// bytes each, in a keeper's state (70 kB) and where one catches up.
