--- /dev/null
+++ b/internal/lab/plane/draw.go
@@ -0,0 +1,224 @@
+package plane
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// drawing is a day that is being drawn.
+type drawing struct {
+	*rand.Rand
+	Size
+	bounds
+	day    *Day
+	wait   []Trouble       // by their times
+	away   []time.Duration // until when each seat is lost, with the time to catch up
+	anyone []time.Duration // and until when one is that is not known yet
+}
+
+// drawn are the kinds of a draw, those that are drawn more often several times.
+var drawn = []Kind{
+	Kill, Kill, Term, Wipe, Wipe, Cut, Cut, Mute, Deaf, Split, Split, Leave, Crash, Race, Race, Freeze, Step, Part, Full, Slow, Stall,
+	Replace, Replace, Replace, Replace, Lost, Lost,
+}
+
+const (
+	mostReplaced = 5 // of a day
+	longest      = 20 * time.Second
+)
+
+// Draw draws a day: troubles that overlap as they like, but no more keepers lost at once, as the platform counts it, than are to
+// be borne: what would lose more waits its turn, or is cut down.
+func Draw(seed uint64, s Size) *Day {
+	rnd := rand.New(rand.NewPCG(seed, 13))
+	w := &drawing{Rand: rnd, Size: s, bounds: boundsOf(s.Tolerate), away: make([]time.Duration, s.Keepers)}
+	w.day = &Day{Seed: seed, Keepers: s.Keepers, Routers: s.Routers, Engines: s.Engines, Tolerate: s.Tolerate, Length: time.Duration(30+15*rnd.IntN(3)) * time.Second}
+	for range int(w.day.Length/(5*time.Second)) + rnd.IntN(8) {
+		w.later(w.some(drawn[rnd.IntN(len(drawn))]))
+	}
+	for range int(w.day.Length / (4 * time.Second)) { // whatever happens there are orders
+		w.later(Trouble{At: w.time(), Kind: Change})
+	}
+	if rnd.IntN(4) == 0 {
+		t := Trouble{At: w.time(), For: w.between(4*time.Second, longest), Kind: Storm}
+		w.later(t)
+	}
+	replaced := 0
+	for len(w.wait) > 0 {
+		t := w.wait[0]
+		w.wait = w.wait[1:]
+		if t.Kind == Replace {
+			if replaced == mostReplaced {
+				continue
+			}
+			replaced++
+		}
+		w.place(t)
+	}
+	slices.SortStableFunc(w.day.Troubles, func(x, y Trouble) int { return int(x.At - y.At) })
+	return w.day
+}
+
+func (w *drawing) between(from, to time.Duration) time.Duration {
+	return (from + time.Duration(w.Int64N(int64(to-from)))).Truncate(time.Millisecond)
+}
+
+func (w *drawing) time() time.Duration { return w.between(0, w.day.Length-2*time.Second) }
+
+// pick picks numbers.
+func (w *drawing) pick(n, from, to int) (all []int) {
+	for _, i := range w.Perm(to - from)[:min(n, to-from)] {
+		all = append(all, from+i)
+	}
+	return all
+}
+
+// later puts a trouble among those that wait for their time.
+func (w *drawing) later(t Trouble) {
+	i, _ := slices.BinarySearchFunc(w.wait, t, func(x, y Trouble) int { return int(x.At - y.At) })
+	w.wait = slices.Insert(w.wait, i, t)
+}
+
+// some draws a trouble of a kind.
+func (w *drawing) some(kind Kind) Trouble {
+	t := Trouble{At: w.time(), For: w.between(200*time.Millisecond, 9*time.Second), Kind: kind}
+	if kind != Replace && w.IntN(4) == 0 {
+		t.For = w.between(9*time.Second, longest)
+	}
+	if all := hows[kind]; len(all) > 0 && w.IntN(2) == 0 {
+		t.How = all[w.IntN(len(all))]
+	}
+	if w.strikes(&t); t.How == Leader {
+		t.On = nil
+	}
+	if t.How == Seeds && len(t.On) > 0 && t.On[0] >= w.Keepers { // they are keepers who are cut off
+		t.On = w.pick(1+w.IntN(w.Tolerate), 0, w.Keepers)
+	}
+	if t.How == Both && len(t.On) > 0 && t.On[0] >= w.Keepers {
+		t.How = ""
+	}
+	return t
+}
+
+// strikes draws whom it strikes.
+func (w *drawing) strikes(t *Trouble) {
+	switch t.Kind {
+	case Leave, Crash:
+		t.On = w.pick(1+w.IntN(3), 0, w.Engines)
+	case Race, Lost:
+		t.For = 0
+	case Split, Full, Slow, Stall:
+		t.On = w.pick(1+w.IntN(w.Tolerate), 0, w.Keepers)
+	case Wipe, Replace:
+		t.On = w.pick(1, 0, w.Keepers)
+	case Part:
+		t.On = w.pick(2, 0, w.Keepers)
+	default:
+		if t.On = w.pick(1+w.IntN(max(w.Routers/2, 1)), w.Keepers, w.Keepers+w.Routers); w.IntN(3) > 0 {
+			t.On = w.pick(1+w.IntN(w.Tolerate), 0, w.Keepers)
+		}
+	}
+}
+
+// free tells from when on a trouble loses no more keepers than are to be borne.
+func (w *drawing) free(keepers []int, cost int, from time.Duration) time.Duration {
+	for {
+		lost, next := 0, time.Duration(1<<62)
+		for k, until := range w.away {
+			if until > from {
+				if next = min(next, until); !slices.Contains(keepers, k) {
+					lost++
+				}
+			}
+		}
+		for _, until := range w.anyone {
+			if until > from {
+				lost, next = lost+1, min(next, until)
+			}
+		}
+		if lost+cost <= w.Tolerate {
+			return from
+		}
+		from = next
+	}
+}
+
+// place has a trouble happen at its time, or when its turn comes.
+func (w *drawing) place(t Trouble) {
+	counts := t.Kind != Leave && t.Kind != Crash
+	var keepers []int
+	for _, k := range t.On {
+		if counts && k < w.Keepers {
+			keepers = append(keepers, k)
+		}
+	}
+	cost := len(keepers)
+	if t.Kind == Part || t.How == Leader {
+		cost = 1 // of the two any other can be spared no more; and it may be anyone
+	}
+	if cost > 0 {
+		asked := t.At
+		if t.At = w.free(keepers, cost, t.At); t.At >= w.day.Length-time.Second {
+			return
+		}
+		if t.At > asked { // others may come first now
+			w.later(t)
+			return
+		}
+		until := t.At + t.For + w.catchUp
+		if t.How == Planned {
+			until = t.At + max(t.For, w.catchUp)
+		}
+		for _, k := range keepers {
+			w.away[k] = max(w.away[k], until)
+		}
+		if t.How == Leader {
+			w.anyone = append(w.anyone, until)
+		}
+	}
+	w.day.Troubles = append(w.day.Troubles, t)
+	switch {
+	case t.Kind == Replace:
+		w.after(t)
+	case t.Kind == Lost:
+		w.later(Trouble{At: t.At, Kind: Change})
+	case (t.Kind == Change || t.Kind == Race) && w.IntN(6) == 0:
+		w.closing(t)
+	}
+}
+
+// after has another keeper lost as soon as the successor of one has had its time, and changes while it is.
+func (w *drawing) after(t Trouble) {
+	if w.IntN(3) == 0 {
+		return
+	}
+	at := w.away[t.On[0]]
+	x := w.some([]Kind{Kill, Wipe, Cut, Split, Freeze, Replace, Term}[w.IntN(7)])
+	x.At, x.For, x.How = at+w.between(0, 500*time.Millisecond), w.between(6*time.Second, longest), ""
+	if x.Kind == Replace && w.IntN(2) == 0 {
+		x.How = Planned
+	}
+	x.On = nil
+	for _, k := range w.pick(w.Keepers, 0, w.Keepers) {
+		if k != t.On[0] && len(x.On) < w.Tolerate && (x.Kind != Wipe && x.Kind != Replace || len(x.On) == 0) {
+			x.On = append(x.On, k)
+		}
+	}
+	w.later(x)
+	w.later(Trouble{At: x.At + w.between(0, w.contact+time.Second), Kind: Change})
+}
+
+// closing has a fault strike as those at a day's end do, right after a change.
+func (w *drawing) closing(t Trouble) {
+	for _, until := range append(slices.Clone(w.away), w.anyone...) {
+		if until > t.At {
+			return
+		}
+	}
+	x := Trouble{Kind: []Kind{Dark, Aimed}[w.IntN(2)], At: t.At + w.between(0, 60*time.Millisecond), For: w.between(50*time.Millisecond, 1250*time.Millisecond)}
+	w.day.Troubles = append(w.day.Troubles, x)
+	for k := range w.away { // all are lost until they have had their time, and any may be the one whose disk is
+		w.away[k] = max(w.away[k], x.At+time.Second+x.For+w.catchUp)
+	}
+}
--- a/internal/lab/plane/file.go
+++ b/internal/lab/plane/file.go
@@ -26,14 +26,15 @@
 	At   string `toml:"at" comment:"from the start of the day"`
 	For  string `toml:"for,omitempty"`
 	Kind Kind   `toml:"kind"`
-	On   []int  `toml:"on,omitempty" comment:"machines, keepers first; or engines"`
+	How  How    `toml:"how,omitempty"`
+	On   []int  `toml:"on,omitempty" comment:"machines, keepers' seats first; or engines"`
 }
 
 // Encode writes a day as TOML.
 func (d *Day) Encode() ([]byte, error) {
 	f := file{Seed: d.Seed, Keepers: d.Keepers, Routers: d.Routers, Engines: d.Engines, Tolerate: d.Tolerate, Length: d.Length.String()}
 	for _, t := range d.Troubles {
-		f.Troubles = append(f.Troubles, trouble{t.At.String(), t.For.String(), t.Kind, t.On})
+		f.Troubles = append(f.Troubles, trouble{t.At.String(), t.For.String(), t.Kind, t.How, t.On})
 	}
 	return toml.Marshal(f)
 }
@@ -78,13 +79,16 @@
 	}
 	for i, t := range f.Troubles {
 		at := fmt.Sprintf("trouble[%d]", i)
-		x := Trouble{At: span(at+".at", t.At, mostLength), Kind: t.Kind, On: t.On}
+		x := Trouble{At: span(at+".at", t.At, mostLength), Kind: t.Kind, How: t.How, On: t.On}
 		if t.For != "" {
 			x.For = span(at+".for", t.For, mostLength)
 		}
 		if !slices.Contains(Kinds, t.Kind) {
 			bad("%s.kind: one of %v is wanted, not %q", at, Kinds, t.Kind)
 		}
+		if t.How != "" && !slices.Contains(hows[t.Kind], t.How) {
+			bad("%s.how: one of %v is wanted for %s, not %q", at, hows[t.Kind], t.Kind, t.How)
+		}
 		most := d.Keepers + d.Routers
 		if t.Kind == Leave || t.Kind == Crash {
 			most = d.Engines
--- a/internal/lab/plane/hunt.go
+++ b/internal/lab/plane/hunt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"runtime"
 	"slices"
 	"sync"
@@ -12,85 +11,23 @@
 // Size is how large the fleets of a hunt are.
 type Size struct{ Keepers, Routers, Engines, Tolerate int }
 
-// Draw draws a day: a few troubles that overlap as they like, but no more keepers at once than are to be borne.
-func Draw(seed uint64, s Size) *Day {
-	rnd := rand.New(rand.NewPCG(seed, 13))
-	d := &Day{Seed: seed, Keepers: s.Keepers, Routers: s.Routers, Engines: s.Engines, Tolerate: s.Tolerate, Length: 30 * time.Second}
-	away := make([]time.Duration, s.Keepers) // until when each is lost to the others, with the time to catch up
-	pick := func(n, from, to int) (all []int) {
-		for _, i := range rnd.Perm(to - from)[:min(n, to-from)] {
-			all = append(all, from+i)
-		}
-		return all
-	}
-	for range 3 + rnd.IntN(8) {
-		t := Trouble{At: time.Duration(rnd.IntN(28000)) * time.Millisecond, For: time.Duration(200+rnd.IntN(9000)) * time.Millisecond}
-		t.Kind = []Kind{Kill, Kill, Wipe, Cut, Mute, Deaf, Split, Split, Leave, Crash, Change, Change, Race, Race, Freeze, Step, Part, Full}[rnd.IntN(18)]
-		switch t.Kind {
-		case Leave, Crash:
-			t.On = pick(1+rnd.IntN(3), 0, s.Engines)
-		case Change, Race:
-		case Split:
-			t.On = pick(1+rnd.IntN(s.Tolerate), 0, s.Keepers)
-		case Wipe:
-			t.On = pick(1, 0, s.Keepers)
-		case Full:
-			t.On = pick(1+rnd.IntN(s.Tolerate), 0, s.Keepers)
-		case Part:
-			t.On = pick(2, 0, s.Keepers)
-		default:
-			if t.On = pick(1+rnd.IntN(max(s.Routers/2, 1)), s.Keepers, s.Keepers+s.Routers); rnd.IntN(2) == 0 {
-				t.On = pick(1+rnd.IntN(s.Tolerate), 0, s.Keepers)
-			}
-		}
-		lost := 0
-		for _, until := range away {
-			if until > t.At {
-				lost++
-			}
-		}
-		keepers := slices.DeleteFunc(slices.Clone(t.On), func(i int) bool { return i >= s.Keepers || t.Kind == Leave || t.Kind == Crash })
-		more := 0
-		for _, k := range keepers {
-			if away[k] <= t.At {
-				more++
-			}
-		}
-		if lost+more > s.Tolerate {
-			continue
-		}
-		for _, k := range keepers {
-			away[k] = max(away[k], t.At+t.For+6*time.Second)
-		}
-		d.Troubles = append(d.Troubles, t)
-		if (t.Kind == Change || t.Kind == Race) && rnd.IntN(3) == 0 && lost == 0 { // as closing faults strike
-			t = Trouble{Kind: []Kind{Dark, Aimed}[rnd.IntN(2)], At: t.At + time.Duration(rnd.IntN(60))*time.Millisecond,
-				For: time.Duration(50+rnd.IntN(1200)) * time.Millisecond}
-			d.Troubles = append(d.Troubles, t)
-			if t.Kind == Aimed {
-				for k := range away { // any of them may be the one
-					away[k] = max(away[k], t.At+8*time.Second)
-				}
-			}
-		}
-	}
-	slices.SortFunc(d.Troubles, func(x, y Trouble) int { return int(x.At - y.At) })
-	return d
-}
-
 // Met is which troubles have met: of one that is still there when another begins, the kinds, and whom they strike.
 type Met map[[2]string]int
 
 // add counts what meets in a day, and tells how much of it is new.
 func (m Met) add(d *Day, count bool) (fresh int) {
 	name := func(t *Trouble) string {
+		kind := string(t.Kind)
+		if t.How != "" {
+			kind += " " + string(t.How)
+		}
 		switch {
 		case t.Kind == Leave || t.Kind == Crash || len(t.On) == 0:
-			return string(t.Kind)
+			return kind
 		case t.On[0] < d.Keepers:
-			return string(t.Kind) + " of keepers"
+			return kind + " of keepers"
 		}
-		return string(t.Kind) + " of routers"
+		return kind + " of routers"
 	}
 	seen := Met{}
 	for i := range d.Troubles {
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/ballot"
 	"notchhinge/internal/control/chain"
 	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/duty"
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/news"
@@ -50,6 +52,12 @@
 	wakeAt time.Duration
 	calm   time.Duration // since when nothing has happened to it or to its links
 	healed time.Duration // when a cut or a stop of it last ended
+
+	gone    bool          // for good
+	leaving bool          // it has got its SIGTERM
+	since   time.Duration // when its process has started
+	drag    time.Duration // a write to its disk takes so much longer
+	stalled time.Duration // until then its disk answers nothing
 }
 
 // from is who has called, and what its answer does there.
@@ -74,7 +82,7 @@
 // start starts the process anew, with what its disk holds.
 func (m *machine) start() {
 	w := m.w
-	m.up, m.busy, m.queue, m.wakeAt, m.frozen, m.shut = true, false, nil, 0, false, false
+	m.up, m.busy, m.queue, m.wakeAt, m.frozen, m.shut, m.leaving, m.since = true, false, nil, 0, false, false, false, w.now
 	m.life++
 	self := gossip.Peer{ID: gossip.Hash(m.name), Addr: addrOf(m.i), Zone: m.zone, Flags: gossip.Edge}
 	if m.keeper {
@@ -99,7 +107,7 @@
 	} else {
 		m.meter = &duty.Meter{Length: window, Source: w.rnd.Uint64()}
 	}
-	m.take(gossip.Seeds{Addrs: []netip.AddrPort{addrOf(0), addrOf(1), addrOf(w.day.Keepers)}})
+	m.take(gossip.Seeds{Addrs: w.seedsFor()})
 }
 
 // die ends the process. What was on its way to the disk is there afterwards or is not.
@@ -108,7 +116,7 @@
 		m.disk.keep(m.writes, m.w)
 	}
 	m.writes = nil
-	m.up, m.busy, m.queue, m.frozen = false, false, nil, false
+	m.up, m.busy, m.queue, m.frozen, m.leaving = false, false, nil, false, false
 	m.life++
 }
 
@@ -230,7 +238,7 @@
 			}
 			m.busy, m.writes = true, &f
 			rest, life := effects, m.life
-			m.w.in(m.w.sync, func() {
+			m.w.in(m.w.sync+min(m.drag, max(m.stalled-m.w.now, 29*m.w.sync)), func() {
 				if m.life != life {
 					return
 				}
@@ -257,6 +265,7 @@
 			m.w.in(0, func() { f.Of.(func(error))(f.Err) }) // not before what else follows is done
 		case core.Changed:
 			m.changed(&f.State)
+			m.w.chosen(&f.State)
 		}
 	}
 }
@@ -332,7 +341,7 @@
 	}
 	w.in(c.Within, func() { back(nil, errGone) })
 	w.spendCall(m, to, c.Kind, len(c.Body))
-	if to == nil {
+	if to == nil || w.broken == "takes nobody in" && c.Kind == core.CallJoin {
 		return
 	}
 	d, ok := w.link(m, to)
@@ -372,7 +381,7 @@
 func newWorld(d *Day, broken string) *world {
 	w := &world{
 		day: d, broken: broken, due: deadline.New[func()](), rnd: rand.New(rand.NewPCG(d.Seed, 77)), cuts: map[[2]int]int{}, silence: 5250 * time.Millisecond, sync: 5 * time.Millisecond,
-		loss: 0.01, least: 2*d.Tolerate + 1, sent: map[uint64]*change{}, upon: map[uint64]uint64{}, found: map[string]Found{},
+		loss: 0.01, least: 2*d.Tolerate + 1, sent: map[declared.Digest]*change{}, upon: map[uint64]*change{}, found: map[string]Found{}, bounds: boundsOf(d.Tolerate),
 		began:    map[uint64]int{},
 		platform: platform{usage: map[uint64]string{}, fences: map[string]uint64{}, holders: map[string]string{}, acts: map[string][]act{}},
 	}
@@ -384,5 +393,6 @@
 		}
 		w.machines = append(w.machines, m)
 	}
+	w.seats = slices.Clone(w.machines[:d.Keepers])
 	return w
 }
--- a/internal/lab/plane/people.go
+++ b/internal/lab/plane/people.go
@@ -1,174 +1,21 @@
 package plane
 
 import (
-	"bytes"
 	"fmt"
-	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
-	"notchhinge/internal/control/api"
-	"notchhinge/internal/control/core"
-	"notchhinge/internal/control/declared"
 	"notchhinge/internal/control/news"
 	"notchhinge/internal/control/roster"
 )
 
 // The platform's bounds, and what the oracles allow.
 const (
-	contact  = 5 * time.Second // a machine is in touch that nothing has happened to for so long
-	ackBound = 6 * time.Second
 	drains   = 4 * time.Second
 	grace    = drains / 4 // known sessions go on to a draining engine for so long: it must be known earlier by that
 	beats    = 1500 * time.Millisecond
 	patience = time.Second // of operators and engines, for an answer
 )
 
-// change is an operator's configuration.
-type change struct {
-	revision, on uint64
-	text         []byte
-	first        time.Duration
-	acked        bool
-	refused      bool
-	over         bool
-}
-
-// change has an operator send a configuration upon a version until there is a clear answer.
-func (w *world) change(on uint64, at int) {
-	w.last += 1 + w.rnd.Uint64N(3)
-	c := &change{revision: w.last, on: on, first: w.now}
-	var err error
-	if c.text, err = cbor.Marshal(declared.Config{Revision: c.revision, Routes: []declared.Route{}, Services: []declared.Service{}}); err != nil {
-		return
-	}
-	w.sent[c.revision] = c
-	w.report.Changes++
-	w.send(c, at, 0)
-}
-
-// send sends a configuration to a machine, which sends the operator on to a keeper if it is none.
-func (w *world) send(c *change, at, try int) {
-	if c.over || w.now-c.first > time.Minute {
-		return
-	}
-	again := func() {
-		w.in(time.Duration(100+w.rnd.IntN(200)*(1+min(try, 3)))*time.Millisecond, func() { w.send(c, w.rnd.IntN(len(w.machines)), try+1) })
-	}
-	m := w.machines[at]
-	if m.up && !m.keeper {
-		all := m.news.Gossip.Answering()
-		if len(all) == 0 {
-			again()
-			return
-		}
-		m = w.at(all[w.rnd.IntN(len(all))].Addr)
-	}
-	waiting := true
-	answered := func(r api.Result) {
-		if !waiting {
-			return
-		}
-		waiting = false
-		switch {
-		case r.Status == http.StatusOK:
-			w.acked(c)
-			for _, t := range w.aimed {
-				w.strike(&Trouble{Kind: Wipe, For: t.For, On: []int{m.i}})
-				w.strike(&Trouble{Kind: Dark, For: t.For})
-			}
-			w.aimed = nil
-		case r.Status < 500:
-			c.refused, c.over = true, true
-		default:
-			again()
-		}
-	}
-	w.in(patience, func() { answered(api.Result{Status: http.StatusServiceUnavailable}) })
-	w.in(time.Millisecond, func() {
-		if !m.up {
-			answered(api.Result{Status: http.StatusServiceUnavailable})
-			return
-		}
-		if w.broken == "acknowledges what it has only heard" {
-			m.take(core.Put{On: c.on, Text: c.text, Of: func(api.Result) {}, Until: w.now + 900*time.Millisecond})
-			answered(api.Result{Status: http.StatusOK})
-			return
-		}
-		life := m.life
-		m.take(core.Put{On: c.on, Text: c.text, Until: w.now + 900*time.Millisecond, Of: func(r api.Result) {
-			if m.life == life {
-				answered(r) // at once: what strikes at an acknowledgement comes before its word to others has
-			}
-		}})
-	})
-	if c.first == w.now {
-		w.in(ackBound, func() {
-			if !c.over && w.calmFor(ackBound+contact) {
-				w.breaks("ACKS", "version %d was sent %v ago, in calm, and is not acknowledged", c.revision, ackBound)
-			}
-		})
-	}
-}
-
-// calmFor tells whether nothing has happened to the core for so long.
-func (w *world) calmFor(d time.Duration) bool { return w.now-w.shaken >= d }
-
-// acked notes an acknowledgement.
-func (w *world) acked(c *change) {
-	if c.over {
-		return
-	}
-	c.acked, c.over = true, true
-	w.report.Acked++
-	w.newest = max(w.newest, c.revision)
-	if other, known := w.upon[c.on]; known && other != c.revision {
-		w.breaks("CONFIG", "upon version %d both %d and %d are acknowledged", c.on, other, c.revision)
-	}
-	w.upon[c.on] = c.revision
-	if w.calmFor(w.now - c.first + contact) {
-		w.report.Slowest = max(w.report.Slowest, w.now-c.first)
-	}
-}
-
-// readBack reads the configuration at the end of the day, as often as it takes, and holds it against what was acknowledged.
-func (w *world) readBack() {
-	got := false
-	for try := 0; try < 20 && !got; try++ {
-		m := w.machines[w.rnd.IntN(w.day.Keepers)]
-		m.take(core.Get{Until: w.now + 900*time.Millisecond, Of: func(r api.Result) {
-			if got || r.Status != http.StatusOK {
-				return
-			}
-			got = true
-			w.report.Revision = r.Rev
-			c := w.sent[r.Rev]
-			switch {
-			case c == nil || !bytes.Equal(c.text, r.Body):
-				w.breaks("CONFIG", "version %d is read back, and is not what was sent", r.Rev)
-			case c.refused:
-				w.breaks("CONFIG", "version %d is read back, and was refused", r.Rev)
-			case r.Rev < w.newest:
-				w.breaks("LOST", "version %d is read back, %d was acknowledged", r.Rev, w.newest)
-			}
-		}})
-		w.run(w.now + time.Second)
-	}
-	if !got {
-		w.breaks("CONFIG", "no configuration can be read back")
-		return
-	}
-	for _, m := range w.machines[:w.day.Keepers] {
-		s := m.core.State()
-		for _, h := range s.History {
-			if c := w.sent[h.Revision]; c == nil || c.refused {
-				w.breaks("CONFIG", "version %d is in the chain, and was refused or never sent", h.Revision)
-			}
-		}
-	}
-}
-
 // engine is one that calls.
 type engine struct {
 	w       *world
@@ -221,7 +68,7 @@
 	}
 	m := e.home
 	if m == nil {
-		m = w.machines[w.rnd.IntN(len(w.machines))]
+		m = w.machines[w.anyone()]
 	}
 	e.calls++
 	state, waiting, life := e.state, true, m.life
@@ -244,7 +91,7 @@
 		if e.home = nil; a.Home.IsValid() {
 			e.home = w.at(a.Home)
 		}
-		if state == roster.Draining && e.drained == 0 && e.w.now-m.calm >= contact {
+		if state == roster.Draining && e.drained == 0 && e.w.now-m.calm >= e.w.bounds.contact {
 			e.drained = w.now
 			w.report.Drained++
 		}
@@ -273,8 +120,8 @@
 }
 
 // severed tells whether a machine has no path to a keeper, or a keeper none to it.
-func (w *world) severed(m *machine) bool {
-	for _, k := range w.machines[:w.day.Keepers] {
+func (w *world) apart(m *machine) bool {
+	for _, k := range w.keepers() {
 		if w.cuts[[2]int{m.i, k.i}] > 0 || w.cuts[[2]int{k.i, m.i}] > 0 {
 			return true
 		}
@@ -285,8 +132,9 @@
 // watch holds what routers in touch think of it against what they ought to.
 func (e *engine) watch() {
 	w := e.w
-	for _, m := range w.machines[w.day.Keepers:] {
-		if !m.up || m.frozen || w.now-m.calm < contact || !w.calmFor(contact) || w.severed(m) {
+	contact := w.bounds.contact
+	for _, m := range w.machines[w.day.Keepers : w.day.Keepers+w.day.Routers] {
+		if !m.up || m.frozen || w.now-m.calm < contact || !w.calmFor(contact) || w.apart(m) {
 			continue
 		}
 		r := m.news.Roster.Find(e.id)
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -8,9 +8,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
+	"notchhinge/internal/control/declared"
 	"notchhinge/internal/deadline"
 )
 
@@ -29,7 +31,8 @@
 type Trouble struct {
 	At, For time.Duration
 	Kind    Kind
-	On      []int // machines, or engines
+	How     How
+	On      []int // machines, or engines; a number of a keeper is its seat, which its successors take
 }
 
 // Kind is what happens.
@@ -38,7 +41,9 @@
 // The kinds: processes are killed and come back after a time; all are, at one moment, their disks remain; machines lose their disk with it; machines are cut off from all
 // others, or are not heard, or do not hear; the core is cut in two; engines say that they leave, or crash; an operator
 // changes the configuration; two do, upon the same version; machines stand still and go on; their time of day steps ahead and back;
-// machines do not hear each other, and all others do; disks refuse what is written.
+// machines do not hear each other, and all others do; disks refuse what is written, take thirty times as long, or answer nothing;
+// machines get a SIGTERM and start again; keepers are gone for good and empty ones come in their place, at other addresses;
+// answers to the operator's next order are lost; orders come at fourteen a second.
 const (
 	Kill   Kind = "kill"
 	Dark   Kind = "dark"
@@ -56,10 +61,37 @@
 	Step   Kind = "step"
 	Part   Kind = "part"
 	Full   Kind = "full"
+	Slow   Kind = "slow"
+	Stall  Kind = "stall"
+
+	Term    Kind = "term"
+	Replace Kind = "replace"
+	Lost    Kind = "lost"
+	Storm   Kind = "storm"
+)
+
+// How is a variant of a kind; "" is the plain one.
+type How string
+
+// The variants: it strikes the keeper that acted last; behind a cut routers are restarted that are told of nobody else but those that are cut off; or those
+// that are cut off are restarted, and then all other keepers at one moment; the successor comes before its predecessor is told to leave;
+// two answers are lost in place of one; both racing changes have one number.
+const (
+	Leader  How = "leader"
+	Seeds   How = "seeds"
+	Both    How = "both"
+	Planned How = "planned"
+	Twice   How = "twice"
+	Same    How = "same"
 )
 
+// hows are the variants that a kind has.
+var hows = map[Kind][]How{
+	Kill: {Leader}, Freeze: {Leader}, Cut: {Leader, Seeds, Both}, Split: {Seeds, Both}, Replace: {Planned}, Lost: {Twice}, Race: {Same},
+}
+
 // Kinds lists them.
-var Kinds = []Kind{Kill, Dark, Aimed, Wipe, Cut, Mute, Deaf, Split, Leave, Crash, Change, Race, Freeze, Step, Part, Full}
+var Kinds = []Kind{Kill, Dark, Aimed, Wipe, Cut, Mute, Deaf, Split, Leave, Crash, Change, Race, Freeze, Step, Part, Full, Slow, Stall, Term, Replace, Lost, Storm}
 
 // Found is a broken rule.
 type Found struct {
@@ -94,14 +126,22 @@
 	sync     time.Duration
 	loss     float64
 	least    int
-	shaken   time.Duration // the last trouble of the core
+	shaken   time.Duration // the last trouble of the core, or of a link to it
 	aimed    []*Trouble
+	seats    []*machine // the keepers; who has come in another's place has its seat
+	severed  []*severance
+	seeds    []netip.AddrPort // that who starts is told first, while it is so
+	over     bool             // the day's troubles are over
+	core     availability
+	bounds   bounds
 
 	engines []*engine
-	sent    map[uint64]*change
-	upon    map[uint64]uint64 // the revision that was acknowledged upon a version
-	newest  uint64            // acknowledged
-	last    uint64            // number of the last change
+	sent    map[declared.Digest]*change
+	open    []*change          // without an answer yet, in the order in which they were sent
+	upon    map[uint64]*change // what was acknowledged upon a version
+	lose    []int              // how many answers each of the next orders loses
+	newest  uint64             // acknowledged
+	last    uint64             // number of the last change
 	found   map[string]Found
 	report  Report
 
@@ -164,6 +204,8 @@
 			w.reports(m)
 		}
 	}
+	w.watchCore()
+	w.reads()
 	for k := range w.day.Engines {
 		w.engine(k)
 	}
@@ -189,24 +231,18 @@
 	for _, m := range all {
 		m.calm = w.now
 		if m.keeper {
-			w.shaken = w.now
+			w.shaken, w.core.struck = w.now, w.now
 		}
 	}
 }
 
 // strike has a trouble happen, and end.
 func (w *world) strike(t *Trouble) {
-	var on []*machine
-	for _, i := range t.On {
-		if i < len(w.machines) {
-			on = append(on, w.machines[i])
-		}
-	}
-	hit := func(m *machine) bool { return slices.Contains(on, m) }
+	on := w.on(t)
 	switch t.Kind {
 	case Kill, Wipe, Dark:
 		if t.Kind == Dark {
-			on = w.machines
+			on = slices.Clone(w.machines)
 		}
 		for _, m := range on {
 			if !m.up {
@@ -216,59 +252,23 @@
 				m.disk = &disk{}
 			}
 			w.shake(m)
-			w.in(t.For, func() {
-				if !m.up {
-					m.start()
-					w.shake(m)
-				}
-			})
+			w.in(t.For, func() { w.revive(m) })
 		}
 	case Aimed:
 		w.aimed = append(w.aimed, t)
 		w.in(time.Second, func() { w.aimed = slices.DeleteFunc(w.aimed, func(x *Trouble) bool { return x == t }) })
 	case Cut, Mute, Deaf, Split, Part:
-		var lines [][2]int
-		for _, a := range w.machines {
-			for _, b := range w.machines {
-				if a == b || t.Kind == Split && !(a.keeper && b.keeper) {
-					continue
-				}
-				from, to := hit(a), hit(b)
-				if t.Kind == Part && from && to || (t.Kind == Cut || t.Kind == Split) && from != to || t.Kind == Mute && from && !to || t.Kind == Deaf && to && !from {
-					lines = append(lines, [2]int{a.i, b.i})
-				}
-			}
-		}
-		for _, m := range on { // and the platform
-			if t.Kind == Cut || t.Kind == Mute {
-				lines = append(lines, [2]int{m.i, outside})
-			}
-			if t.Kind == Cut || t.Kind == Deaf {
-				lines = append(lines, [2]int{outside, m.i})
-			}
-		}
-		touched := func() {
-			for _, l := range lines {
-				for _, i := range l {
-					if i != outside {
-						w.shake(w.machines[i])
-					}
-				}
-			}
+		w.sever(t, on)
+	case Term:
+		for _, m := range on {
+			w.term(m, func() {
+				w.in(t.For, func() { w.revive(m) })
+			})
 		}
-		apart := func(by int) {
-			for _, l := range lines {
-				w.cuts[l] += by
-			}
-			touched()
+	case Replace:
+		for _, m := range on {
+			w.replace(m, t)
 		}
-		apart(1)
-		w.in(t.For, func() {
-			apart(-1)
-			for _, m := range on {
-				m.healed = w.now
-			}
-		})
 	case Freeze:
 		for _, m := range on {
 			if !m.up || m.frozen {
@@ -296,6 +296,23 @@
 				w.shake(m)
 			})
 		}
+	case Slow, Stall:
+		for _, m := range on {
+			if !m.keeper {
+				continue
+			}
+			by := 29 * w.sync
+			if t.Kind == Stall {
+				by = t.For
+				m.stalled = max(m.stalled, w.now+t.For)
+			}
+			m.drag += by
+			w.shake(m)
+			w.in(t.For, func() {
+				m.drag -= by
+				w.shake(m)
+			})
+		}
 	case Step:
 		by := time.Duration(w.rnd.IntN(12)-6) * time.Second
 		for _, m := range on {
@@ -312,22 +329,72 @@
 			w.engines[k%len(w.engines)].crash()
 		}
 	case Change:
-		w.change(w.newest, w.rnd.IntN(len(w.machines)))
+		w.change(w.newest, w.anyone())
 	case Race:
-		on := w.newest
-		w.change(on, w.rnd.IntN(len(w.machines)))
-		w.change(on, w.rnd.IntN(len(w.machines)))
+		w.race(t.How == Same)
+	case Lost:
+		n := 1
+		if t.How == Twice {
+			n = 2
+		}
+		w.lose = append(w.lose, n)
+	case Storm:
+		w.storm(w.now + t.For)
 	}
 }
 
 // heal ends every trouble.
 func (w *world) heal() {
+	w.over = true
 	clear(w.cuts)
-	for _, m := range w.machines {
-		if !m.up {
-			m.start()
+	w.severed, w.seeds = nil, nil
+	for _, m := range w.seats {
+		if m.gone {
+			w.succeed(m)
 		}
+	}
+	for _, m := range w.machines {
+		w.revive(m)
 		m.thaw()
 		w.shake(m)
 	}
 }
+
+// revive starts a process again, unless it runs or its machine is gone.
+func (w *world) revive(m *machine) {
+	if !m.up && !m.gone {
+		m.start()
+		w.shake(m)
+	}
+}
+
+// keepers are the machines of the core: those that are not gone for good.
+func (w *world) keepers() (all []*machine) {
+	for _, m := range w.machines {
+		if m.keeper && !m.gone {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// on resolves whom a trouble strikes.
+func (w *world) on(t *Trouble) (on []*machine) {
+	if t.How == Leader {
+		if m := w.core.acted; m != nil && !m.gone {
+			on = append(on, m)
+		}
+		return on
+	}
+	for _, i := range t.On {
+		switch {
+		case i < w.day.Keepers:
+			if m := w.seats[i]; !m.gone {
+				on = append(on, m)
+			}
+		case i < w.day.Keepers+w.day.Routers:
+			on = append(on, w.machines[i])
+		}
+	}
+	return on
+}
--- a/internal/lab/plane/platform.go
+++ b/internal/lab/plane/platform.go
@@ -93,7 +93,7 @@
 	if other, known := p.holders[key]; known && other != m.name {
 		w.breaks("ONE", "%s and %s have both sent fence %d for %s", other, m.name, fence, subject)
 	}
-	p.holders[key] = m.name
+	p.holders[key], w.core.acted = m.name, m
 	if w.now-m.healed < thaw {
 		return
 	}
--- a/internal/lab/plane/recover.go
+++ b/internal/lab/plane/recover.go
@@ -32,8 +32,7 @@
 	}
 	w.run(w.now + down)
 	back, before := w.now, acts()
-	w.change(w.newest, d.Keepers)
-	sent := w.last
+	sent := w.change(w.newest, d.Keepers)
 	r := Recovery{-1, -1, -1, -1, -1, -1}
 	note := func(at *time.Duration, is bool) {
 		if is && *at < 0 {
@@ -60,7 +59,7 @@
 		note(&r.Half, 2*known >= all)
 		note(&r.Most, 100*known >= 95*all)
 		note(&r.All, known >= all)
-		note(&r.Agreed, w.sent[sent].acked)
+		note(&r.Agreed, sent != nil && sent.acked)
 		note(&r.Duties, acts() > before)
 	}
 	return r
