--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -53,6 +53,7 @@
 	calm   time.Duration // since when nothing has happened to it or to its links
 	healed time.Duration // when a cut or a stop of it last ended
 
+	told    []*machine    // while a cut lasts: of whom alone; else nil
 	gone    bool          // for good
 	leaving bool          // it has got its SIGTERM
 	since   time.Duration // when its process has started
@@ -107,6 +108,7 @@
 	} else {
 		m.meter = &duty.Meter{Length: window, Source: w.rnd.Uint64()}
 	}
+	m.told = w.seeds
 	m.take(gossip.Seeds{Addrs: w.seedsFor()})
 }
 
