--- a/internal/lab/plane/draw.go
+++ b/internal/lab/plane/draw.go
@@ -157,12 +157,12 @@
 	if t.Kind == Part || t.How == Leader {
 		cost = 1 // of the two any other can be spared no more; and it may be anyone
 	}
+	if t.At > w.day.Length-2*time.Second {
+		return
+	}
 	if cost > 0 {
 		asked := t.At
-		if t.At = w.free(keepers, cost, t.At); t.At >= w.day.Length-time.Second {
-			return
-		}
-		if t.At > asked { // others may come first now
+		if t.At = w.free(keepers, cost, t.At); t.At > asked { // others may come first now
 			w.later(t)
 			return
 		}
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -171,7 +171,7 @@
 			}
 		case func():
 			e()
-		case core.Called, core.Returned, core.Put, core.Get, core.Propose, core.Dismiss:
+		case core.Called, core.Returned, core.Put, core.Get, core.Propose, core.Dismiss, core.Leave:
 			if m.core != nil {
 				m.perform(append([]core.Effect(nil), m.core.Reduce(now, e)...))
 			}
@@ -265,6 +265,8 @@
 			f.Of.(func(api.Result))(f.Result)
 		case core.Proposed:
 			m.w.in(0, func() { f.Of.(func(error))(f.Err) }) // not before what else follows is done
+		case core.Left:
+			m.w.in(0, f.Of.(func())) // not before what else follows is done
 		case core.Changed:
 			m.changed(&f.State)
 			m.w.chosen(&f.State)
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -237,6 +237,9 @@
 
 // strike has a trouble happen, and end.
 func (w *world) strike(t *Trouble) {
+	if w.over { // it was to come after the day's end
+		return
+	}
 	on := w.on(t)
 	switch t.Kind {
 	case Kill, Wipe, Dark:
--- a/internal/lab/plane/succession.go
+++ b/internal/lab/plane/succession.go
@@ -5,6 +5,9 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"notchhinge/internal/control/core"
+	"notchhinge/internal/limits"
 )
 
 // stopGrace is what a process has from its SIGTERM to its end.
@@ -28,17 +31,14 @@
 	}
 	m.leaving = true
 	w.shake(m)
-	if e := leaves(end, w.now+stopGrace); e != nil && m.core != nil {
-		m.take(e)
-		w.in(stopGrace, end)
+	if m.core == nil {
+		end()
 		return
 	}
-	end()
+	m.take(core.Leave{Of: end, Until: w.now + limits.NodeHandOver})
+	w.in(stopGrace, end)
 }
 
-// leaves is the event that tells a keeper to leave: Of comes back once it has handed over, until a time. nil = it just ends.
-func leaves(of func(), until time.Duration) any { return nil }
-
 // replace has a keeper gone for good, and an empty one come in its place, at another address and under another name. If it is
 // planned the new one comes first.
 func (w *world) replace(m *machine, t *Trouble) {
