--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -356,14 +356,14 @@
 
 // forget drops peers that do not answer.
 func (n *Node) forget() {
-	for id, p := range n.view {
-		if p.asked != 0 && n.now-p.asked > deaf {
+	for _, id := range sorted(n.view) { // in order, since what is remembered of them has one
+		if p := n.view[id]; p.asked != 0 && n.now-p.asked > deaf {
 			delete(n.view, id)
 			n.lose(p)
 		}
 	}
-	for id, k := range n.keepers {
-		if n.now-max(k.heard, k.known) > keeperGone {
+	for _, id := range sorted(n.keepers) {
+		if k := n.keepers[id]; n.now-max(k.heard, k.known) > keeperGone {
 			delete(n.keepers, id)
 			n.lose(k)
 		}
