--- a/internal/lab/plane/platform.go
+++ b/internal/lab/plane/platform.go
@@ -116,7 +116,7 @@
 	w := m.w
 	c := duty.Config{
 		Self: self, Fresh: fresh && next == 0, Lease: lease, Window: window, Delay: delay, Lately: limits.NodeLately, Reports: true, Orders: true,
-		Life: w.rnd.Uint64(), Rank: time.Duration(self.ID%1000) * time.Millisecond, Others: m.others, Services: m.services, Changing: m.core.Changing,
+		Life: w.rnd.Uint64(), Rank: time.Duration(self.ID%1000) * time.Millisecond, Others: m.others, Services: m.services, Unsure: m.core.Changing,
 	}
 	m.duty = duty.New(w.now, c)
 	life := m.life
