--- a/cmd/notchlab/plane.go
+++ b/cmd/notchlab/plane.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -21,20 +22,20 @@
 }
 
 // Run hunts; what is found is shrunk, and fails it.
-func (c huntCmd) Run() error {
+func (c huntCmd) Run(ctx context.Context) error {
 	s := plane.Size{Keepers: c.Keepers, Routers: c.Routers, Engines: c.Engines, Tolerate: c.Tolerate}
 	if c.Days < 1 || c.Routers < 1 || c.Engines < 1 || c.Tolerate < 1 || 2*c.Tolerate+1 > c.Keepers || c.Keepers+c.Routers > 4000 {
 		return badFile{errors.New("at least one day, router, engine and keeper that may be lost are wanted, and fewer than half of the keepers; 4000 machines at the most")}
 	}
 	began, last := time.Now(), time.Now()
 	days, met := plane.Plan(c.First, c.Days, s)
-	broken := plane.Hunt(days, func(done int) {
+	played, broken := plane.Hunt(ctx, days, func(done int) {
 		if time.Since(last) > 5*time.Second {
 			last = time.Now()
 			fmt.Fprintf(os.Stderr, "%d of %d days\n", done, c.Days)
 		}
 	})
-	fmt.Printf("%d days of %d machines and %d engines in %v, in which %d pairs of troubles have met: %d break a rule\n", c.Days, c.Keepers+c.Routers,
+	fmt.Printf("%d days of %d machines and %d engines in %v, in which %d pairs of troubles have met: %d break a rule\n", played, c.Keepers+c.Routers,
 		c.Engines, time.Since(began).Round(time.Second), len(met), len(broken))
 	if c.Out != "" && len(broken) > 0 {
 		if err := os.MkdirAll(c.Out, 0o755); err != nil {
@@ -49,7 +50,7 @@
 	if len(broken) > 0 {
 		return errBroken
 	}
-	return nil
+	return ctx.Err()
 }
 
 // shrunk prints what is left of a day that breaks a rule, or writes it into a folder.
--- a/internal/lab/plane/draw.go
+++ b/internal/lab/plane/draw.go
@@ -146,7 +146,7 @@
 
 // place has a trouble happen at its time, or when its turn comes.
 func (w *drawing) place(t Trouble) {
-	counts := t.Kind != Leave && t.Kind != Crash
+	counts := t.Kind != Leave && t.Kind != Crash && t.Kind != Dismiss
 	var keepers []int
 	for _, k := range t.On {
 		if counts && k < w.Keepers {
@@ -180,6 +180,9 @@
 	w.day.Troubles = append(w.day.Troubles, t)
 	switch {
 	case t.Kind == Replace:
+		if w.IntN(2) == 0 {
+			w.later(Trouble{At: t.At + t.For + w.between(0, 2*w.catchUp), Kind: Dismiss, On: t.On})
+		}
 		w.after(t)
 	case t.Kind == Lost:
 		w.later(Trouble{At: t.At, Kind: Change})
--- a/internal/lab/plane/hunt.go
+++ b/internal/lab/plane/hunt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"runtime"
 	"slices"
 	"sync"
@@ -69,13 +70,12 @@
 	return all, met
 }
 
-// Hunt plays days on all cores, and returns those that break a rule, in the order of their seeds. progress is told how many
-// are done.
-func Hunt(days []*Day, progress func(done int)) (broken []*Day) {
+// Hunt plays days on all cores, until a context is over at the latest, and returns how many it has played and those that break a
+// rule, in the order of their seeds. progress is told how many are done.
+func Hunt(ctx context.Context, days []*Day, progress func(done int)) (played int, broken []*Day) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	next := make(chan *Day)
-	done := 0
 	for range runtime.GOMAXPROCS(0) {
 		wait.Go(func() {
 			for d := range next {
@@ -84,20 +84,23 @@
 				if len(r.Found) > 0 {
 					broken = append(broken, d)
 				}
-				if done++; progress != nil {
-					progress(done)
+				if played++; progress != nil {
+					progress(played)
 				}
 				mu.Unlock()
 			}
 		})
 	}
 	for _, d := range days {
-		next <- d
+		select {
+		case next <- d:
+		case <-ctx.Done():
+		}
 	}
 	close(next)
 	wait.Wait()
 	slices.SortFunc(broken, func(x, y *Day) int { return cmp.Compare(x.Seed, y.Seed) })
-	return broken
+	return played, broken
 }
 
 // Shrink takes troubles, machines under them and time away from a day for as long as it breaks the same rule.
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -54,6 +54,7 @@
 	healed time.Duration // when a cut or a stop of it last ended
 
 	told    []*machine    // while a cut lasts: of whom alone; else nil
+	former  *machine      // whose seat it has taken; nil = nobody's
 	gone    bool          // for good
 	leaving bool          // it has got its SIGTERM
 	since   time.Duration // when its process has started
--- a/internal/lab/plane/operators.go
+++ b/internal/lab/plane/operators.go
@@ -265,6 +265,51 @@
 	}
 }
 
+// dismissal is an operator's order to take a keeper out that is gone.
+type dismissal struct {
+	name  string
+	first time.Duration
+	taken bool // a 200 was sent
+	over  bool
+}
+
+// dismiss has it sent to a machine, and to others until there is a clear answer; that it was taken is lost once. An order that was
+// taken is not refused when it comes again.
+func (w *world) dismiss(d *dismissal, at int) {
+	m := w.machines[at]
+	if d.over || w.over || w.now-d.first > givenUp {
+		return
+	}
+	waiting := true
+	again := func() {
+		if waiting {
+			waiting = false
+			w.in(time.Duration(w.rnd.IntN(300))*time.Millisecond, func() { w.dismiss(d, w.anyone()) })
+		}
+	}
+	w.in(patience, again)
+	if !m.up || m.core == nil {
+		return
+	}
+	clear := func(r api.Result) {
+		switch {
+		case r.Status >= 500:
+			again()
+		case r.Status == http.StatusOK:
+			d.taken, d.over = true, d.taken // the first such answer is lost
+		default:
+			if d.over = true; d.taken {
+				w.breaks("CONFIG", "%s was taken out, and that is refused with %d when it is ordered again", d.name, r.Status)
+			}
+		}
+	}
+	if w.broken == "looks for members alone" && d.taken && m.state().Next > 0 {
+		clear(api.Result{Status: http.StatusNotFound})
+		return
+	}
+	m.take(core.Dismiss{Name: d.name, Until: w.now + withinCalls, Of: clear})
+}
+
 // reads has operators read the configuration now and then, at any keeper, also one that is cut off: an answer is no older than
 // what was acknowledged before it was asked for.
 func (w *world) reads() {
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -42,7 +42,7 @@
 // changes the configuration; two do, upon the same version; machines stand still and go on; their time of day steps ahead and back;
 // machines do not hear each other, and all others do; disks refuse what is written, take thirty times as long, or answer nothing;
 // machines get a SIGTERM and start again; keepers are gone for good and empty ones come in their place, at other addresses;
-// answers to the operator's next order are lost; orders come at fourteen a second.
+// answers to the operator's next order are lost; orders come at fourteen a second; an operator takes out who had a seat before.
 const (
 	Kill   Kind = "kill"
 	Dark   Kind = "dark"
@@ -67,6 +67,7 @@
 	Replace Kind = "replace"
 	Lost    Kind = "lost"
 	Storm   Kind = "storm"
+	Dismiss Kind = "dismiss"
 )
 
 // How is a variant of a kind; "" is the plain one.
@@ -90,7 +91,7 @@
 }
 
 // Kinds lists them.
-var Kinds = []Kind{Kill, Dark, Aimed, Wipe, Cut, Mute, Deaf, Split, Leave, Crash, Change, Race, Freeze, Step, Part, Full, Slow, Stall, Term, Replace, Lost, Storm}
+var Kinds = []Kind{Kill, Dark, Aimed, Wipe, Cut, Mute, Deaf, Split, Leave, Crash, Change, Race, Freeze, Step, Part, Full, Slow, Stall, Term, Replace, Lost, Storm, Dismiss}
 
 // Found is a broken rule.
 type Found struct {
@@ -340,6 +341,12 @@
 			n = 2
 		}
 		w.lose = append(w.lose, n)
+	case Dismiss:
+		for _, m := range on {
+			if m.former != nil && m.former.gone {
+				w.dismiss(&dismissal{name: m.former.name, first: w.now}, w.anyone())
+			}
+		}
 	case Storm:
 		w.storm(w.now + t.For)
 	}
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -136,7 +136,10 @@
 		{At: time.Second, For: time.Second, Kind: Replace, On: []int{0}}, {At: 10 * time.Second, For: time.Second, Kind: Replace, On: []int{1}},
 		{At: 18 * time.Second, For: 16 * time.Second, Kind: Kill, On: []int{2, 3}}, {At: 20 * time.Second, Kind: Change},
 	},
-	"CONFIG":  {{At: 3 * time.Second, Kind: Lost}, {At: 3 * time.Second, Kind: Change}},
+	"CONFIG": {
+		{At: 3 * time.Second, Kind: Lost}, {At: 3 * time.Second, Kind: Change},
+		{At: 5 * time.Second, For: time.Second, Kind: Replace, On: []int{0}}, {At: 14 * time.Second, Kind: Dismiss, On: []int{0}},
+	},
 	"CURRENT": {{At: 3 * time.Second, For: 12 * time.Second, Kind: Cut, On: []int{0, 1}}, {At: 9 * time.Second, Kind: Change}},
 	"SILENT":  {{At: 4 * time.Second, For: 9 * time.Second, Kind: Split, On: []int{0}}, {At: 15 * time.Second, For: 9 * time.Second, Kind: Split, On: []int{1}}},
 	"ONE":     {{At: 3 * time.Second, For: 9 * time.Second, Kind: Split, On: []int{0, 1}}, {At: 16 * time.Second, For: 9 * time.Second, Kind: Split, On: []int{2, 3}}},
@@ -160,7 +163,7 @@
 			if x.Kind == Replace {
 				replaced++
 			}
-			if x.Kind == Part || x.Kind == Leave || x.Kind == Crash { // of a pair either may be the one
+			if x.Kind == Part || x.Kind == Leave || x.Kind == Crash || x.Kind == Dismiss { // of a pair either may be the one
 				continue
 			}
 			for _, k := range x.On {
@@ -227,6 +230,7 @@
 		"calls to the platform wait":          "ONE",
 		"takes nobody in":                     "AVAILABLE",
 		"knows no order again":                "CONFIG",
+		"looks for members alone":             "CONFIG",
 		"reads what it has":                   "CURRENT",
 	} {
 		t.Run(broken, func(t *testing.T) {
--- a/internal/lab/plane/succession.go
+++ b/internal/lab/plane/succession.go
@@ -72,7 +72,7 @@
 	if k < 0 {
 		return
 	}
-	n := &machine{w: w, i: len(w.machines), keeper: true, zone: m.zone, disk: &disk{}}
+	n := &machine{w: w, i: len(w.machines), keeper: true, zone: m.zone, disk: &disk{}, former: m}
 	n.name = fmt.Sprintf("keeper-%d", n.i)
 	w.machines = append(w.machines, n)
 	w.seats[k] = n
