--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -56,6 +56,7 @@
 	told    []*machine    // while a cut lasts: of whom alone; else nil
 	former  *machine      // whose seat it has taken; nil = nobody's
 	gone    bool          // for good
+	retired bool          // it has been told to leave for good: it is not started again
 	leaving bool          // it has got its SIGTERM
 	since   time.Duration // when its process has started
 	drag    time.Duration // a write to its disk takes so much longer
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -372,6 +372,7 @@
 
 // revive starts a process again, unless it runs or its machine is gone.
 func (w *world) revive(m *machine) {
+	m.gone = m.gone || m.retired && !m.up
 	if !m.up && !m.gone {
 		m.start()
 		w.shake(m)
--- a/internal/lab/plane/succession.go
+++ b/internal/lab/plane/succession.go
@@ -18,16 +18,13 @@
 	if !m.up || m.leaving {
 		return
 	}
-	ended := false
+	life := m.life
 	end := func() {
-		if ended {
-			return
-		}
-		if ended = true; m.up {
+		if m.life == life { // it has not been killed meanwhile
 			m.die()
+			w.shake(m)
+			then()
 		}
-		w.shake(m)
-		then()
 	}
 	m.leaving = true
 	w.shake(m)
@@ -48,13 +45,12 @@
 	if t.How == Planned {
 		w.succeed(m)
 		w.in(t.For, func() {
+			m.retired = true
+			if !m.up {
+				m.gone = true
+				return
+			}
 			w.term(m, func() { m.gone = true })
-			w.in(stopGrace, func() { // also if it did not run
-				if m.gone = true; m.up {
-					m.die()
-					w.shake(m)
-				}
-			})
 		})
 		return
 	}
