--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -154,6 +154,16 @@
 	return int(c.lines.stock.Held(int(id)))
 }
 
+// Parked tells how many lines wait for their next request.
+func (c *Client) Parked() (n int) {
+	c.lines.mu.Lock()
+	defer c.lines.mu.Unlock()
+	for _, all := range c.lines.idle {
+		n += len(all)
+	}
+	return n
+}
+
 // Resize changes how many lines there may be. Idle ones beyond that are closed.
 func (c *Client) Resize(most int) {
 	c.lines.mu.Lock()
