--- a/internal/lab/check/snapshots.go
+++ b/internal/lab/check/snapshots.go
@@ -187,7 +187,7 @@
 	m.store, m.up, m.busy, m.shut, m.queue, m.wakeAt = s, true, false, false, nil, 0
 	m.life++
 	m.node = keeper.New(keeper.Config{
-		Self: chain.Member{ID: kept.ID, Name: fmt.Sprintf("k%d", m.i), Addr: stormAddr(m.i).String()}, Founder: kept.Founder, Least: min(3, w.members),
+		Self: chain.Member{ID: kept.ID, Name: fmt.Sprintf("k%d", m.i), Addr: stormAddr(m.i).String()}, Founder: kept.Founder, Least: w.members,
 		Life: w.rnd.Uint64(), Seed: w.rnd.Uint64(), State: kept.State, Vote: kept.Vote, Chosen: s.Place,
 		Others: func() (all []netip.AddrPort) {
 			for i := range w.keepers {
