--- a/internal/lab/check/disk.go
+++ b/internal/lab/check/disk.go
@@ -69,13 +69,15 @@
 	return d.held, d.peak
 }
 
-// dead tells whether the power is lost.
-func (d *disk) dead() bool {
+// struck tells whether a step has failed, and dead whether that was since the power is lost.
+func (d *disk) struck() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.err == errPower && d.failAt > 0 && d.steps >= d.failAt
+	return d.failAt > 0 && d.steps >= d.failAt
 }
 
+func (d *disk) dead() bool { return d.err == errPower && d.struck() }
+
 func (d *disk) open() (storage.Storage, error) {
 	if d.noNames {
 		return store.Named(diskFiles{d}, func() error { return nil }), nil
--- a/internal/lab/check/snapshots.go
+++ b/internal/lab/check/snapshots.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -170,7 +171,13 @@
 	id := w.rnd.Uint64() | 1
 	s, kept, err := store.OpenOn(m.disk.open, store.Identity{ID: id, Founder: w.head == 0})
 	if err != nil {
-		if !m.disk.dead() {
+		if m.disk.struck() && m.disk.err == syscall.ENOSPC { // the platform starts it again
+			w.in(100*time.Millisecond, func() {
+				if !m.up {
+					m.start()
+				}
+			})
+		} else if !m.disk.dead() {
 			w.breaksRule("member %d does not open its disk: %v", m.i, err)
 		}
 		m.die(true)
@@ -638,6 +645,28 @@
 	return w, points
 }
 
+// refusing is a member whose disk is full for some steps from any step on, as it catches up. It returns at how many steps that was.
+func refusing(of stormOf, stride int, seed uint64) (w *storm, points int) {
+	w = begun(of, seed)
+	m := w.keepers[of.members-1]
+	for at := 1; w.wrong == ""; at += stride {
+		m.die(true)
+		w.changes(40)
+		m.disk.failAt, m.disk.fails, m.disk.err = m.disk.steps+at, 1+at%5, syscall.ENOSPC
+		w.back(m)
+		if !m.up { // it could not be started at once
+			if _, ok := w.until(catchUpWithin, func() bool { return m.up && m.node.State().Next+limits.NodeJoinLag > w.head }); !ok {
+				w.breaksRule("member %d is not back after its disk was full", m.i)
+			}
+		}
+		if m.disk.steps < m.disk.failAt {
+			return w, points
+		}
+		points++
+	}
+	return w, points
+}
+
 // stale is a member that is given old states, and such as are cut off anywhere, each time that it comes back; then good ones.
 func stale(of stormOf, times int, seed uint64) *storm {
 	w := begun(of, seed)
@@ -725,6 +754,10 @@
 		if met += points; w.wrong == "" {
 			w = stale(small(), 5, seed)
 		}
+		if w.wrong == "" {
+			w, points = refusing(small(), 1, seed)
+			met += points
+		}
 		if w.wrong != "" {
 			return fmt.Sprintf("seed %d: %s", seed, w.wrong), met
 		}
--- a/internal/lab/check/snapshots_test.go
+++ b/internal/lab/check/snapshots_test.go
@@ -69,6 +69,15 @@
 	t.Logf("power lost at %d steps", all)
 }
 
+func TestFullAsItCatchesUp(t *testing.T) {
+	t.Parallel()
+	w, points := refusing(small(), 1, 1)
+	if w.wrong != "" || points < 10 {
+		t.Errorf("%d points: %s", points, w.wrong)
+	}
+	t.Logf("refused from %d steps on", points)
+}
+
 func TestOldAndTornStatesAreNotTaken(t *testing.T) {
 	t.Parallel()
 	if w := stale(small(), 20, 1); w.wrong != "" {
