--- a/internal/control/core/tend.go
+++ b/internal/control/core/tend.go
@@ -23,6 +23,7 @@
 	known   int           // founders
 	stable  time.Duration // since when they are so many
 	founded time.Duration // a founding goes on until then
+	looked  bool          // another has said in this life how far it has come
 }
 
 func (n *Node) startTending() {
@@ -37,7 +38,7 @@
 	switch {
 	case state.Next == 0 && n.Founder:
 		n.after(limits.NodeFounding, n.gather)
-	case state.Next == 0:
+	case state.Next == 0 || !n.tend.looked: // what it has on its disk may be old
 		n.after(limits.NodeFounding, n.lookAtOne)
 	case state.Member(n.Self.ID) == nil:
 		n.after(limits.NodeJoin, n.lookAtOne)
@@ -72,6 +73,7 @@
 		to = answering[n.rnd.IntN(len(answering))]
 	}
 	n.who(to, func(i identity, ok bool) {
+		n.tend.looked = n.tend.looked || ok
 		then := func() {
 			if ok && n.state.Next > 0 && n.state.Member(n.Self.ID) == nil && !n.members.leaving {
 				n.join(to)
--- a/internal/control/duty/node.go
+++ b/internal/control/duty/node.go
@@ -81,7 +81,7 @@
 	Lease   time.Duration
 	Window  time.Duration // of usage
 	Delay   time.Duration // after its end a window is due
-	Lately  time.Duration // a router that has reported so lately counts as there
+	Lately  time.Duration // a router that has reported so lately counts as there; who holds the duties for less does not say how many
 	Reports bool          // usage is owed
 	Orders  bool          // engines are ordered
 	Life    uint64        // of the book
@@ -112,6 +112,7 @@
 
 	fence   uint64          // the newest holder's, as far as it is known here
 	fenceAt time.Duration   // when that was heard of
+	first   bool            // it is the very first holder
 	polls   uint64          // of the members
 	then    func(err error) // what follows from what is under way; nil = nothing is
 	stopped bool            // nothing more is sent before the next tick
@@ -195,7 +196,7 @@
 			return nil, err
 		}
 		n.book.Take(n.now, p, true)
-		word := Word{Book: n.Life, Lives: uint64(n.book.Lives(n.now, n.Lately))}
+		word := Word{Book: n.Life, Lives: uint64(n.lives())}
 		return word.Encode(), nil
 	case CallBook:
 		r := form.Reader{B: body}
@@ -222,6 +223,15 @@
 	return nil, errKind
 }
 
+// lives tells how many lives of routers share what may be sent again, as share.Part wants it: by one who counts, and only once
+// it has heard of all that may have used their parts within a window. At the very first start nobody has. 0 = it does not say.
+func (n *Node) lives() int {
+	if _, ok := n.holds(); !ok || n.now-n.fenceAt < n.Lately && !n.first {
+		return 0
+	}
+	return n.book.Lives(n.now, n.Lately)
+}
+
 // grant gives the holder more time, if it is that here as well, and counts its majority among the members that are known
 // here. A change of members is accepted by a majority of those before it: each of these gives no more grants among them, and
 // who is new grants none for a lease. So when a majority of the members that follow can grant a lease, the last one that was
@@ -267,6 +277,7 @@
 		return
 	}
 	if s.HolderPlace != n.fence {
+		n.first = n.Fresh && n.fence == 0 && s.Holder == n.Self.ID
 		n.fence, n.fenceAt = s.HolderPlace, n.now
 	}
 	if s.Holder != n.Self.ID {
--- a/internal/lab/plane/platform.go
+++ b/internal/lab/plane/platform.go
@@ -93,7 +93,7 @@
 	if other, known := p.holders[key]; known && other != m.name {
 		w.breaks("ONE", "%s and %s have both sent fence %d for %s", other, m.name, fence, subject)
 	}
-	p.holders[key] = m.name
+	p.holders[key], w.core.acted = m.name, m
 	if w.now-m.healed < thaw {
 		return
 	}
@@ -116,7 +116,7 @@
 	w := m.w
 	c := duty.Config{
 		Self: self, Fresh: fresh && next == 0, Lease: lease, Window: window, Delay: delay, Lately: limits.NodeLately, Reports: true, Orders: true,
-		Life: w.rnd.Uint64(), Rank: time.Duration(self.ID%1000) * time.Millisecond, Others: m.others, Services: m.services,
+		Life: w.rnd.Uint64(), Rank: time.Duration(self.ID%1000) * time.Millisecond, Others: m.others, Services: m.services, Unsure: m.core.Changing,
 	}
 	m.duty = duty.New(w.now, c)
 	life := m.life
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -307,7 +307,9 @@
 	// window: a router has one of this many parts until it is told how many lives of routers there are, then one of half as
 	// many again as there are, so that all may start anew at once.
 	NodeRetryParts = 400
-	NodeLately     = 10 * time.Second        // a router that has reported so lately counts as there
+	// A word of how many there are holds for so long from when it was asked for. It is looked at with every report.
+	NodePart       = 2500 * time.Millisecond
+	NodeLately     = NodePart + 2*NodeReport // beyond a window: a router that has reported so lately counts as there
 	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
 	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
 	NodeGone       = 1200 * time.Millisecond // a voter that has been silent for so long may lose its place to a standby: three answers missed
@@ -319,6 +321,8 @@
 	NodeCandidates = 8                       // of them, at the most
 	NodeStandby    = time.Second             // between two tries of a keeper that no voter's place is free for
 	NodeJoinLag    = 16                      // places that a keeper may lack to be taken in; it is brought up with the next ballot
+	NodePlaces     = 32                      // places that a keeper's disk holds beside its state: what others lack of them is sent by itself
+	NodePlaceBytes = 16 << 20                // of them, at the most: a disk of 256 MB holds many times that while it is compacted
 	NodeFounding   = 150 * time.Millisecond  // between two tries to found the core
 	NodeUnheard    = 1200 * time.Millisecond // what an engine's machine has not even received by then it will hardly receive
 	// Once an engine has forgotten a connection that rested, for so long no request that must not run twice uses one that has
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -17,6 +17,7 @@
 	"notchhinge/internal/control/platform"
 	"notchhinge/internal/control/roster"
 	"notchhinge/internal/limits"
+	"notchhinge/internal/share"
 )
 
 // counter is a router's duty.Meter under one lock.
@@ -59,6 +60,8 @@
 	case <-ctx.Done():
 		return
 	}
+	asked := n.data.loop.Now()
+	n.data.parts(asked, 0)
 	keepers := n.news.keepers()
 	ids := make([]uint64, len(keepers))
 	for i, k := range keepers {
@@ -77,7 +80,7 @@
 			if err != nil || bad != nil {
 				return
 			}
-			n.data.parts(int(word.Lives))
+			n.data.parts(asked, int(word.Lives))
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.meter.Heard(k.ID, word, &all[i])
@@ -105,7 +108,7 @@
 		Self: n.keeper.self, Lease: time.Duration(b.LeaseMS) * time.Millisecond, Window: seconds(b.UsageWindowS), Delay: seconds(b.UsageDelayS),
 		// A machine whose disk was wiped may have granted a lease before: only at the very first start there was none.
 		Fresh:  n.keeper.founder && n.keeper.at().Next == 0,
-		Lately: max(seconds(b.RetryWindowS), limits.NodeLately), Rank: time.Duration(id%1000) * time.Millisecond, Life: rand.Uint64(),
+		Lately: share.Counts(seconds(b.RetryWindowS), limits.NodeLately), Rank: time.Duration(id%1000) * time.Millisecond, Life: rand.Uint64(),
 		Reports: n.cfg.Cloud.Has("usage_reporting"), Orders: n.cfg.Cloud.Has("autoscaler"),
 		Others: n.keeper.others, Services: n.scaled, Unsure: n.keeper.unsure,
 	})
@@ -143,6 +146,7 @@
 // turn reduces an event and does what follows.
 func (d *duties) turn(e duty.Event) {
 	s := d.k.at()
+	began := time.Now() // before the lease is looked at: a process that stands still after that sends nothing once it is over
 	d.mu.Lock()
 	effects := append([]duty.Effect(nil), d.node.Reduce(d.clock(), time.Now(), &s, e)...)
 	d.mu.Unlock()
@@ -163,19 +167,20 @@
 				d.turn(duty.Proposed{Err: err})
 			}()
 		case duty.Usage:
-			d.platform(f.Within, func(ctx context.Context) error { return d.cloud.Usage(ctx, f.Fence, f.Window, f.Counts) })
+			d.platform(began.Add(f.Within), func(ctx context.Context) error { return d.cloud.Usage(ctx, f.Fence, f.Window, f.Counts) })
 		case duty.Order:
-			d.platform(f.Within, func(ctx context.Context) error { return d.cloud.Scale(ctx, f.Fence, f.Service, f.Zone, f.Count) })
+			d.platform(began.Add(f.Within), func(ctx context.Context) error { return d.cloud.Scale(ctx, f.Fence, f.Service, f.Zone, f.Count) })
 		}
 	}
 }
 
-// platform makes a call to the platform.
-func (d *duties) platform(limit time.Duration, do func(context.Context) error) {
+// platform makes a call to the platform, until a time.
+func (d *duties) platform(until time.Time, do func(context.Context) error) {
 	d.spent.Add(account.Platform, 0, false)
 	go func() {
-		_, err := within(limit, func(ctx context.Context) ([]byte, error) { return nil, do(ctx) })
-		d.turn(duty.Took{Err: err})
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		d.turn(duty.Took{Err: do(ctx)})
 	}()
 }
 
