--- a/internal/node/texts.go
+++ b/internal/control/texts/texts.go
@@ -1,4 +1,6 @@
-package node
+// Package texts keeps the newest configurations that a process has held, as they came, so that others are sent what differs
+// from the one that they have. Bounds: limits.NodeTexts and limits.NodeTextBytes, of which the newest is kept in any case.
+package texts
 
 import (
 	"sync"
@@ -9,9 +11,12 @@
 	"notchhinge/internal/limits"
 )
 
-// texts are the newest configurations that this process has held, as they came, so that others can be sent what differs from
-// the one that they have. It is safe for concurrent use.
-type texts struct {
+// CallFetch is the call that asks another process for the newest configuration, where it is newer than a place: answered by
+// Answer, read by Read.
+const CallFetch uint8 = 5
+
+// Texts are what is kept. The zero Texts holds none. It is safe for concurrent use.
+type Texts struct {
 	mu   sync.Mutex
 	all  []held            // the newest last
 	sent map[uint64][]byte // what was made for those that have the text of a place, for the newest
@@ -22,8 +27,8 @@
 	text  []byte
 }
 
-// hold keeps a text that is newer than those that are kept.
-func (t *texts) hold(place uint64, text []byte) {
+// Hold keeps a text that is newer than those that are kept.
+func (t *Texts) Hold(place uint64, text []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all = append(t.all, held{place, text})
@@ -38,8 +43,8 @@
 	t.sent = map[uint64][]byte{}
 }
 
-// newest returns the newest text; place 0 = there is none.
-func (t *texts) newest() (place uint64, text []byte) {
+// Newest returns the newest text; place 0 = there is none.
+func (t *Texts) Newest() (place uint64, text []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if n := len(t.all); n > 0 {
@@ -48,8 +53,8 @@
 	return 0, nil
 }
 
-// answer is what somebody is sent who has the text of a place (0 = none): the newest, upon that where it is kept here.
-func (t *texts) answer(has uint64) []byte {
+// Answer is what somebody is sent who has the text of a place (0 = none): the newest, upon that where it is kept here.
+func (t *Texts) Answer(has uint64) []byte {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := len(t.all)
@@ -73,8 +78,8 @@
 	return core.EncodePlace(t.all[n-1].place, b)
 }
 
-// read reads an answer, by who had asked with a text.
-func (t *texts) read(b, had []byte) (place uint64, text []byte, err error) {
+// Read reads an answer, by who had asked with a text.
+func (t *Texts) Read(b, had []byte) (place uint64, text []byte, err error) {
 	place, d, err := core.DecodePlace(b)
 	if err != nil || place == 0 {
 		return 0, nil, err
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -4,18 +4,16 @@
 	"notchhinge/internal/control/account"
 	"notchhinge/internal/control/core"
 	"notchhinge/internal/control/duty"
+	"notchhinge/internal/control/texts"
 )
 
-// callFetch asks for the newest configuration, where it is newer than a place. The other kinds of calls between processes are
-// those of the state (core) and of the duties (duty). 6, 7, 12 and 13 were the operator's, passed on.
-const callFetch uint8 = 5
-
-// causeOf is what a call is for.
+// causeOf is what a call is for. The kinds of calls between processes are those of the state (core), of the duties (duty) and
+// of configurations (texts); 6, 7, 12 and 13 were the operator's, passed on.
 func causeOf(kind uint8) account.Cause {
 	switch kind {
 	case core.CallAsk, core.CallLearn, core.CallChosen:
 		return account.Ballots
-	case callFetch:
+	case texts.CallFetch:
 		return account.Configs
 	case duty.CallReport, duty.CallBook:
 		return account.Reports
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"notchhinge/internal/control/news"
 	"notchhinge/internal/control/peer"
 	"notchhinge/internal/control/roster"
+	"notchhinge/internal/control/texts"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/share"
 )
@@ -50,7 +51,7 @@
 
 	holding  sync.Mutex    // one configuration is taken over at a time
 	place    atomic.Uint64 // of the newest configuration that is held here
-	texts    texts
+	texts    texts.Texts
 	wanted   atomic.Uint64 // of the newest that is known of
 	asked    atomic.Bool   // a keeper has said what the newest is
 	sent     atomic.Uint32 // callers that were sent to a keeper
@@ -357,7 +358,7 @@
 		return
 	}
 	n.conf.Store(c)
-	n.texts.hold(place, text)
+	n.texts.Hold(place, text)
 	n.place.Store(place)
 	for w := n.wanted.Load(); w < place && !n.wanted.CompareAndSwap(w, place); w = n.wanted.Load() {
 	}
@@ -407,13 +408,13 @@
 func (n *Node) get(ctx context.Context, to netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, limits.NodePass)
 	defer cancel()
-	has, had := n.texts.newest()
+	has, had := n.texts.Newest()
 	for {
-		b, err := n.net.Call(ctx, to, callFetch, core.EncodePlace(has, nil))
+		b, err := n.net.Call(ctx, to, texts.CallFetch, core.EncodePlace(has, nil))
 		if err != nil {
 			return false
 		}
-		place, text, err := n.texts.read(b, had)
+		place, text, err := n.texts.Read(b, had)
 		if errors.Is(err, delta.ErrBase) && has > 0 { // two who hold different texts for one place would be a fault: it must not last
 			has, had = 0, nil
 			continue
@@ -446,12 +447,12 @@
 
 // handle answers another process.
 func (n *Node) handle(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error) {
-	if kind == callFetch {
+	if kind == texts.CallFetch {
 		place, _, err := core.DecodePlace(body)
 		if err != nil {
 			return nil, err
 		}
-		return n.texts.answer(place), nil
+		return n.texts.Answer(place), nil
 	}
 	k := n.keeper
 	if k == nil {
