What was told before a cut between keepers is noticed is passed on then

Cause: two keepers stop hearing each other; a third passes on what one tells the other only once their lists of whom they hear say so, 1.6 s and a tick later.

Ruled out: the time after which an engine is silent; signs told twice, which are most of what keepers send.

Change: a keeper keeps what each other has told for 2.4 s, and passes it on where one says that it hears another no more.

--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -125,6 +125,13 @@
 	signs time.Duration // a keeper's: last signs from it
 	hears time.Duration // a keeper's: last word of it that it has signs from here
 	heeds []uint64      // a keeper's: those whom it hears, as it last said
+	told  []toldSign    // a keeper's: signs that it has told lately
+}
+
+// toldSign is a sign of life that another keeper has told, and when it came. The sign's age is the time that it was heard.
+type toldSign struct {
+	Sign
+	at time.Duration
 }
 
 // pending is urgent news that waits for words back.
@@ -337,6 +344,33 @@
 	}
 }
 
+// bridge keeps what a keeper tells, and where it says that it hears another one no more, what that one has told since they may
+// have lost each other: it hears of that only now, and a sign is told once.
+func (n *Node) bridge(k *entry, p *packet) {
+	if n.self.Flags&Keeper == 0 {
+		return
+	}
+	const gap = touch + 2*Every
+	k.told = slices.DeleteFunc(k.told, func(s toldSign) bool { return n.now-s.at > gap })
+	for _, s := range p.signs {
+		s.AgeMS = uint64(max(int64(n.now/time.Millisecond)-int64(s.AgeMS), 0))
+		if len(k.told) < mostQueue {
+			k.told = append(k.told, toldSign{s, n.now})
+		}
+	}
+	for _, id := range k.heeds {
+		other := n.keepers[id]
+		if other == nil || id == n.self.ID || slices.Contains(p.hears, id) {
+			continue
+		}
+		for _, s := range other.told {
+			if n.now-s.at <= gap && len(n.relays[k.ID]) < mostQueue {
+				n.relays[k.ID] = append(n.relays[k.ID], s.Sign)
+			}
+		}
+	}
+}
+
 // feel finds out whether this keeper is in touch: it hears a majority of those that vote, and they hear it.
 func (n *Node) feel() {
 	good := 0
@@ -528,6 +562,7 @@
 			if k.signs == 0 || n.now-k.signs > touch { // it waits for word that it is heard, and others for whom it hears
 				n.nextNew = n.now
 			}
+			n.bridge(k, p)
 			if k.signs, k.hears, k.heeds = max(n.now, 1), 0, p.hears; slices.Contains(p.hears, n.self.ID) {
 				k.hears = n.now
 			}
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -310,6 +310,22 @@
 	}
 }
 
+// TestSignsOfTheGap: two keepers stop hearing each other, and until they have noticed nobody passes on what one tells the other: what
+// was told meanwhile is passed on then.
+func TestSignsOfTheGap(t *testing.T) {
+	for wait := time.Duration(0); wait < touch; wait += 200 * time.Millisecond {
+		f := newFleet(6, 5)
+		f.pass(6 * time.Second)
+		f.apart = func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 1 }
+		f.pass(wait)
+		f.do(0, Heard{Sign{Key: 77, Count: 9}})
+		f.pass(touch + 4*Every)
+		if f.alive[1][77] != 9 {
+			t.Errorf("what was heard %v after they were parted has not come: %v", wait, f.alive)
+		}
+	}
+}
+
 // TestPartsFindEachOther: two halves, a keeper and a seed at least in each, do not hear each other for longer than anybody is
 // remembered, with views that are full of those of one's own half. They are one fleet again within a minute.
 func TestPartsFindEachOther(t *testing.T) {
