The model's disk is struck under its lock: its database works on by itself

Cause: a full run under the race detector failed in twelve tests of lab/check at once. refusing() set and read the disk's counters while the database of an earlier life, whose compaction goes on by itself, stepped the same disk; whatever test ran at that moment was marked.

Ruled out: the program (the race is in the model alone); goleveldb's own (the trace has the disk's step).

Change: the model strikes its disk, and asks what has failed, under the disk's lock.

--- a/internal/lab/check/disk.go
+++ b/internal/lab/check/disk.go
@@ -76,7 +76,28 @@
 	return d.failAt > 0 && d.steps >= d.failAt
 }
 
-func (d *disk) dead() bool { return d.err == errPower && d.struck() }
+// strike has so many steps fail, from the one that is so many steps ahead; 0 = all from there on. The database works on by itself.
+func (d *disk) strike(ahead, fails int, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failAt, d.fails, d.err = d.steps+ahead, fails, err
+}
+
+// ahead tells whether no step has failed yet of those that are to.
+func (d *disk) ahead() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.steps < d.failAt
+}
+
+// fault is what the steps that fail fail with.
+func (d *disk) fault() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.err
+}
+
+func (d *disk) dead() bool { return d.fault() == errPower && d.struck() }
 
 func (d *disk) open() (storage.Storage, error) {
 	if d.noNames {
--- a/internal/lab/check/snapshots.go
+++ b/internal/lab/check/snapshots.go
@@ -171,7 +171,7 @@
 	id := w.rnd.Uint64() | 1
 	s, kept, err := store.OpenOn(m.disk.open, store.Identity{ID: id, Founder: w.head == 0})
 	if err != nil {
-		if m.disk.struck() && m.disk.err == syscall.ENOSPC { // the platform starts it again
+		if m.disk.struck() && m.disk.fault() == syscall.ENOSPC { // the platform starts it again
 			w.in(100*time.Millisecond, func() {
 				if !m.up {
 					m.start()
@@ -629,7 +629,7 @@
 	for at := 1; w.wrong == ""; at += stride {
 		m.die(true)
 		w.changes(40)
-		m.disk.failAt, m.disk.err = m.disk.steps+at, errPower
+		m.disk.strike(at, 0, errPower)
 		w.back(m)
 		if m.up && !m.disk.dead() { // it had caught up before
 			return w, points
@@ -652,14 +652,14 @@
 	for at := 1; w.wrong == ""; at += stride {
 		m.die(true)
 		w.changes(40)
-		m.disk.failAt, m.disk.fails, m.disk.err = m.disk.steps+at, 1+at%5, syscall.ENOSPC
+		m.disk.strike(at, 1+at%5, syscall.ENOSPC)
 		w.back(m)
 		if !m.up { // it could not be started at once
 			if _, ok := w.until(catchUpWithin, func() bool { return m.up && m.node.State().Next+limits.NodeJoinLag > w.head }); !ok {
 				w.breaksRule("member %d is not back after its disk was full", m.i)
 			}
 		}
-		if m.disk.steps < m.disk.failAt {
+		if m.disk.ahead() {
 			return w, points
 		}
 		points++
