--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -324,6 +324,7 @@
 	} else if err != nil {
 		// Some of it is, and a host may begin before it has all. If it has answered, that is there or comes at once.
 		ln.unclean, until = true, time.Now().Add(cutWait)
+		ln.SetReadDeadline(until)
 	}
 	if l.times != nil {
 		l.stamp(&l.times.Written, time.Now())
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -175,6 +175,31 @@
 	}
 }
 
+// TestCutShortAndSilent: after a write that failed midway, a host that says nothing and does not end the connection is not waited for.
+func TestCutShortAndSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go far.Read(make([]byte, 10))
+			return halfWriter{near}, nil
+		})
+		d.Send(send(0, &customer{}))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(d.ends) != 1 || d.ends[0].Result != policy.Error || d.lines.open != 0 {
+			t.Errorf("ends %v, %d lines open", d.ends, d.lines.open)
+		}
+	})
+}
+
+// halfWriter is a connection on which a write fails once ten bytes have left.
+type halfWriter struct{ net.Conn }
+
+func (w halfWriter) Write(b []byte) (int, error) {
+	n, _ := w.Conn.Write(b[:10])
+	return n, errors.New("no more")
+}
+
 func TestConnectFails(t *testing.T) {
 	// Refused at once, or a connection that never comes up: both prove that nothing ran.
 	for name, refused := range map[string]bool{"refused": true, "silent": false} {
