--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -241,17 +241,23 @@
 			}
 			m.busy, m.writes = true, &f
 			rest, life := effects, m.life
-			m.w.in(m.w.sync+min(m.drag, max(m.stalled-m.w.now, 29*m.w.sync)), func() {
+			var written func()
+			written = func() {
 				if m.life != life {
 					return
 				}
+				if m.stalled > m.w.now { // and a stall may end before its time, with the day
+					m.w.in(min(m.stalled-m.w.now, 100*time.Millisecond), written)
+					return
+				}
 				ok := m.write(&f)
 				m.busy, m.writes = false, nil
 				m.queue = append([]any{func() {
 					m.perform(append(rest, m.core.Reduce(m.w.now, core.Wrote{ID: f.ID, OK: ok})...))
 				}}, m.queue...)
 				m.work()
-			})
+			}
+			m.w.in(m.w.sync+min(m.drag, 29*m.w.sync), written)
 			return
 		case core.Call:
 			life := m.life
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -283,7 +283,6 @@
 			life := m.life
 			w.in(t.For, func() {
 				if m.life == life {
-					m.full = false
 					m.thaw()
 				}
 			})
@@ -313,8 +312,10 @@
 			m.drag += by
 			w.shake(m)
 			w.in(t.For, func() {
-				m.drag -= by
-				w.shake(m)
+				if !w.over {
+					m.drag -= by
+					w.shake(m)
+				}
 			})
 		}
 	case Step:
@@ -364,6 +365,7 @@
 		}
 	}
 	for _, m := range w.machines {
+		m.full, m.drag, m.stalled = false, 0, w.now
 		w.revive(m)
 		m.thaw()
 		w.shake(m)
