--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -31,7 +31,7 @@
 func Page(page string, r *Results) (string, error) {
 	tables := map[string]func(*Results) (string, error){
 		"budgets": budgets, "roles": roles, "model": model, "growth": growth, "benchmarks": benchmarks, "changes": changes, "orders": orders,
-		"usage": usage, "levels": levels, "reckoned": reckoned, "start": start, "tidewater": sweepOf("tidewater"), "hsinmao": sweepOf("hsinmao"),
+		"usage": usage, "levels": levels, "mended": mended, "reckoned": reckoned, "start": start, "tidewater": sweepOf("tidewater"), "hsinmao": sweepOf("hsinmao"),
 	}
 	var out strings.Builder
 	for page != "" {
@@ -331,6 +331,25 @@
 	return table([]string{"round trip between keepers, ms", "100 bytes chosen after", num(text) + " bytes chosen after"}, rows), nil
 }
 
+// mended holds the run against a trial of the same size with two causes taken away.
+func mended(r *Results) (string, error) {
+	const was, is = "scale", "scale-mended-trial"
+	var rows [][]string
+	for _, x := range []struct{ what, name, unit string }{
+		{"usage windows due", "peak: usage windows due", ""}, {"reported", "peak: usage windows reported", ""},
+		{"keeper sends, peak", "peak: keeper, all", "B/s"}, {"of it ballots", "peak: keeper, ballots", "B/s"}, {"of it books", "peak: keeper, reports", "B/s"},
+		{"keeper sends, with changes", "changes: keeper, all", "B/s"},
+		{"router sends, peak", "peak: router, all", "B/s"}, {"router sends, with a change each 5 s", "changes: router, all", "B/s"},
+		{"keeper, processor, peak, the most", "peak: keeper, processor, the most", "% of a core"}, {"keeper, memory, the most", "changes: keeper, memory, the most", "MB"},
+		{"beats not acknowledged, with changes", "changes: beats not acknowledged within a second", ""},
+	} {
+		rows = append(rows, []string{x.what, x.unit, num(r.at(was, x.name)), num(r.at(is, x.name))})
+	}
+	rows = append(rows, []string{"a change at a router", "B", num(r.perChange(was)), num(r.perChange(is))})
+	rows = append(rows, []string{"the slowest of five changes, at the last router", "ms", num(r.worst(was)), num(r.worst(is))})
+	return table([]string{"330 routers, 1,500 engines", "", "today", "trial, both bounds at 16,384 and the better level"}, rows), nil
+}
+
 func levels(r *Results) (string, error) {
 	var rows [][]string
 	for _, level := range []string{"fastest", "default", "better"} {
--- a/internal/lab/scale/results.go
+++ b/internal/lab/scale/results.go
@@ -28,7 +28,7 @@
 // Load reads the results in a folder.
 func Load(dir string) (*Results, error) {
 	r := &Results{dir: dir, runs: map[string]map[string]report.Row{}, Benchmarks: map[string]map[string]float64{}}
-	for _, run := range []string{"capacity", "scale", "scale-homes", "scale-100", "scale-30", "scale-trial-1", "scale-trial-2", "scale-trial-3", "scale-homes-trial", "chunks"} {
+	for _, run := range []string{"capacity", "scale", "scale-homes", "scale-100", "scale-30", "scale-trial-1", "scale-trial-2", "scale-trial-3", "scale-homes-trial", "scale-mended-trial", "chunks"} {
 		text, err := os.ReadFile(filepath.Join(dir, run, "summary.json"))
 		if err != nil {
 			return nil, err
