A keeper that is heard and does not answer is not one that answers

Cause: a router that hears all and that nobody hears went on acknowledging engines' calls: its reports found that no keeper answered, and each datagram of a keeper took that back.

Ruled out: the time after which an engine is silent; the home's own notice of the cut.

Change: only an answer to a call says that a keeper answers.

--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -520,7 +520,7 @@
 			n.keepers[p.ID] = &entry{Peer: p, known: n.now}
 		}
 		if k := n.keepers[p.ID]; k != nil && direct {
-			k.heard, k.mute, k.asked = n.now, false, 0
+			k.heard, k.asked = n.now, 0 // that it is heard says nothing of whether it answers
 		}
 	}
 	e := n.view[p.ID]
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -310,6 +310,24 @@
 	}
 }
 
+// TestWhoIsHeardNeedNotAnswer: a keeper that does not answer a router's calls counts as not answering though it is heard, until it
+// answers one.
+func TestWhoIsHeardNeedNotAnswer(t *testing.T) {
+	f := newFleet(6, 5)
+	f.pass(4 * time.Second)
+	n := f.nodes[5]
+	keepers := len(n.Answering())
+	for _, ok := range []bool{false, true} {
+		for _, k := range n.Keepers() {
+			f.do(5, Called{k.ID, ok})
+		}
+		f.pass(2 * time.Second)
+		if got := len(n.Answering()); keepers != 3 || ok && got != keepers || !ok && got != 0 {
+			t.Errorf("answered %v: %d of %d keepers are said to answer", ok, got, keepers)
+		}
+	}
+}
+
 // TestSignsOfTheGap: two keepers stop hearing each other, and until they have noticed nobody passes on what one tells the other: what
 // was told meanwhile is passed on then.
 func TestSignsOfTheGap(t *testing.T) {
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -64,6 +64,7 @@
 //	unheard.toml: a router that had started anew behind a cut acknowledged calls before it knew of any keeper
 //	newdisk.toml: a keeper with a new disk, cut off from all others, acknowledged engines' calls that nobody else heard
 //	gap.toml: what was told between two keepers' parting and a third one's noticing it reached one of them alone
+//	mute-router.toml: a router that hears keepers, and that none hears, acknowledged engines' calls
 //	replaced.toml: who came in another's place was one more voter, and who was gone went on counting: after one replacement and one
 //	loss there was no majority, though one loss is to be borne
 //	replaced-two.toml: the same with two and two of five
