Who knows no other keeper asks a seed with each comparison

Cause: a keeper that had lost its disk started an instant before all others, so that its questions to its seeds were lost; two routers found it, one of them behind a cut, and with two in its view it asked no seed again.

Ruled out: the taking in of a member; the draw (two of its seeds answered).

Change: while no other keeper is known one of the seeds is asked with each comparison (0.4 s), and keepers ask beyond their view with each shuffle where none answers, as routers did.

--- a/internal/control/gossip/gossip.go
+++ b/internal/control/gossip/gossip.go
@@ -243,6 +243,9 @@
 		n.join()
 		return
 	}
+	if len(n.keepers) == 0 && len(n.seeds) > 0 { // those who are known here may know of none either, or be cut off
+		n.sendTo(n.seeds[n.rnd.IntN(len(n.seeds))], &packet{kind: kindShuffle, peers: n.sample(shuffled)})
+	}
 	n.compared, n.nextAgain = p[0].ID, n.now+compareAgain
 	n.ask(p[0])
 	n.send(p[0].Peer, &packet{kind: kindRoot, root: n.root()})
@@ -432,11 +435,11 @@
 }
 
 // reach asks somebody beyond the view now and then: a seed, or one who was lost. Two parts of a fleet that have forgotten each
-// other while a cut lay between them would stay two for good, each with a view that is full. Who knows no keeper that
+// other while a cut lay between them would stay two for good, each with a view that is full. Who knows no other keeper that
 // answers asks each time.
 func (n *Node) reach() {
 	n.shuffles++
-	if far := slices.Concat(n.seeds, n.lost); len(far) > 0 && (n.shuffles%reaches == 0 || n.self.Flags&Keeper == 0 && len(n.Answering()) == 0) {
+	if far := slices.Concat(n.seeds, n.lost); len(far) > 0 && (n.shuffles%reaches == 0 || len(n.Answering()) == 0) {
 		n.sendTo(far[n.rnd.IntN(len(far))], &packet{kind: kindShuffle, peers: n.sample(shuffled)})
 	}
 }
--- a/internal/control/gossip/gossip_test.go
+++ b/internal/control/gossip/gossip_test.go
@@ -310,6 +310,35 @@
 	}
 }
 
+// TestKeepersAreFoundSoon: a keeper and two routers start anew behind a cut, and know one another when it is over for the keeper. It
+// finds those that stayed within two seconds, though its view has others in it, who know of none.
+func TestKeepersAreFoundSoon(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(5, seed)
+		f.apart = func(i, k int) bool { return (i < 2) != (k < 2) }
+		for i := range f.nodes { // all start anew, so that nobody remembers it
+			f.nodes[i] = New(f.nodes[i].self, seed)
+		}
+		for i := range f.nodes {
+			last := f.nodes[3].self.Addr
+			if i < 2 {
+				last = f.nodes[0].self.Addr
+			}
+			f.do(i, Seeds{[]netip.AddrPort{f.nodes[0].self.Addr, f.nodes[1].self.Addr, last}})
+		}
+		f.pass(3 * time.Second)
+		n := f.nodes[2]
+		if len(n.Keepers()) != 0 || len(n.Peers()) < 2 {
+			t.Fatalf("it knows %d keepers and %d others", len(n.Keepers()), len(n.Peers()))
+		}
+		f.apart = func(i, k int) bool { return min(i, k) < 2 && max(i, k) > 2 }
+		f.pass(2 * time.Second)
+		if len(n.Keepers()) != 2 {
+			t.Errorf("seed %d: two seconds after the cut it knows %d keepers", seed, len(n.Keepers()))
+		}
+	}
+}
+
 // TestWhoIsHeardNeedNotAnswer: a keeper that does not answer a router's calls counts as not answering though it is heard, until it
 // answers one.
 func TestWhoIsHeardNeedNotAnswer(t *testing.T) {
