Reads for routers that start propose nothing; a majority is asked for all at once

Routers that start ask keepers for what is settled; each such read that found something accepted for the open place had it decided by a ballot of its own, so that five keepers proposed the same 332 kB again and again, with 0.4 s each, and kept one another from it for good. Each answer to a read carried that value, and each read fetched a state for itself.

Ruled out: changes of members (none); a single duel of five large values (0.6 s, 2.6 at the most).

Change: such reads are quiet: they wait, and propose nothing. An operator's leaves what is open to its proposer for 0.1 to 0.2 s first. Reads that come together are settled together; one state is fetched from each at a time; answers to reads carry no value.

--- a/internal/control/ballot/ballot.go
+++ b/internal/control/ballot/ballot.go
@@ -73,7 +73,7 @@
 	Next     uint64 // the first place that is not decided here
 	Number   Number // promised, with Refused
 	Accepted Number // with Granted to Prepare, and to Query: at place Next
-	Value    []byte // accepted, or chosen
+	Value    []byte // accepted, with Granted to Prepare; or chosen
 }
 
 // Acceptor is a member's part. Next and Voter are its owner's to set; Chosen gives the value of a decided place, or
@@ -91,7 +91,8 @@
 		a.Vote = Vote{Place: a.Next}
 	}
 	if m.Kind == Query {
-		ans = Answer{Verdict: Known, Next: a.Next, Accepted: a.Vote.Accepted, Value: a.Vote.Value}
+		// Not the value: it may be large, and everybody who reads asks.
+		ans = Answer{Verdict: Known, Next: a.Next, Accepted: a.Vote.Accepted}
 		if !a.Voter {
 			ans.Verdict = NoVote
 		}
--- a/internal/control/ballot/ballot_test.go
+++ b/internal/control/ballot/ballot_test.go
@@ -21,6 +21,9 @@
 			t.Errorf("%+v: %v, want %v", c.ask, got.Verdict, c.want)
 		}
 	}
+	if got, _ := a.Handle(Ask{Kind: Query}); got.Value != nil || got.Accepted != (Number{5, 1}) {
+		t.Errorf("%+v: whoever reads asks, and a value may be large", got)
+	}
 	a.Voter = false
 	if got, write := a.Handle(Ask{Kind: Prepare, Place: 3, Number: Number{50, 1}}); got.Verdict != NoVote || write {
 		t.Errorf("who has no vote: %+v", got)
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -54,6 +54,7 @@
 	Get struct {
 		Of    any
 		Until time.Duration
+		Quiet bool // not answered while something is open that only a ballot could decide
 	}
 	History struct {
 		Of    any
@@ -168,10 +169,13 @@
 	queue   []*proposal // the first one is being proposed
 	tend    tending
 	members membership
-	teller  netip.Addr // who has told last what was chosen
-	toldAt  time.Duration
-	log     logger
-	out     []Effect
+	reads   reads
+	// catching are those who wait for another's state that is on its way.
+	catching map[netip.AddrPort][]func()
+	teller   netip.Addr // who has told last what was chosen
+	toldAt   time.Duration
+	log      logger
+	out      []Effect
 }
 
 // New returns a keeper's part with what its disk has.
@@ -182,7 +186,7 @@
 	}
 	n.log.n = n
 	n.acc = ballot.Acceptor{Vote: c.Vote, Chosen: c.Chosen}
-	n.members.silent = map[netip.AddrPort]time.Duration{}
+	n.members.silent, n.catching = map[netip.AddrPort]time.Duration{}, map[netip.AddrPort][]func(){}
 	n.follow()
 	n.timers.Add(0, n.startTending)
 	return n
@@ -407,8 +411,19 @@
 	})
 }
 
-// catchUp takes the state of another, if it has come further.
+// catchUp takes the state of another, if it has come further. One is asked once at a time, whoever wants it: a state may be large.
 func (n *Node) catchUp(from netip.AddrPort, then func()) {
+	waiting, asked := n.catching[from]
+	if n.catching[from] = append(waiting, then); asked {
+		return
+	}
+	then = func() {
+		all := n.catching[from]
+		delete(n.catching, from)
+		for _, f := range all {
+			f()
+		}
+	}
 	n.call(from, CallState, EncodePlace(n.state.Next, []byte{chain.Version}), 2*limits.NodeAsk, func(body []byte, err error) {
 		if err != nil || len(body) == 0 {
 			then()
--- a/internal/control/core/core_test.go
+++ b/internal/control/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -128,6 +129,9 @@
 		effects := append([]Effect(nil), n.Reduce(time.Second, Get{Of: "get", Until: 2 * time.Second})...)
 		for at := time.Second; len(effects) > 0; effects = effects[1:] {
 			at += time.Millisecond
+			if len(effects) == 1 && len(said) == 0 { // it leaves what is open to its proposer for a while
+				effects = append(effects, n.Reduce(at+300*time.Millisecond, Tick{})...)
+			}
 			switch f := effects[0].(type) {
 			case Write:
 				effects = append(effects, n.Reduce(at, Wrote{f.ID, true})...)
@@ -175,3 +179,88 @@
 		}
 	}
 }
+
+// TestReadsAreSettledTogether: routers that start at one moment all ask a keeper for what is settled. A majority is asked once for
+// those that have come, and once more for those that come while its answers are on their way; the state of who has come further
+// is fetched once.
+func TestReadsAreSettledTogether(t *testing.T) {
+	members := []chain.Member{{ID: 1, Name: "k-1", Addr: "10.0.0.1:7000"}, {ID: 2, Name: "k-2", Addr: "10.0.0.2:7000"}, {ID: 3, Name: "k-3", Addr: "10.0.0.3:7000"}}
+	n := New(Config{Self: members[0], Least: 3, Life: 9, State: chain.State{Next: 5, Members: members}, Others: func() []netip.AddrPort { return nil },
+		Chosen: func(uint64) ([]byte, bool) { return nil, false }})
+	newest := chain.State{Next: 9, Members: members, Revision: 7, Text: []byte("newest")}
+	answered, asked, fetched := 0, 0, 0
+	var calls []Call
+	take := func(at time.Duration, e Event) {
+		effects := append([]Effect(nil), n.Reduce(at, e)...)
+		for ; len(effects) > 0; effects = effects[1:] {
+			switch f := effects[0].(type) {
+			case Write:
+				effects = append(effects, n.Reduce(at, Wrote{f.ID, true})...)
+			case Call:
+				calls = append(calls, f)
+			case Answered:
+				if answered++; f.Rev != 7 || f.Status != http.StatusOK {
+					t.Errorf("%+v", f.Result)
+				}
+			}
+		}
+	}
+	for i := range 60 {
+		take(time.Second, Get{Of: i, Until: 2 * time.Second})
+	}
+	for at := time.Second; len(calls) > 0; calls = calls[1:] {
+		at += time.Millisecond
+		if at == time.Second+2*time.Millisecond { // one answer has come
+			for i := range 60 {
+				take(at, Get{Of: i, Until: 2 * time.Second})
+			}
+		}
+		ans := ballot.Answer{Verdict: ballot.Known, Next: newest.Next}
+		body := encodeAnswer(&ans)
+		if calls[0].Kind == CallState {
+			fetched++
+			body = newest.Encode()
+		} else if calls[0].Kind == CallAsk {
+			asked++
+		}
+		take(at, Returned{ID: calls[0].ID, Body: body})
+	}
+	if answered != 120 || asked > 4 || fetched != 1 {
+		t.Errorf("%d reads are answered; members were asked %d times, the state was fetched %d times", answered, asked, fetched)
+	}
+}
+
+// TestQuietReadsProposeNothing: while something is open that a ballot must decide, a read for a router's start waits for it and
+// has no answer in the end; an operator's leaves it to its proposer for a while, and then has it decided.
+func TestQuietReadsProposeNothing(t *testing.T) {
+	for _, quiet := range []bool{true, false} {
+		members := []chain.Member{{ID: 1, Name: "k-1", Addr: "10.0.0.1:7000"}, {ID: 2, Name: "k-2", Addr: "10.0.0.2:7000"}, {ID: 3, Name: "k-3", Addr: "10.0.0.3:7000"}}
+		n := New(Config{Self: members[0], Least: 3, Life: 9, State: chain.State{Next: 5, Members: members}, Others: func() []netip.AddrPort { return nil },
+			Chosen: func(uint64) ([]byte, bool) { return (&chain.Entry{Kind: chain.Nothing}).Encode(), true }})
+		began, ballots, status := time.Second, 0, 0
+		effects := append([]Effect(nil), n.Reduce(began, Get{Of: "get", Until: began + 900*time.Millisecond, Quiet: quiet})...)
+		for at := began; at < began+time.Second; at += 10 * time.Millisecond {
+			for effects = append(effects, n.Reduce(at, Tick{})...); len(effects) > 0; effects = effects[1:] {
+				switch f := effects[0].(type) {
+				case Write:
+					effects = append(effects, n.Reduce(at, Wrote{f.ID, true})...)
+				case Answered:
+					status = f.Status
+				case Call:
+					ask, err := decodeAsk(f.Body)
+					ans := ballot.Answer{Verdict: ballot.Known, Next: 5, Accepted: ballot.Number{Round: 1, Node: 4}}
+					if f.Kind == CallAsk && err == nil && ask.Kind != ballot.Query {
+						if ballots++; at < began+100*time.Millisecond {
+							t.Errorf("quiet %v: a ballot %v after it came", quiet, at-began)
+						}
+						ans = ballot.Answer{Verdict: ballot.Granted, Next: 5}
+					}
+					effects = append(effects, n.Reduce(at, Returned{ID: f.ID, Body: encodeAnswer(&ans)})...)
+				}
+			}
+		}
+		if quiet && (ballots > 0 || status != http.StatusServiceUnavailable) || !quiet && (ballots == 0 || status == http.StatusServiceUnavailable) {
+			t.Errorf("quiet %v: %d ballots' calls, status %d", quiet, ballots, status)
+		}
+	}
+}
--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -314,7 +314,7 @@
 		n.do(Answered{e.Of, api.Result{Status: http.StatusServiceUnavailable, Says: "this keeper is no member itself"}})
 		return
 	}
-	n.settle(e.Until, func(err error) {
+	n.settle(e.Until, false, func(err error) {
 		if err != nil {
 			n.answer(e.Of, err, nil)
 			return
--- a/internal/control/core/operate.go
+++ b/internal/control/core/operate.go
@@ -61,7 +61,7 @@
 		propose()
 		return
 	}
-	n.settle(e.Until, func(err error) { // the operator knows more than is known here
+	n.settle(e.Until, false, func(err error) { // the operator knows more than is known here
 		if err != nil {
 			n.answer(e.Of, err, nil)
 			return
@@ -82,7 +82,7 @@
 		n.do(Answered{e.Of, taken()})
 		return
 	}
-	n.settle(e.Until, func(err error) {
+	n.settle(e.Until, false, func(err error) {
 		if err != nil {
 			err = fmt.Errorf("%w: %w", err, fault)
 		}
@@ -92,7 +92,7 @@
 
 // get does the operator's Describe.
 func (n *Node) get(e Get) {
-	n.settle(e.Until, func(err error) {
+	n.settle(e.Until, e.Quiet, func(err error) {
 		n.answer(e.Of, err, func() api.Result {
 			if n.state.Text == nil {
 				return api.Result{Status: http.StatusNotFound, Says: "there is no configuration yet"}
@@ -104,7 +104,7 @@
 
 // history lists the configurations that were taken, the newest last, as JSON. Their texts are not kept.
 func (n *Node) history(e History) {
-	n.settle(e.Until, func(err error) {
+	n.settle(e.Until, false, func(err error) {
 		n.answer(e.Of, err, func() api.Result {
 			type taken struct {
 				Revision uint64 `json:"revision"`
--- a/internal/control/core/propose.go
+++ b/internal/control/core/propose.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
@@ -211,8 +212,70 @@
 	}
 }
 
+// read waits for the state here to be settled.
+type read struct {
+	quiet bool // nothing is proposed for its sake
+	until time.Duration
+	key   deadline.Key
+	over  bool
+	done  func(error)
+}
+
+// reads are those that wait. A majority is asked for all of them at once: there may be as many as there are routers that start.
+type reads struct {
+	waiting []*read // they came after the present round had begun, whose answers may be older than they are
+	settled []*read // the present round is for these
+}
+
 // settle makes sure that the state here is no older than anything that was acknowledged before it was called.
-func (n *Node) settle(until time.Duration, done func(error)) {
+// A quiet one waits for others to decide what is open, since there may be as many as routers and all keepers be asked at once: were
+// each to propose what may be large, they would keep one another from it (docs/incidents, reads that kept a place open).
+func (n *Node) settle(until time.Duration, quiet bool, done func(error)) {
+	r := &read{quiet: quiet, until: until, done: done}
+	r.key = n.timers.Add(max(until, n.now+1), func() { n.endRead(r, ErrTime) })
+	if n.reads.waiting = append(n.reads.waiting, r); len(n.reads.settled) == 0 {
+		n.readRound()
+	}
+}
+
+// endRead ends a read.
+func (n *Node) endRead(r *read, err error) {
+	if !r.over {
+		r.over = true
+		n.timers.Remove(r.key)
+		r.done(err)
+	}
+}
+
+// readRound settles the state for the reads that wait.
+func (n *Node) readRound() {
+	rd := &n.reads
+	rd.waiting = slices.DeleteFunc(rd.waiting, func(r *read) bool { return r.over })
+	if rd.settled, rd.waiting = rd.waiting, nil; len(rd.settled) == 0 {
+		return
+	}
+	until := time.Duration(0)
+	for _, r := range rd.settled {
+		until = max(until, r.until)
+	}
+	n.settleRound(until, func(err error) {
+		all := rd.settled
+		rd.settled = nil
+		for _, r := range all {
+			if errors.Is(err, ErrTime) && !r.over && r.until > n.now { // it came later than those whose time is over
+				rd.waiting = append(rd.waiting, r)
+				continue
+			}
+			n.endRead(r, err)
+		}
+		if len(rd.settled) == 0 {
+			n.readRound()
+		}
+	})
+}
+
+// settleRound makes sure of it once.
+func (n *Node) settleRound(until time.Duration, done func(error)) {
 	ended := false
 	var key deadline.Key
 	then := func(err error) {
@@ -226,7 +289,7 @@
 	// need is the first place that is not wanted, as a majority of those who were members there has said: what is chosen from there
 	// on was not acknowledged before the call. Were the newest wanted at each look, changes that go on would be followed for as
 	// long as they do. A state with other members says nothing until they are asked: they may have gone on without the former ones.
-	need, asked := uint64(0), []chain.Member(nil)
+	need, asked, patient := uint64(0), []chain.Member(nil), true
 	var look func()
 	again := func(d time.Duration) { n.after(d, look) }
 	look = func() {
@@ -234,6 +297,9 @@
 		if ended {
 			return
 		}
+		if need == 0 { // no answer counts yet: those that have come meanwhile are as well served by the next ones
+			n.reads.settled, n.reads.waiting = append(n.reads.settled, n.reads.waiting...), nil
+		}
 		if need > 0 && state.Next >= need {
 			if slices.Equal(asked, state.Members) {
 				then(nil)
@@ -288,6 +354,10 @@
 				})
 			case !enough:
 				again(50 * time.Millisecond)
+			case patient || !slices.ContainsFunc(n.reads.settled, func(r *read) bool { return !r.quiet && !r.over }):
+				// Whoever has proposed what is open is likely to be at it still.
+				patient, need = false, 0
+				again(100*time.Millisecond + time.Duration(n.rnd.Int64N(int64(100*time.Millisecond))))
 			default:
 				// Something was accepted for the place that is open, and may have been chosen: it is brought to its end.
 				nothing := (&chain.Entry{Kind: chain.Nothing, Nonce: n.rnd.Uint64()}).Encode()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -470,7 +470,9 @@
 		if len(how) > 0 && how[0] == fetchSettled && n.keeper != nil {
 			ctx, cancel := context.WithTimeout(ctx, limits.NodeAsk)
 			defer cancel()
-			r := n.keeper.operate(ctx, func(of chan api.Result, until time.Duration) core.Event { return core.Get{Of: of, Until: until} })
+			r := n.keeper.operate(ctx, func(of chan api.Result, until time.Duration) core.Event {
+				return core.Get{Of: of, Until: until, Quiet: true}
+			})
 			if r.Status >= http.StatusInternalServerError { // 404: there is none yet
 				return nil, errors.New(r.Says)
 			}
