--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -513,6 +513,9 @@
 	return policy.OK
 }
 
+// CutRuns implements issuer.Dialect: after a reset a request may have run, and nothing says that it must have come whole.
+func (Legs) CutRuns() bool { return true }
+
 // Streams implements issuer.Dialect.
 func (Legs) Streams(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -64,6 +64,9 @@
 	Idle(resp *http.Response) time.Duration
 	// Probe is the path that a probe asks for.
 	Probe(r *Reports) string
+	// CutRuns tells whether an order may run of which only a part was written before its line broke. Where not, that is a line
+	// which could not be had.
+	CutRuns() bool
 }
 
 // Whose says what an answer is an answer to.
@@ -327,8 +330,8 @@
 	}
 	ln.SetWriteDeadline(l.began.Add(e.Wait))
 	var until time.Time
-	if n, err := ln.Write(c.Dialect.Head(customer.Order(), &e, e.Wait-lined.Sub(l.began), l.span)); err != nil && n == 0 {
-		end.Result = policy.ConnectFailed // nothing of it is on its way, so that it cannot have run
+	if n, err := ln.Write(c.Dialect.Head(customer.Order(), &e, e.Wait-lined.Sub(l.began), l.span)); err != nil && (n == 0 || !c.Dialect.CutRuns()) {
+		end.Result = policy.ConnectFailed // not enough of it is on its way to run
 		end.Stale = c.stale(ln)
 		return
 	} else if err != nil {
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -157,10 +157,21 @@
 
 // TestRequestCutShort: a host may begin with a request of which it has some. Only where nothing has left is it sure not to run.
 func TestRequestCutShort(t *testing.T) {
-	for read, want := range map[int]policy.Result{0: policy.ConnectFailed, 1: policy.Reset, 200: policy.Reset} {
+	type cut struct {
+		read int
+		runs bool
+	}
+	for at, want := range map[cut]policy.Result{
+		{0, true}: policy.ConnectFailed, {1, true}: policy.Reset, {200, true}: policy.Reset,
+		{0, false}: policy.ConnectFailed, {1, false}: policy.ConnectFailed, {200, false}: policy.ConnectFailed, // the platform's promise
+	} {
 		synctest.Test(t, func(t *testing.T) {
+			read := at.read
 			dial, far := pipes()
 			d := newDesk(dial)
+			if at.runs {
+				d.Dialect = cutRuns{}
+			}
 			d.Send(send(0, &customer{body: []byte(strings.Repeat("x", 300))}))
 			conn := <-far
 			if n, err := io.ReadFull(conn, make([]byte, read)); n != read {
@@ -183,6 +194,7 @@
 			go far.Read(make([]byte, 10))
 			return halfWriter{near}, nil
 		})
+		d.Dialect = cutRuns{}
 		d.Send(send(0, &customer{}))
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -192,6 +204,11 @@
 	})
 }
 
+// cutRuns is a dialect whose hosts may run what was not written whole.
+type cutRuns struct{ platform }
+
+func (cutRuns) CutRuns() bool { return true }
+
 // halfWriter is a connection on which a write fails once ten bytes have left.
 type halfWriter struct{ net.Conn }
 
--- a/internal/issuer/platform.go
+++ b/internal/issuer/platform.go
@@ -41,6 +41,9 @@
 // Idle implements Dialect.
 func (platform) Idle(*http.Response) time.Duration { return 0 }
 
+// CutRuns implements Dialect: the platform promises that what was not written to its last byte never runs.
+func (platform) CutRuns() bool { return false }
+
 // Probe implements Dialect.
 func (platform) Probe(r *Reports) string {
 	if r.Stats {
