A voter loses its place only if it answers none of those that answer

Cause: two keepers that did not hear each other, and that all others heard.

Ruled out: the hand-over (the standby had no vote when it began to leave); full disks (two are to be borne).

Change: who finds a voter silent asks the others that answer whether it answers them (CallHears); its place is free only if it answers nobody.

--- a/internal/control/core/calls.go
+++ b/internal/control/core/calls.go
@@ -17,13 +17,14 @@
 	CallState    uint8 = 3  // the whole state, where it is further than a place, in the newest format that the caller says it reads
 	CallIdentity uint8 = 4  // who a keeper is and how far it has come
 	CallJoin     uint8 = 10 // a keeper wants to be a member: identity; answered by nothing, or by joinFull
+	CallHears    uint8 = 16 // whether a keeper at an address answers there: 1, or 0
 	CallChosen   uint8 = 14 // what a member has accepted for a place, under a number, was chosen
 )
 
 // Patience is how long who calls waits for an answer. Who answers need not take a call that has waited for longer.
 func Patience(kind uint8) time.Duration {
 	switch kind {
-	case CallState:
+	case CallState, CallHears:
 		return 2 * limits.NodeAsk
 	case CallJoin:
 		return settleWithin
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -186,6 +186,7 @@
 	}
 	n.log.n = n
 	n.acc = ballot.Acceptor{Vote: c.Vote, Chosen: c.Chosen}
+	n.members.doubted = map[netip.AddrPort]time.Duration{}
 	n.members.silent, n.catching = map[netip.AddrPort]time.Duration{}, map[netip.AddrPort][]func(){}
 	n.follow()
 	n.timers.Add(0, n.startTending)
@@ -313,6 +314,8 @@
 			newest = reads[0]
 		}
 		reply(n.state.EncodeAs(newest), nil)
+	case CallHears:
+		n.hears(c.Body, reply)
 	case CallIdentity:
 		i := identity{n.Self, n.state.Next, n.Founder}
 		reply(i.encode(), nil)
--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -28,6 +28,7 @@
 // membership is what a keeper knows of who could vote and who does not answer.
 type membership struct {
 	silent     map[netip.AddrPort]time.Duration // who has not answered since: the first call that it missed
+	doubted    map[netip.AddrPort]time.Duration // when others have said last that it does not answer them either
 	candidates []candidate                      // keepers without a vote that have asked for one lately
 	watching   bool                             // silent voters are asked again and again, for the candidates' sake
 	settled    uint64                           // the place after the newest change of members that is known here; 0 = none is
@@ -63,18 +64,75 @@
 	}
 }
 
-// longestSilent finds the voter that has been silent for longest, and at least for so long; -1 = there is none.
-func (n *Node) longestSilent(s *chain.State, least time.Duration) int {
+// longestSilent finds the voter that has been silent for longest, and at least for so long; -1 = there is none. With alike it
+// is one that others have asked as well, lately.
+func (n *Node) longestSilent(s *chain.State, least time.Duration, alike bool) int {
 	found, since := -1, n.now-least
 	for i := range s.Members {
 		to, ok := addr(&s.Members[i])
-		if at, silent := n.members.silent[to]; ok && silent && at <= since && s.Members[i].ID != n.Self.ID {
+		at, silent := n.members.silent[to]
+		if doubted, is := n.members.doubted[to]; alike && !(is && n.now-doubted <= limits.NodeDoubted) {
+			continue
+		}
+		if ok && silent && at <= since && s.Members[i].ID != n.Self.ID {
 			found, since = i, at-1
 		}
 	}
 	return found
 }
 
+// doubt asks the voters that answer whether one answers them that is silent here, and notes that it does not answer any of them. Two keepers may
+// be cut off from each other alone: who is heard by another has its vote for good reason.
+func (n *Node) doubt(then func()) {
+	at := n.longestSilent(&n.state, limits.NodeGone, false)
+	if at < 0 {
+		then()
+		return
+	}
+	whom, _ := addr(&n.state.Members[at])
+	left, heard := 1, false
+	end := func() {
+		if left--; left > 0 {
+			return
+		}
+		if delete(n.members.doubted, whom); heard {
+			delete(n.members.silent, whom)
+		} else {
+			n.members.doubted[whom] = n.now
+		}
+		then()
+	}
+	for i := range n.state.Members {
+		m := &n.state.Members[i]
+		to, ok := addr(m)
+		if _, silent := n.members.silent[to]; !ok || silent || m.ID == n.Self.ID {
+			continue
+		}
+		left++
+		n.call(to, CallHears, []byte(whom.String()), 2*limits.NodeAsk, func(body []byte, err error) {
+			heard = heard || err == nil && len(body) == 1 && body[0] == 1
+			end()
+		})
+	}
+	end()
+}
+
+// hears answers whether another keeper answers here.
+func (n *Node) hears(body []byte, reply func([]byte, error)) {
+	to, err := netip.ParseAddrPort(string(body))
+	if err != nil {
+		reply(nil, err)
+		return
+	}
+	n.who(to, func(_ identity, ok bool) {
+		said := byte(0)
+		if ok {
+			said = 1
+		}
+		reply([]byte{said}, nil)
+	})
+}
+
 // seat returns the voters with one more among them: in the place of the one of its name, whose disk is gone; as a further one
 // where there are fewer than are wanted; or in the place of who has been silent for longest. Nothing = it has its vote.
 func (n *Node) seat(s *chain.State, m chain.Member) ([]chain.Member, error) {
@@ -90,7 +148,7 @@
 		n.log.Info("taking a member in", "name", m.Name, "member", member(m.ID), "members", len(voters)+1)
 		return append(voters, m), nil
 	default:
-		if at = n.longestSilent(s, limits.NodeGone); at < 0 {
+		if at = n.longestSilent(s, limits.NodeGone, true); at < 0 {
 			return nil, errFull
 		}
 		to, _ := addr(&voters[at])
@@ -191,12 +249,13 @@
 	})
 }
 
-// probe asks every voter who it is, so that it is known who is silent, and goes on once all have answered or have not.
+// probe asks every voter who it is, so that it is known who is silent, and the others of who is; it goes on once all have answered or
+// have not.
 func (n *Node) probe(then func()) {
 	left := 1
 	heard := func(identity, bool) {
 		if left--; left == 0 {
-			then()
+			n.doubt(then)
 		}
 	}
 	for i := range n.state.Members {
@@ -269,12 +328,12 @@
 		m.candidates = slices.DeleteFunc(m.candidates, func(x candidate) bool {
 			return n.now-x.at > limits.NodeCandidate || n.state.Member(x.ID) != nil
 		})
-		if len(m.candidates) == 0 || n.state.Member(n.Self.ID) == nil || n.longestSilent(&n.state, 0) < 0 {
+		if len(m.candidates) == 0 || n.state.Member(n.Self.ID) == nil || n.longestSilent(&n.state, 0, false) < 0 {
 			end()
 			return
 		}
 		n.probe(func() {
-			if len(m.candidates) == 0 || n.longestSilent(&n.state, limits.NodeGone) < 0 {
+			if len(m.candidates) == 0 || n.longestSilent(&n.state, limits.NodeGone, true) < 0 {
 				n.after(limits.NodeWatch, look)
 				return
 			}
@@ -296,7 +355,7 @@
 	}
 	n.probe(func() {
 		n.change(func(s *chain.State) ([]chain.Member, error) {
-			at := n.longestSilent(s, limits.NodeSurplus)
+			at := n.longestSilent(s, limits.NodeSurplus, true)
 			if at < 0 || len(s.Members) <= n.Least {
 				return nil, nil
 			}
--- a/internal/control/core/members_test.go
+++ b/internal/control/core/members_test.go
@@ -17,14 +17,15 @@
 
 // cell is keepers on one clock: calls take a millisecond, writes are durable at once.
 type cell struct {
-	t     *testing.T
-	now   time.Duration
-	due   *deadline.Queue[func()]
-	nodes map[netip.AddrPort]*Node
-	disks map[netip.AddrPort]map[uint64][]byte
-	last  byte
-	left  map[string]time.Duration // who has handed over, and when
-	apart netip.AddrPort           // is cut off from all others
+	t      *testing.T
+	now    time.Duration
+	due    *deadline.Queue[func()]
+	nodes  map[netip.AddrPort]*Node
+	disks  map[netip.AddrPort]map[uint64][]byte
+	last   byte
+	left   map[string]time.Duration // who has handed over, and when
+	apart  netip.AddrPort           // is cut off from all others
+	parted [2]netip.AddrPort        // do not hear each other
 }
 
 func newCell(t *testing.T, keepers, least int) *cell {
@@ -106,7 +107,7 @@
 			effects = append(effects, n.Reduce(c.now, Wrote{f.ID, true})...)
 		case Call:
 			to := c.nodes[f.To]
-			if to == nil || self == c.apart || f.To == c.apart {
+			if to == nil || self == c.apart || f.To == c.apart || slices.Contains(c.parted[:], self) && slices.Contains(c.parted[:], f.To) {
 				c.due.Add(c.now+f.Within, func() { c.turn(n, Returned{ID: f.ID, Err: errors.New("no answer")}) })
 				continue
 			}
@@ -259,6 +260,24 @@
 	}
 }
 
+// TestWhoIsHeardByAnotherKeepsItsVote: a voter that one keeper alone does not hear is not replaced by a standby; one that nobody
+// hears is.
+func TestWhoIsHeardByAnotherKeepsItsVote(t *testing.T) {
+	c := newCell(t, 5, 5)
+	one, other := c.all()[0], c.all()[1]
+	c.parted = [2]netip.AddrPort{c.addr(one), c.addr(other)}
+	standby := c.start(5, false)
+	c.run(20 * time.Second)
+	if got := c.voters(); slices.Contains(got, standby.Self.Name) {
+		t.Errorf("%v", got)
+	}
+	c.gone(other)
+	c.run(8 * time.Second)
+	if got := c.voters(); !slices.Contains(got, standby.Self.Name) || slices.Contains(got, other.Self.Name) {
+		t.Errorf("%v", got)
+	}
+}
+
 // TestChangesAreFinished: a change of members whose proposer is gone, before or after it was chosen, is decided and finished by
 // others, though who was to be taken in is gone as well and nobody asks for anything.
 func TestChangesAreFinished(t *testing.T) {
@@ -270,7 +289,7 @@
 		c.run(4 * time.Second)
 		c.gone(lost)
 		c.run(time.Second)
-		proposer.members.silent[c.addr(lost)] = c.now - 5*time.Second
+		proposer.members.silent[c.addr(lost)], proposer.members.doubted[c.addr(lost)] = c.now-5*time.Second, c.now
 		body := (&identity{Member: n.Self, next: n.state.Next}).encode()
 		c.turn(proposer, Called{Kind: CallJoin, Body: body, Of: caller{n, 0}})
 		c.run(after)
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -66,6 +66,7 @@
 //	gap.toml: what was told between two keepers' parting and a third one's noticing it reached one of them alone
 //	mute-router.toml: a router that hears keepers, and that none hears, acknowledged engines' calls
 //	unfound.toml: a keeper that had started anew knew two routers alone, and asked nobody else for keepers
+//	parted-voter.toml: a voter that one keeper alone did not hear lost its place, to a standby that left next
 //	replaced.toml: who came in another's place was one more voter, and who was gone went on counting: after one replacement and one
 //	loss there was no majority, though one loss is to be borne
 //	replaced-two.toml: the same with two and two of five
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -313,6 +313,7 @@
 	NodeReopen     = 300 * time.Millisecond  // between two tries to open a disk anew that has refused a write
 	NodeJoin       = 300 * time.Millisecond  // between two tries to be taken in as a member
 	NodeGone       = 1200 * time.Millisecond // a voter that has been silent for so long may lose its place to a standby: three answers missed
+	NodeDoubted    = 2 * time.Second         // so long others' word holds that a voter does not answer them either
 	NodeSurplus    = 10 * time.Second        // and its vote, where there are more than are wanted: as long as a machine takes to start again
 	NodeWatch      = 200 * time.Millisecond  // between two looks at silent voters while somebody could have the place of one
 	NodeHandOver   = 2500 * time.Millisecond // for a keeper that ends to hand over: most of what grace_period_s leaves beside the data plane's own end
