What is known of a silent keeper is one record, and goes with it

Cause: since when a keeper does not answer and when others said so stood in two maps with the same keys; the second was neither emptied as it answered nor bounded.

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -186,8 +186,7 @@
 	}
 	n.log.n = n
 	n.acc = ballot.Acceptor{Vote: c.Vote, Chosen: c.Chosen}
-	n.members.doubted = map[netip.AddrPort]time.Duration{}
-	n.members.silent, n.catching = map[netip.AddrPort]time.Duration{}, map[netip.AddrPort][]func(){}
+	n.members.silent, n.catching = map[netip.AddrPort]silence{}, map[netip.AddrPort][]func(){}
 	n.follow()
 	n.timers.Add(0, n.startTending)
 	return n
--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -27,12 +27,17 @@
 
 // membership is what a keeper knows of who could vote and who does not answer.
 type membership struct {
-	silent     map[netip.AddrPort]time.Duration // who has not answered since: the first call that it missed
-	doubted    map[netip.AddrPort]time.Duration // when others have said last that it does not answer them either
-	candidates []candidate                      // keepers without a vote that have asked for one lately
-	watching   bool                             // silent voters are asked again and again, for the candidates' sake
-	settled    uint64                           // the place after the newest change of members that is known here; 0 = none is
-	leaving    bool                             // the process ends: it wants no vote any more
+	silent     map[netip.AddrPort]silence // who does not answer
+	candidates []candidate                // keepers without a vote that have asked for one lately
+	watching   bool                       // silent voters are asked again and again, for the candidates' sake
+	settled    uint64                     // the place after the newest change of members that is known here; 0 = none is
+	leaving    bool                       // the process ends: it wants no vote any more
+}
+
+// silence is of a keeper that does not answer.
+type silence struct {
+	since time.Duration // the first call that it missed was sent
+	asked time.Duration // those that answer have said last that it does not answer them either; 0 = they have not
 }
 
 // candidate is a keeper that wants a vote, and when it last said so.
@@ -51,7 +56,7 @@
 	}
 	silent := n.members.silent
 	if _, known := silent[from]; !known {
-		silent[from] = sent
+		silent[from] = silence{since: sent}
 	}
 	if len(silent) > limits.NodeSilent { // of those that were replaced long ago
 		voters := map[netip.AddrPort]bool{}
@@ -60,7 +65,7 @@
 				voters[to] = true
 			}
 		}
-		maps.DeleteFunc(silent, func(a netip.AddrPort, _ time.Duration) bool { return !voters[a] })
+		maps.DeleteFunc(silent, func(a netip.AddrPort, _ silence) bool { return !voters[a] })
 	}
 }
 
@@ -70,12 +75,12 @@
 	found, since := -1, n.now-least
 	for i := range s.Members {
 		to, ok := addr(&s.Members[i])
-		at, silent := n.members.silent[to]
-		if doubted, is := n.members.doubted[to]; alike && !(is && n.now-doubted <= limits.NodeDoubted) {
+		x, silent := n.members.silent[to]
+		if alike && (x.asked == 0 || n.now-x.asked > limits.NodeDoubted) {
 			continue
 		}
-		if ok && silent && at <= since && s.Members[i].ID != n.Self.ID {
-			found, since = i, at-1
+		if ok && silent && x.since <= since && s.Members[i].ID != n.Self.ID {
+			found, since = i, x.since-1
 		}
 	}
 	return found
@@ -95,10 +100,10 @@
 		if left--; left > 0 {
 			return
 		}
-		if delete(n.members.doubted, whom); heard {
+		if x, silent := n.members.silent[whom]; heard {
 			delete(n.members.silent, whom)
-		} else {
-			n.members.doubted[whom] = n.now
+		} else if silent {
+			n.members.silent[whom] = silence{x.since, n.now}
 		}
 		then()
 	}
@@ -153,7 +158,7 @@
 		}
 		to, _ := addr(&voters[at])
 		n.log.Info("taking a member in", "name", m.Name, "member", member(m.ID), "instead_of", voters[at].Name,
-			"silent", (n.now - n.members.silent[to]).String())
+			"silent", (n.now - n.members.silent[to].since).String())
 	}
 	voters[at] = m
 	return voters, nil
--- a/internal/control/core/members_test.go
+++ b/internal/control/core/members_test.go
@@ -289,7 +289,7 @@
 		c.run(4 * time.Second)
 		c.gone(lost)
 		c.run(time.Second)
-		proposer.members.silent[c.addr(lost)], proposer.members.doubted[c.addr(lost)] = c.now-5*time.Second, c.now
+		proposer.members.silent[c.addr(lost)] = silence{c.now - 5*time.Second, c.now}
 		body := (&identity{Member: n.Self, next: n.state.Next}).encode()
 		c.turn(proposer, Called{Kind: CallJoin, Body: body, Of: caller{n, 0}})
 		c.run(after)
