--- /dev/null
+++ b/internal/broker/hosts_bench_test.go
@@ -0,0 +1,87 @@
+package broker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"notchhinge/internal/limits"
+	"notchhinge/policy"
+)
+
+// hostsRig is a core with one pool of so many boxes.
+func hostsRig(b *testing.B, boxes int) (*Broker, time.Duration) {
+	lim := limits.New(limits.Machine{Cores: 1, MemoryMB: 512, Sockets: 65536},
+		limits.Site{ConnectTimeout: sec / 10, IdleClose: 5 * sec, MaxAttempts: 3, LongestDeadline: 10 * sec})
+	c, now := New(lim), 1000*sec
+	c.Reduce(now, PoolSet{Module: module(b), WarmUp: sec, ColdFrom: 0.5})
+	l := Listed{Kind: policy.ListFull}
+	for i := range boxes {
+		l.Hosts = append(l.Hosts, Host{Name: fmt.Sprint("b", i), Dial: fmt.Sprintf("127.0.%d.%d:80", i/200, i%200), Weight: 1})
+	}
+	c.Reduce(now, l)
+	return c, now
+}
+
+// serve takes an authorisation to its end.
+func serve(c *Broker, now time.Duration, i int, q policy.Request) {
+	var leg LegID
+	for _, e := range c.Reduce(now, Taken{From: i, At: now, Request: q}) {
+		if s, ok := e.(SendLeg); ok {
+			leg = s.Leg
+		}
+	}
+	c.Reduce(now, LegBegan{leg})
+	c.Reduce(now, LegEnded{Leg: leg, Result: policy.OK})
+}
+
+// BenchmarkHosts is what an authorisation of a new session costs the core with so many boxes in the pool, without a shared
+// beginning and with one of 4,000 whose part falls with the rank.
+func BenchmarkHosts(b *testing.B) {
+	for _, boxes := range []int{30, 100, 300} {
+		for _, prefixes := range []int{0, 1000, 4000} {
+			b.Run(fmt.Sprintf("%d boxes/%d prefixes", boxes, prefixes), func(b *testing.B) {
+				c, now := hostsRig(b, boxes)
+				rnd := rand.New(rand.NewPCG(1, 1))
+				z := rand.NewZipf(rnd, 1.01, 1, uint64(max(prefixes, 1)-1))
+				i := 0
+				one := func() {
+					i++
+					now += 30 * time.Millisecond
+					q := policy.Request{Session: uint64(i + 1), ExpiresIn: sec}
+					if prefixes > 0 {
+						q.Prefix, q.PrefixTokens = z.Uint64()+1, 500
+					}
+					serve(c, now, i, q)
+				}
+				for range 3000 {
+					one()
+				}
+				for b.Loop() {
+					one()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSessions is what a session takes of the heap.
+func BenchmarkSessions(b *testing.B) {
+	for _, sessions := range []int{2000, 7600, 25000, 65000} {
+		b.Run(fmt.Sprint(sessions), func(b *testing.B) {
+			for b.Loop() {
+				c, now := hostsRig(b, 20)
+				serve(c, now, 0, policy.Request{Session: 1, ExpiresIn: sec})
+				before := heap()
+				for i := range sessions {
+					now += time.Millisecond
+					serve(c, now, i+1, policy.Request{Session: uint64(i + 2), ExpiresIn: sec})
+				}
+				b.ReportMetric(float64(heap()-before)/float64(sessions), "B/session")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/edge/tenants_bench_test.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"notchhinge/internal/control/declared"
+	"notchhinge/internal/pool"
+)
+
+// BenchmarkTenants takes a configuration of 100 routes and so many tenants from its bytes to what requests are led by;
+// held-bytes is what a router keeps of it beside its text.
+func BenchmarkTenants(b *testing.B) {
+	for _, n := range []int{1400, 4600, 14000} {
+		c := &declared.Config{Revision: 1, Services: []declared.Service{{Name: "s"}}}
+		for i := range 100 {
+			c.Routes = append(c.Routes, declared.Route{Name: fmt.Sprint("r", i), Host: fmt.Sprintf("h%d.example", i/20), Prefix: fmt.Sprintf("/p%d/", i),
+				Type: declared.Streaming, Timeout: 60000, Target: 390, Service: "s", Attempts: 2})
+		}
+		for i := range n {
+			c.Tenants = append(c.Tenants, declared.Tenant{Name: fmt.Sprintf("tenant-%05d", i), Keys: []string{fmt.Sprintf("sk-%032x", i*0x9e3779b1)}, PerS: 50})
+		}
+		text, err := cbor.Marshal(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			var held any
+			before := heap()
+			for b.Loop() {
+				c, err := declared.Read(text, nil)
+				next := pool.ID(1)
+				if err == nil {
+					held, err = Compile(c, 1, nil, &next, nil)
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(heap()-before), "held-bytes")
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- /dev/null
+++ b/internal/lab/scale/hollow.go
@@ -0,0 +1,376 @@
+package scale
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"notchhinge/internal/control/account"
+	"notchhinge/internal/control/core"
+	"notchhinge/internal/control/delta"
+	"notchhinge/internal/control/duty"
+	"notchhinge/internal/control/gossip"
+	"notchhinge/internal/control/news"
+	"notchhinge/internal/control/peer"
+	"notchhinge/internal/control/roster"
+	"notchhinge/internal/control/texts"
+	"notchhinge/internal/limits"
+)
+
+// place is where an address stands.
+type place struct {
+	zone   int
+	keeper bool
+}
+
+// shared keeps one copy of each text, whoever has fetched it; the configurations are made here too.
+type shared struct {
+	mu   sync.Mutex
+	kept map[uint64][]byte // by place
+	made map[int][]byte    // by revision
+}
+
+// one returns the copy of a place's text.
+func (s *shared) one(place uint64, text []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kept == nil {
+		s.kept = map[uint64][]byte{}
+	}
+	if s.kept[place] == nil {
+		s.kept[place] = text
+	}
+	return s.kept[place]
+}
+
+// router is a hollow router: news, meter and texts under locks of their own, with sockets and clock.
+type router struct {
+	f     *fleet
+	zone  int
+	net   *peer.Net
+	at    map[netip.Addr]place
+	book  account.Book
+	start time.Time
+
+	regions atomic.Uint64 // bytes to other regions
+	wanted  atomic.Uint64 // place of the newest configuration that is known of
+	held    atomic.Uint64 // of the newest that is held
+	changed atomic.Int64  // when that one came, in ns
+	texts   texts.Texts
+	fetch   chan gossip.Peer
+
+	mu    sync.Mutex
+	node  *news.Node
+	until time.Duration
+	wake  chan struct{}
+
+	metering sync.Mutex
+	meter    duty.Meter
+	rnd      *rand.Rand
+	windows  map[uint64]map[string]bool // tenants with requests
+	arrived  uint64
+}
+
+// newRouter opens a hollow router's sockets.
+func (f *fleet) newRouter(i int, ip string, at map[netip.Addr]place) (*router, error) {
+	addr := netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(f.inner))
+	r := &router{f: f, zone: at[addr.Addr()].zone, at: at, start: time.Now(), wake: make(chan struct{}, 1), fetch: make(chan gossip.Peer, 1),
+		rnd: rand.New(rand.NewPCG(f.Seed, uint64(i)+1<<32)), windows: map[uint64]map[string]bool{}}
+	r.meter = duty.Meter{Length: window, Source: r.rnd.Uint64(), Zone: zoneName(r.zone)}
+	var err error
+	if r.net, err = peer.Open(addr, r.handle); err != nil {
+		return nil, err
+	}
+	r.net.Counted = r.counted
+	self := gossip.Peer{ID: gossip.Hash(fmt.Sprint("hollow-", i)), Addr: addr, Zone: hash32(zoneName(r.zone)), Flags: gossip.Edge}
+	r.node = news.New(self, r.rnd.Uint64(), beat*limits.NodeSilence+beat/2, hash32)
+	return r, nil
+}
+
+// hash32 names a zone, as a node does.
+func hash32(s string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(s))
+	return h.Sum32()
+}
+
+func (r *router) clock() time.Duration { return time.Since(r.start) + time.Hour }
+
+// counted keeps the account, as a node does.
+func (r *router) counted(to netip.AddrPort, kind uint8, bytes int, datagram []byte) {
+	cause := account.Configs
+	switch {
+	case kind == 0:
+		cause = map[gossip.Use]account.Cause{gossip.Compares: account.Digests, gossip.Shuffles: account.Shuffles, gossip.Spreads: account.News}[gossip.UseOf(datagram)]
+		bytes += 28 // its headers
+	case duty.Owns(kind):
+		cause = account.Reports
+	}
+	there := r.at[to.Addr()]
+	r.book.Add(cause, bytes, there.zone != r.zone)
+	if there.zone%Regions != r.zone%Regions {
+		r.regions.Add(uint64(bytes))
+	}
+	if there.keeper {
+		r.f.mu.Lock()
+		r.f.taken[cause.String()] += uint64(bytes)
+		r.f.mu.Unlock()
+	}
+}
+
+// turn reduces an event and does what follows.
+func (r *router) turn(e news.Event) {
+	r.mu.Lock()
+	for _, x := range r.node.Reduce(r.clock(), time.Now().UnixMilli(), e) {
+		switch x := x.(type) {
+		case gossip.Send:
+			r.net.Send(x.To, x.Bytes)
+		case news.Answer:
+			x.Of.(chan news.Answer) <- x // it has room
+		case news.Configured:
+			for w := r.wanted.Load(); w < x.Place && !r.wanted.CompareAndSwap(w, x.Place); w = r.wanted.Load() {
+			}
+			select {
+			case r.fetch <- x.From:
+			default:
+			}
+		}
+	}
+	sooner := r.node.Next() < r.until
+	r.mu.Unlock()
+	if sooner {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// beat takes an engine's call in, as control does, and waits for its answer.
+func (r *router) beat(ctx context.Context, b *roster.Record, f *fleet) (home string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	of := make(chan news.Answer, 1)
+	r.turn(news.Beat{Record: *b, Of: of})
+	select {
+	case a := <-of:
+		if a.Err != nil || !a.Home.IsValid() {
+			return "", a.Err
+		}
+		return netip.AddrPortFrom(a.Home.Addr(), uint16(f.control)).String(), nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// engines is how many are known here.
+func (r *router) engines() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Roster.Len()
+}
+
+func (r *router) keepers() []gossip.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Gossip.Keepers()
+}
+
+// run runs its parts until the context is over.
+func (r *router) run(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	wait.Go(func() { r.net.Serve(ctx) })
+	wait.Go(func() { r.net.Datagrams(func(b []byte) { r.turn(gossip.Packet{Bytes: b}) }) })
+	wait.Go(func() { r.fetches(ctx) })
+	wait.Go(func() { r.reports(ctx) })
+	var seeds []netip.AddrPort
+	for k := range min(3, r.f.Keepers) {
+		seeds = append(seeds, netip.AddrPortFrom(netip.MustParseAddr(r.f.real[k].ip), uint16(r.f.inner)))
+	}
+	r.turn(gossip.Seeds{Addrs: seeds})
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		r.until = r.node.Next()
+		r.mu.Unlock()
+		timer.Reset(max(r.until-r.clock(), time.Millisecond))
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+			continue
+		case <-timer.C:
+		}
+		r.turn(gossip.Tick{})
+	}
+}
+
+var errNotHere = errors.New("no state is held here")
+
+// handle answers other processes: configurations that are held here.
+func (r *router) handle(_ context.Context, kind uint8, _ netip.Addr, body []byte) ([]byte, error) {
+	if kind != texts.CallFetch {
+		return nil, errNotHere
+	}
+	place, _, err := core.DecodePlace(body)
+	if err != nil {
+		return nil, err
+	}
+	return r.texts.Answer(place), nil
+}
+
+// fetches gets configurations that are known of and not held.
+func (r *router) fetches(ctx context.Context) {
+	for {
+		var from gossip.Peer
+		select {
+		case <-ctx.Done():
+			return
+		case from = <-r.fetch:
+		}
+		for r.held.Load() < r.wanted.Load() && ctx.Err() == nil {
+			for _, p := range append([]gossip.Peer{from}, r.keepers()...) {
+				if p.Addr.IsValid() && r.get(ctx, p.Addr) && r.held.Load() >= r.wanted.Load() {
+					break
+				}
+			}
+			if r.held.Load() < r.wanted.Load() {
+				pause(ctx, 50*time.Millisecond)
+			}
+		}
+	}
+}
+
+// get asks another for a configuration that is newer than the one here. It tells whether it answered.
+func (r *router) get(ctx context.Context, to netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, limits.NodePass)
+	defer cancel()
+	has, had := r.texts.Newest()
+	b, err := r.net.Call(ctx, to, texts.CallFetch, core.EncodePlace(has, nil))
+	if err != nil {
+		return false
+	}
+	place, text, err := r.texts.Read(b, had)
+	if err != nil || len(text) == 0 || place <= r.held.Load() {
+		return err == nil || errors.Is(err, delta.ErrBase)
+	}
+	r.texts.Hold(place, r.f.texts.one(place, text))
+	r.changed.Store(time.Now().UnixNano())
+	r.held.Store(place)
+	go r.turn(news.Config{Place: place})
+	return true
+}
+
+// reports tells keepers what this router would have counted, until the context is over.
+func (r *router) reports(ctx context.Context) {
+	pause(ctx, time.Duration(r.rnd.Int64N(int64(limits.NodeReport)))) // routers have not all started at one moment
+	tick := time.NewTicker(limits.NodeReport)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		r.report(ctx)
+	}
+}
+
+// report makes one report to every keeper, as a node does.
+func (r *router) report(ctx context.Context) {
+	r.f.mu.Lock()
+	peak := r.f.peak
+	r.f.mu.Unlock()
+	now := time.Now()
+	keepers := r.keepers()
+	ids := make([]uint64, len(keepers))
+	for i, k := range keepers {
+		ids[i] = k.ID
+	}
+	r.metering.Lock()
+	if peak {
+		r.count(now)
+	} else { // as few as in the model
+		for range r.rnd.IntN(4) {
+			r.meter.Began(now, fmt.Sprint("t", r.rnd.IntN(3)))
+		}
+	}
+	loads := make([]duty.Load, models)
+	for i := range loads {
+		loads[i] = duty.Load{Service: fmt.Sprint("model-", i), Running: uint64(r.rnd.IntN(400)), Arrived: r.arrived / models}
+	}
+	all := r.meter.Reports(now, loads, ids)
+	r.metering.Unlock()
+	for i, k := range keepers {
+		go func() {
+			one, cancel := context.WithTimeout(ctx, limits.NodePass)
+			defer cancel()
+			b, err := r.net.Call(one, k.Addr, duty.CallReport, all[i].Encode())
+			r.turn(gossip.Called{ID: k.ID, OK: err == nil})
+			word, bad := duty.DecodeWord(b)
+			if err != nil || bad != nil {
+				return
+			}
+			r.metering.Lock()
+			defer r.metering.Unlock()
+			r.meter.Heard(k.ID, word, &all[i])
+		}()
+	}
+}
+
+// count counts what came since the last report at the peak: as many as a mean router has, more or less. The lock is held.
+func (r *router) count(now time.Time) {
+	mean := r.f.Rate / float64(r.f.Routers) * limits.NodeReport.Seconds()
+	n := int(max(mean+math.Sqrt(mean)*r.rnd.NormFloat64()+r.rnd.Float64(), 0))
+	number := duty.Window(now, window)
+	if r.windows[number] == nil {
+		r.windows[number] = map[string]bool{}
+		delete(r.windows, number-5)
+	}
+	for range n {
+		tenant := tenantName(r.f.tenants.next(r.rnd))
+		r.meter.Began(now, tenant)
+		r.windows[number][tenant] = true
+	}
+	r.arrived += uint64(n)
+}
+
+// drawn adds the tenants that had requests here in a window.
+func (r *router) drawn(number uint64, to map[string]bool) {
+	r.metering.Lock()
+	defer r.metering.Unlock()
+	for tenant := range r.windows[number] {
+		to[tenant] = true
+	}
+}
+
+func tenantName(i int) string { return fmt.Sprintf("tenant-%05d", i) }
+
+// draw draws ranks whose part falls with the rank to a power.
+type draw struct{ upTo []float64 }
+
+func newDraw(n int, power float64) *draw {
+	d := &draw{make([]float64, max(n, 1))}
+	sum := 0.0
+	for i := range d.upTo {
+		sum += math.Pow(float64(i+1), -power)
+		d.upTo[i] = sum
+	}
+	return d
+}
+
+func (d *draw) next(rnd *rand.Rand) int {
+	i, _ := slices.BinarySearchFunc(d.upTo, rnd.Float64()*d.upTo[len(d.upTo)-1], cmp.Compare[float64])
+	return min(i, len(d.upTo)-1)
+}
--- /dev/null
+++ b/internal/lab/scale/page.go
@@ -0,0 +1,376 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// The aims of the operators' letter, and what follows from them by division.
+const (
+	aimRouters   = 330
+	aimEngines   = 1500
+	aimRequests  = 10_000
+	aimTokens    = 3_600_000
+	aimTenants   = 14_000
+	aimSessions  = 2_500_000
+	aimPrefixes  = 20_000
+	aimChanges   = 8500
+	aimCore      = 3.5 // % of a core, for control at a router
+	aimMB        = 64
+	aimBytes     = 11_000 // a second, likewise
+	aimInForce   = 4000   // ms
+	aimFirst     = 390    // ms
+	aimGap       = 35     // ms between tokens
+	aimRestarts  = 230
+	changeEveryS = 86_400.0 / aimChanges
+)
+
+// Page makes the tables of a page anew: what stands between `<!-- table: NAME -->` and `<!-- end -->` is replaced.
+func Page(page string, r *Results) (string, error) {
+	tables := map[string]func(*Results) (string, error){
+		"budgets": budgets, "roles": roles, "model": model, "growth": growth, "benchmarks": benchmarks, "changes": changes, "orders": orders,
+		"usage": usage, "start": start, "tidewater": sweepOf("tidewater"), "hsinmao": sweepOf("hsinmao"),
+	}
+	var out strings.Builder
+	for page != "" {
+		before, rest, found := strings.Cut(page, "<!-- table: ")
+		out.WriteString(before)
+		if !found {
+			break
+		}
+		name, rest, ok := strings.Cut(rest, " -->")
+		_, rest, ended := strings.Cut(rest, "<!-- end -->")
+		make := tables[name]
+		if !ok || !ended || make == nil {
+			return "", fmt.Errorf("table %q: it is not known, or has no end", name)
+		}
+		text, err := make(r)
+		if err != nil {
+			return "", err
+		}
+		delete(tables, name)
+		fmt.Fprintf(&out, "<!-- table: %s -->\n%s<!-- end -->", name, text)
+		page = rest
+	}
+	if len(tables) > 0 {
+		var left []string
+		for name := range tables {
+			left = append(left, name)
+		}
+		slices.Sort(left)
+		return "", fmt.Errorf("the page has no place for %s", strings.Join(left, ", "))
+	}
+	return out.String(), r.Missing()
+}
+
+// table writes rows under a head.
+func table(head []string, rows [][]string) string {
+	var b strings.Builder
+	line := func(cells []string) { b.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+	line(head)
+	line(slices.Repeat([]string{"---"}, len(head)))
+	for _, r := range rows {
+		line(r)
+	}
+	return b.String()
+}
+
+// num writes a figure with three digits that count.
+func num(x float64) string {
+	switch a := math.Abs(x); {
+	case x == math.Trunc(x) && a < 1000:
+		return fmt.Sprintf("%.0f", x)
+	case a >= 1000:
+		digits := math.Pow(10, math.Floor(math.Log10(a))-2)
+		s := fmt.Sprintf("%.0f", math.Round(x/digits)*digits)
+		for i := len(s) - 3; i > 0 && s[i-1] != '-'; i -= 3 {
+			s = s[:i] + "," + s[i:]
+		}
+		return s
+	case a >= 100:
+		return fmt.Sprintf("%.0f", x)
+	case a >= 10:
+		return fmt.Sprintf("%.1f", x)
+	case a >= 1:
+		return fmt.Sprintf("%.2f", x)
+	}
+	return fmt.Sprintf("%.3g", x)
+}
+
+// perChange is what a change costs a mean router in bytes of configurations, by a run.
+func (r *Results) perChange(run string) float64 {
+	n := 0.0
+	for r.runs[run][fmt.Sprintf("change %.0f: acknowledged", n+1)].Unit != "" {
+		n++
+	}
+	return r.at(run, "changes: router, configurations") * r.at(run, "changes: seconds") / n
+}
+
+// worst is the largest of the five changes.
+func (r *Results) worst(run, what string) (worst float64) {
+	for i := range 5 {
+		worst = max(worst, r.at(run, fmt.Sprintf("change %d: %s", i+1, what)))
+	}
+	return worst
+}
+
+// perEvent is the processor time that an event takes in a router, in µs: through it, less without it.
+func (r *Results) perEvent(streams int) float64 {
+	return r.bench(fmt.Sprintf("node.Events/node/%d", streams), "us/event") - r.bench(fmt.Sprintf("node.Events/direct/%d", streams), "us/event")
+}
+
+func budgets(r *Results) (string, error) {
+	perS := r.perChange("scale") / changeEveryS
+	control := r.at("scale", "peak: router, all") + perS
+	events := float64(aimTokens) / aimRouters
+	core := events * r.perEvent(382) / 1e4
+	factor := func(today, budget float64) string { return num(today / budget) }
+	rows := [][]string{
+		{"3.5% of a core for control", num(r.at("scale", "changes: real router, processor")) + "% with a change each 5 s", factor(r.at("scale", "changes: real router, processor"), aimCore),
+			"partial views, reports of differences; a configuration in pieces of 32. Of a whole core of this machine"},
+		{"64 MB for control", num(r.at("scale", "changes: real router, memory, the most")) + " MB, the whole process without traffic", factor(r.at("scale", "changes: real router, memory, the most"), aimMB),
+			"four texts, one table; what traffic adds is not in it"},
+		{"11 kB/s of control", num(control) + " B/s, of which " + num(perS) + " are configurations", factor(control, aimBytes),
+			"**none yet** at this text: its difference is not found (cause 2)"},
+		{"a change in force everywhere within 4 s", num(r.worst("scale", "in force at the last real router")) + " ms, the worst of five, on one machine", factor(r.worst("scale", "in force at the last real router"), aimInForce),
+			"**none yet** beside usage that cannot be agreed (cause 1), or between regions (cause 3)"},
+		{"the same, no usage", num(r.worst("scale-homes", "in force at the last real router")) + " ms", factor(r.worst("scale-homes", "in force at the last real router"), aimInForce),
+			"ballots, gossip of the place, fetched from who has told; round trips of 0.1 ms"},
+		{"8,500 changes a day", fmt.Sprintf("one each %.1f s", changeEveryS), "-", "one log: beside a usage window each 5 s"},
+		{"seven machines for control", num(r.at("scale", "peak: keeper, processor, the most")) + "% of a core, " + num(r.at("scale", "changes: keeper, memory, the most")) + " MB, " +
+			num(r.at("scale", "peak: keeper, all")) + " B/s the mean sends", "-", "engines' homes; every keeper hears of each engine"},
+		{"usage windows reported", fmt.Sprintf("%.0f of %.0f", r.at("scale", "peak: usage windows reported"), r.at("scale", "peak: usage windows due")), "-",
+			"**none yet** above 4,096 tenants a window (cause 1)"},
+		{"10,000 requests a second", num(aimRequests/aimRouters) + " a second and router, " + num(r.bench("node.Request/node", "ns/op")/1e6) + " ms each through a router with its engine and client (" +
+			num(r.bench("node.Request/direct", "ns/op")/1e6) + " without)", "-", "routers share nothing per request"},
+		{"3.6 million tokens a second", num(events) + " events a second and router, " + num(r.perEvent(382)) + " µs each: " + num(core) + "% of a core", "-",
+			"no budget of its own; a router of 0.16 of a core carries " + num(16/core) + " of it"},
+		{"first token within 0.39 s for 95 in 100", "not measured at this size", "?", "see the sweeps below"},
+		{"35 ms between tokens for 95 in 100", "not measured at this size", "?", "see the sweeps below; an engine's own pause is assumed to be nearly all of it"},
+	}
+	return table([]string{"budget", "today at that size", "factor", "what carries it"}, rows), nil
+}
+
+func roles(r *Results) (string, error) {
+	var rows [][]string
+	for _, x := range []struct{ what, name, unit string }{
+		{"hollow router sends", "router, all", "B/s"}, {"of it reports to keepers", "router, reports", "B/s"}, {"of it news and signs", "router, news", "B/s"},
+		{"of it configurations", "router, configurations", "B/s"}, {"of a router's bytes to another zone", "of a router's bytes, to another zone", "%"},
+		{"of a router's bytes to another region", "of a router's bytes, to another region", "%"},
+		{"real router, processor", "real router, processor", "% of a core"}, {"real router, memory, most", "real router, memory, the most", "MB"},
+		{"real router, descriptors, most", "real router, descriptors, the most", ""},
+		{"keeper sends", "keeper, all", "B/s"}, {"of it news and signs", "keeper, news", "B/s"}, {"of it ballots", "keeper, ballots", "B/s"},
+		{"of it books", "keeper, reports", "B/s"}, {"routers with a keeper, both ways", "routers with a keeper, both ways", "B/s"},
+		{"keeper, processor, mean", "keeper, processor", "% of a core"}, {"keeper, processor, most", "keeper, processor, the most", "% of a core"},
+		{"keeper, memory, most", "keeper, memory, the most", "MB"}, {"keeper, descriptors, most", "keeper, descriptors, the most", ""},
+		{"beats of engines", "beats acknowledged", "a second"}, {"not acknowledged within a second", "beats not acknowledged within a second", ""},
+		{"slowest acknowledged beat", "slowest acknowledged beat", "ms"},
+	} {
+		row := []string{x.what, x.unit}
+		for _, part := range []string{"calm", "peak", "changes"} {
+			row = append(row, num(r.at("scale", part+": "+x.name)))
+		}
+		rows = append(rows, row)
+	}
+	return table([]string{"330 routers, 1,500 engines, 7 keepers, 22 zones", "", "calm", "peak, 14,000 tenants", "peak, with changes"}, rows), nil
+}
+
+func model(r *Results) (string, error) {
+	var rows [][]string
+	for _, who := range []string{"router", "keeper"} {
+		for _, cause := range []string{"news", "digests", "shuffles", "reports", "ballots", "leases", "all"} {
+			name := "calm: " + who + ", " + cause
+			if _, ok := r.runs["scale"][name]; !ok {
+				continue
+			}
+			rows = append(rows, []string{who + ", " + cause, num(r.at("scale", name)), r.row("scale", name).Note, num(r.at("scale-homes", name)), r.row("scale-homes", name).Note})
+		}
+	}
+	return table([]string{"calm, bytes a second", "22 zones", "beside the model", "7 zones, a keeper in each", "beside the model"}, rows), nil
+}
+
+func growth(r *Results) (string, error) {
+	var rows [][]string
+	sizes := []float64{30, 100, 330}
+	runs := []string{"scale-30", "scale-100", "scale"}
+	for _, x := range []struct{ what, name, unit string }{
+		{"router sends, calm", "calm: router, all", "B/s"}, {"router sends, peak", "peak: router, all", "B/s"},
+		{"real router, processor, peak", "peak: real router, processor", "% of a core"}, {"real router, memory, most", "peak: real router, memory, the most", "MB"},
+		{"keeper sends, calm", "calm: keeper, all", "B/s"}, {"keeper's news, calm", "calm: keeper, news", "B/s"},
+		{"routers with a keeper, both ways, peak", "peak: routers with a keeper, both ways", "B/s"},
+		{"keeper, processor, calm", "calm: keeper, processor", "% of a core"}, {"keeper, processor, peak", "peak: keeper, processor", "% of a core"},
+		{"keeper, memory, calm, most", "calm: keeper, memory, the most", "MB"}, {"keeper, descriptors, calm", "calm: keeper, descriptors, the most", ""},
+		{"tenants with requests in a window", "peak: tenants with requests in a window", ""},
+		{"all engines known everywhere, from the start", "all engines known at all hollow routers", "s"},
+	} {
+		var ys []float64
+		row := []string{x.what, x.unit}
+		for _, run := range runs {
+			y := r.at(run, x.name)
+			ys, row = append(ys, y), append(row, num(y))
+		}
+		row = append(row, fitted(sizes, ys, 1)...)
+		rows = append(rows, row)
+	}
+	sizes = nil
+	for _, n := range []int{16, 32, 64, 128, 200, 330} {
+		sizes = append(sizes, float64(n))
+	}
+	engines := []int{73, 145, 291, 582, 909, 1500}
+	for _, what := range []string{"sent by a router", "sent by a keeper", "taken by a keeper"} {
+		var ys []float64
+		for i, n := range sizes {
+			ys = append(ys, r.at("capacity", fmt.Sprintf("%s, %.0f routers, %d engines", what, n, engines[i])))
+		}
+		rows = append(rows, append([]string{"model: " + what + " (32, 128, 330 of six sizes)", "B/s", num(ys[1]), num(ys[3]), num(ys[5])}, fitted(sizes, ys, 1)...))
+	}
+	return table([]string{"figure", "", "30 routers, 136 engines", "100, 455", "330, 1,500", "exponent", "largest residual", "extrapolated by"}, rows), nil
+}
+
+// fitted are exponent, residual, and by how much the last point is extrapolated.
+func fitted(xs, ys []float64, by float64) []string {
+	for _, y := range ys {
+		if !(y > 0) {
+			return []string{"-", "-", "not: measured"}
+		}
+	}
+	f := FitPower(xs, ys)
+	far := "not: measured"
+	if by > 1 {
+		far = num(by) + " times"
+	}
+	return []string{fmt.Sprintf("%.2f", f.Exponent), fmt.Sprintf("%.0f%%", 100*f.Residual), far}
+}
+
+func benchmarks(r *Results) (string, error) {
+	var rows [][]string
+	add := func(what, format, unit string, scale float64, shown string, aim float64, sizes ...float64) {
+		var ys []float64
+		cells := make([]string, 0, len(sizes))
+		for _, n := range sizes {
+			y := r.bench(strings.ReplaceAll(format, "N", fmt.Sprintf("%.0f", n)), unit) / scale
+			ys = append(ys, y)
+			cells = append(cells, fmt.Sprintf("%s at %s", num(y), num(n)))
+		}
+		last := sizes[len(sizes)-1]
+		row := append([]string{what, "`" + strings.Split(format, "/")[0] + "`", strings.Join(cells, ", "), shown}, fitted(sizes, ys, aim/last)...)
+		at := ys[len(ys)-1]
+		if aim > last {
+			at = FitPower(sizes, ys).At(aim)
+		}
+		rows = append(rows, append(row, num(at)))
+	}
+	add("text of a configuration, over tenants", "declared.Tenants/digest/N", "text-bytes", 1, "B", aimTenants, 1400, 4600, 14000)
+	add("reading it", "declared.Tenants/read/N", "ns/op", 1e6, "ms", aimTenants, 1400, 4600, 14000)
+	add("reading it with its digest (a keeper)", "declared.Tenants/digest/N", "ns/op", 1e6, "ms", aimTenants, 1400, 4600, 14000)
+	add("reading and compiling it (a router)", "edge.Tenants/N", "ns/op", 1e6, "ms", aimTenants, 1400, 4600, 14000)
+	add("what a router keeps of it", "edge.Tenants/N", "held-bytes", 1e6, "MB", aimTenants, 1400, 4600, 14000)
+	add("a router's table of routes, over routes", "edge.Configuration/N", "ns/op", 1e6, "ms", 5000, 10, 1000, 5000)
+	add("a report to a keeper, at a keeper, over routers", "duty.Book/report/N", "ns/op", 1e3, "µs", aimRouters, 30, 100, 330)
+	add("a usage window in its book", "duty.Book/report/N", "held-bytes", 1e6, "MB", aimRouters, 30, 100, 330)
+	add("the same, written for another keeper", "duty.Book/write/N", "book-bytes", 1e3, "kB", aimRouters, 30, 100, 330)
+	add("writing it", "duty.Book/write/N", "ns/op", 1e6, "ms", aimRouters, 30, 100, 330)
+	add("adding it up", "duty.Book/sum/N", "ns/op", 1e6, "ms", aimRouters, 30, 100, 330)
+	add("an engine's beat at a keeper, over engines", "news.Engines/beat/N", "ns/op", 1e3, "µs", aimEngines, 150, 500, 1500)
+	add("a tick of a router that knows them", "news.Engines/tick/N", "ns/op", 1e3, "µs", aimEngines, 150, 500, 1500)
+	add("an engine in the heap of a process", "news.Engines/beat/N", "B/engine", 1, "B", aimEngines, 150, 500, 1500)
+	add("a request at the core, over engines of its service", "broker.Hosts/N_boxes/0_prefixes", "ns/op", 1e3, "µs", 300, 30, 100, 300)
+	add("the same with 1,000 shared prefixes", "broker.Hosts/N_boxes/1000_prefixes", "ns/op", 1e3, "µs", 300, 30, 100, 300)
+	add("the same with 4,000", "broker.Hosts/N_boxes/4000_prefixes", "ns/op", 1e3, "µs", 300, 30, 100, 300)
+	add("a session in the table, over sessions", "broker.Sessions/N", "B/session", 1, "B", 65000, 2000, 7600, 25000, 65000)
+	var cells []string
+	var xs, ys []float64
+	for _, n := range []int{40, 120, 382} {
+		cells = append(cells, fmt.Sprintf("%s at %d", num(r.perEvent(n)), n))
+		xs, ys = append(xs, float64(n)), append(ys, r.perEvent(n))
+	}
+	rows = append(rows, append(append([]string{"an event through a router, over streams", "`node.Events`", strings.Join(cells, ", "), "µs"}, fitted(xs, ys, 1)...), num(ys[2])))
+	cells = nil
+	for _, n := range []int{4600, 9200, 10000, 11000, 12000, 14000} {
+		cells = append(cells, fmt.Sprintf("%s at %s", num(r.bench(fmt.Sprintf("delta.Tenants/%d", n), "delta-bytes")), num(float64(n))))
+	}
+	rows = append(rows, []string{"the difference of one figure, over tenants", "`delta.Tenants`", strings.Join(cells, ", "), "B", "a step", "-", "not: measured", num(r.bench("delta.Tenants/14000", "delta-bytes"))})
+	return table([]string{"what", "benchmark", "measured, the least of three", "", "exponent", "largest residual", "extrapolated by", "at that size"}, rows), nil
+}
+
+func changes(r *Results) (string, error) {
+	var rows [][]string
+	for i := range 5 {
+		row := []string{fmt.Sprint(i + 1)}
+		for _, run := range []string{"scale", "scale-homes"} {
+			for _, what := range []string{"acknowledged", "at half of the hollow routers", "at 95 in 100", "at the last", "in force at the last real router"} {
+				row = append(row, num(r.at(run, fmt.Sprintf("change %d: %s", i+1, what))))
+			}
+		}
+		rows = append(rows, row)
+	}
+	return table([]string{"change", "usage at the peak: acknowledged, ms", "half", "95 in 100", "last", "in force at real ones", "no usage: acknowledged, ms", "half", "95 in 100", "last", "in force at real ones"}, rows), nil
+}
+
+func orders(r *Results) (string, error) {
+	var rows [][]string
+	text := r.at("scale", "configuration")
+	for _, trip := range []int{30, 100, 150, 250} {
+		row := []string{fmt.Sprint(trip)}
+		for _, size := range []float64{100, text} {
+			x := r.row("scale", fmt.Sprintf("model: an order of %.0f bytes with round trips of %d ms", size, trip))
+			if x.Figure < 0 {
+				row = append(row, "never ("+x.Note+")")
+				continue
+			}
+			row = append(row, num(x.Figure)+" ms ("+x.Note+")")
+		}
+		rows = append(rows, row)
+	}
+	return table([]string{"round trip between keepers, ms", "100 bytes chosen after", num(text) + " bytes chosen after"}, rows), nil
+}
+
+func usage(r *Results) (string, error) {
+	var rows [][]string
+	for i, run := range []string{"scale-30", "scale-100", "scale"} {
+		rows = append(rows, []string{[]string{"30", "100", "330"}[i], num(r.at(run, "peak: tenants with requests in a window")), num(r.at(run, "peak: usage windows due")),
+			num(r.at(run, "peak: usage windows reported")), num(r.at(run, "peak: keeper, ballots")), num(r.at(run, "peak: keeper, reports"))})
+	}
+	return table([]string{"routers", "tenants with requests in a window", "windows due", "reported", "a keeper's ballots, B/s", "a keeper's books, B/s"}, rows), nil
+}
+
+func start(r *Results) (string, error) {
+	var rows [][]string
+	for i, run := range []string{"scale-30", "scale-100", "scale", "scale-homes"} {
+		rows = append(rows, []string{[]string{"30, 136", "100, 455", "330, 1,500", "330, 1,500 in 7 zones"}[i], num(r.at(run, "first configuration at all hollow routers")), num(r.at(run, "all engines known at all hollow routers"))})
+	}
+	return table([]string{"routers, engines", "first configuration at all routers after, s", "all engines known at all routers after, s"}, rows), nil
+}
+
+// sweepOf is the table of a sweep, or says that there is none yet.
+func sweepOf(site string) func(*Results) (string, error) {
+	return func(r *Results) (string, error) {
+		s, err := r.readSweep(site)
+		if err != nil {
+			return "", err
+		}
+		if s == nil {
+			return fmt.Sprintf("`fleetbench sweep` on %s has not been run on this text.\n", site), nil
+		}
+		head := []string{"role", "figure"}
+		for _, n := range s.Sizes {
+			head = append(head, num(n)+" machines")
+		}
+		var rows [][]string
+		for _, x := range s.Rows {
+			row := []string{x.Role, x.Figure}
+			for _, y := range x.At {
+				row = append(row, num(y))
+			}
+			target := "-"
+			if x.Target > 0 {
+				target = num(x.Target)
+			}
+			rows = append(rows, append(append(row, fitted(s.Sizes, x.At, 1)[:2]...), target, x.Against))
+		}
+		text := table(append(head, "exponent", "largest residual", "at the target, by the bench", "against"), rows)
+		return fmt.Sprintf("`%s`. %s\n\n%s", s.Command, s.Says, text), nil
+	}
+}
--- a/internal/lab/system/parts.go
+++ b/internal/lab/system/parts.go
@@ -69,7 +69,7 @@
 		"status": e.state, "warmup_remaining_ms": 0, "call_count": e.calls}
 	e.mu.Unlock()
 	m := s.machines[rand.IntN(len(s.machines))]
-	code, _, err := call("POST", "http://"+m.control+"/Instances.Heartbeat/"+e.id, nil, v)
+	code, _, err := Call("POST", "http://"+m.control+"/Instances.Heartbeat/"+e.id, nil, v)
 	return err == nil && code == 200
 }
 
@@ -86,7 +86,7 @@
 	e.mu.Unlock()
 	pause(ctx, drain+timeout)
 	e.stopBeat()
-	call("POST", "http://"+s.machines[0].control+"/Instances.Deregister/"+e.id, nil, map[string]any{})
+	Call("POST", "http://"+s.machines[0].control+"/Instances.Deregister/"+e.id, nil, map[string]any{})
 }
 
 // crash ends the engine without a word.
--- a/internal/lab/system/system.go
+++ b/internal/lab/system/system.go
@@ -98,8 +98,8 @@
 	now      Report // of this second
 }
 
-// free finds a port that nobody has at any of the addresses.
-func free(ips []string) (int, error) {
+// FreePort finds a port that nobody has at any of the addresses.
+func FreePort(ips []string) (int, error) {
 	for range 50 {
 		port := 20000 + rand.IntN(20000)
 		all := true
@@ -133,7 +133,7 @@
 	ports := make([]int, 4)
 	for i := range ports {
 		for {
-			p, err := free(ips)
+			p, err := FreePort(ips)
 			if err != nil {
 				return nil, err
 			}
@@ -246,8 +246,8 @@
 	fmt.Fprintf(s.Out, "%5.1f s  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// call makes a call of the control plane.
-func call(method, url string, header map[string]string, v any) (int, []byte, error) {
+// Call makes a call of the control plane.
+func Call(method, url string, header map[string]string, v any) (int, []byte, error) {
 	b, err := cbor.Marshal(v)
 	if err != nil {
 		return 0, nil, err
@@ -283,7 +283,7 @@
 	}
 	for ctx.Err() == nil {
 		m := s.machines[rand.IntN(len(s.machines))]
-		code, says, err := call("POST", "http://"+m.control+"/Configuration.Replace", map[string]string{"X-Revision-Match": strconv.Itoa(on)}, v)
+		code, says, err := Call("POST", "http://"+m.control+"/Configuration.Replace", map[string]string{"X-Revision-Match": strconv.Itoa(on)}, v)
 		if err == nil && code == 200 {
 			return nil
 		}
@@ -442,7 +442,7 @@
 // collect adds up what processes and the platform know at the end.
 func (s *system) collect() {
 	for _, m := range s.machines {
-		code, b, err := call("GET", "http://"+m.control+"/fleet/status", nil, nil)
+		code, b, err := Call("GET", "http://"+m.control+"/fleet/status", nil, nil)
 		var st struct {
 			Account []struct {
 				Cause          string
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -31,6 +31,11 @@
 	}
 	web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Keep-Alive", "timeout=10")
+		for _, name := range []string{"X-Request-Id", "X-Call-Id"} { // an answer that does not name its request is another's
+			if id := r.Header.Get(name); id != "" {
+				w.Header().Set(name, id)
+			}
+		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		io.WriteString(w, "data: 1\n\n")
 		w.(http.Flusher).Flush()
