--- a/internal/control/configcache/configcache.go
+++ b/internal/control/configcache/configcache.go
@@ -15,10 +15,6 @@
 	"notchhinge/internal/limits"
 )
 
-// CallFetch is the kind of the call that asks a peer for its newest configuration if that is newer than the caller's. The
-// peer responds with EncodeReply, and the caller reads that with DecodeReply.
-const CallFetch uint8 = 5
-
 // Cache is a set of configurations. The zero Cache is empty and ready to use. It is safe for concurrent use.
 type Cache struct {
 	mu      sync.Mutex
--- a/internal/control/configcache/golden_test.go
+++ b/internal/control/configcache/golden_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"notchhinge/internal/control/replica"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/testutil/golden"
 )
 
@@ -19,7 +20,7 @@
 
 // TestGoldenReplies: replies keep their bytes, and are decoded to the same configurations.
 func TestGoldenReplies(t *testing.T) {
-	golden.Equal(t, "kind of the call", uint8(5), CallFetch)
+	golden.Equal(t, "kind of the call", rpc.Kind(5), rpc.KindFetchConfig)
 	var from Cache
 	golden.Check(t, "answer-none.hex", from.EncodeReply(0))
 	from.Add(10, []byte("a short text"))
--- a/internal/control/replica/acceptor_test.go
+++ b/internal/control/replica/acceptor_test.go
@@ -6,6 +6,7 @@
 
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // TestVoteIsSentAfterItsWrite: a vote is answered once it is durable, and not at all where the disk refuses it; a grant that is
@@ -13,7 +14,7 @@
 func TestVoteIsSentAfterItsWrite(t *testing.T) {
 	r := newSingle(true)
 	req := paxos.Request{Kind: paxos.KindPrepare, Index: 1, Number: paxos.ProposalNumber{Term: 3, Proposer: 5}}
-	prepare := CallReceived{Kind: CallPaxos, Body: encodePaxosRequest(&req)}
+	prepare := CallReceived{Kind: rpc.KindPaxos, Body: encodePaxosRequest(&req)}
 	r.Reduce(time.Second, Tick{})
 	for _, f := range r.Reduce(time.Second, prepare) {
 		if reply, ok := f.(SendReply); ok {
@@ -42,11 +43,11 @@
 		t.Error("pending before anything is accepted")
 	}
 	req := paxos.Request{Kind: paxos.KindAccept, Index: 1, Number: paxos.ProposalNumber{Term: 3, Proposer: 5}, Value: value}
-	reduce(r, time.Second, CallReceived{Kind: CallPaxos, Body: encodePaxosRequest(&req)}, true)
+	reduce(r, time.Second, CallReceived{Kind: rpc.KindPaxos, Body: encodePaxosRequest(&req)}, true)
 	if !r.MembershipPending() {
 		t.Error("not pending after other voters were accepted")
 	}
-	reduce(r, time.Second, CallReceived{Kind: CallLearn, Body: EncodeIndexed(1, value)}, true)
+	reduce(r, time.Second, CallReceived{Kind: rpc.KindLearn, Body: EncodeIndexed(1, value)}, true)
 	if r.MembershipPending() || len(r.state.Members) != 2 {
 		t.Error("pending after the index was decided")
 	}
--- a/internal/control/replica/calls.go
+++ b/internal/control/replica/calls.go
@@ -1,72 +1,47 @@
 package replica
 
 import (
-	"errors"
+	"fmt"
 	"net/netip"
-	"time"
 
 	"notchhinge/internal/control/paxos"
-	"notchhinge/internal/limits"
+	"notchhinge/internal/control/rpc"
 )
 
-// CallKind is the number of a kind of call between processes, as it stands on the wire. Replicas take the kinds below; other
-// packages own 5 (configurations), 8, 9, 11 and 15 (singleton roles). 6, 7, 12 and 13 were used once and stay free.
-type CallKind uint8
+// replyFunc answers a call of another process.
+type replyFunc func(body []byte, err error)
 
-// The kinds of calls that replicas take.
-const (
-	CallPaxos     CallKind = 1  // paxos.Request, answered by paxos.Response
-	CallLearn     CallKind = 2  // an index and the value chosen for it; without a value, notice of a longer log
-	CallSnapshot  CallKind = 3  // the whole state, if it is beyond an index, in the newest format that the caller reads
-	CallIdentity  CallKind = 4  // answered by the identity of the replica
-	CallJoin      CallKind = 10 // identity of a learner that asks for a vote; answered by nothing, or by joinGroupFull
-	CallCommit    CallKind = 14 // what the callee has accepted for an index under a proposal number was chosen
-	CallReachable CallKind = 16 // whether the replica at an address answers the callee: 1, or 0
-)
+// callHandler handles a call of another process. reply is called once, then or later.
+type callHandler func(r *Replica, c CallReceived, reply replyFunc)
 
-// CallTimeout is how long a caller waits for the answer to a call. A callee need not take a call that has waited for longer.
-func CallTimeout(kind CallKind) time.Duration {
-	switch kind {
-	case CallSnapshot, CallReachable:
-		return 2 * limits.ReplicaCallTimeout
-	case CallJoin:
-		return settleTimeout
-	}
-	return limits.ReplicaCallTimeout
+// callHandlers handle the calls that replicas own.
+var callHandlers = rpc.Handlers[callHandler]{
+	rpc.KindPaxos:          (*Replica).receivePaxos,
+	rpc.KindLearn:          (*Replica).receiveLearn,
+	rpc.KindCommit:         (*Replica).receiveCommit,
+	rpc.KindSnapshot:       (*Replica).receiveSnapshotCall,
+	rpc.KindCheckReachable: (*Replica).receiveReachable,
+	rpc.KindIdentity:       (*Replica).receiveIdentity,
+	rpc.KindJoin:           (*Replica).receiveJoin,
 }
 
-// errUnknownCall answers a call of a kind that no replica takes.
-var errUnknownCall = errors.New("replica: unknown kind of call")
-
-// replyFunc answers a call of another process.
-type replyFunc func(body []byte, err error)
-
 // receiveCall handles a call of another process.
 func (r *Replica) receiveCall(c CallReceived) {
 	reply := func(body []byte, err error) { r.emit(SendReply{c.Request, body, err}) }
-	switch c.Kind {
-	case CallPaxos:
-		r.receivePaxos(c.Body, reply)
-	case CallLearn:
-		r.receiveLearn(c, reply)
-	case CallCommit:
-		r.receiveCommit(c, reply)
-	case CallSnapshot:
-		r.receiveSnapshotCall(c.Body, reply)
-	case CallReachable:
-		r.receiveReachable(c.Body, reply)
-	case CallIdentity:
-		reply(r.identity().encode(), nil)
-	case CallJoin:
-		r.receiveJoin(c, reply)
-	default:
-		reply(nil, errUnknownCall)
+	handle, err := callHandlers.Lookup(c.Kind)
+	if err != nil {
+		reply(nil, fmt.Errorf("replica: %w", err))
+		return
 	}
+	handle(r, c, reply)
 }
 
-// receivePaxos handles a CallPaxos. The response leaves once the disk has what it says.
-func (r *Replica) receivePaxos(body []byte, reply replyFunc) {
-	req, err := decodePaxosRequest(body)
+// receiveIdentity handles a KindIdentity.
+func (r *Replica) receiveIdentity(_ CallReceived, reply replyFunc) { reply(r.identity().encode(), nil) }
+
+// receivePaxos handles an rpc.KindPaxos. The response leaves once the disk has what it says.
+func (r *Replica) receivePaxos(c CallReceived, reply replyFunc) {
+	req, err := decodePaxosRequest(c.Body)
 	if err != nil {
 		reply(nil, err)
 		return
@@ -81,7 +56,7 @@
 }
 
 // call asks for a call of another process; done is called with the answer, or with an error after the timeout. It may be nil.
-func (r *Replica) call(to netip.AddrPort, kind CallKind, body []byte, done replyFunc) {
+func (r *Replica) call(to netip.AddrPort, kind rpc.Kind, body []byte, done replyFunc) {
 	r.lastID++
 	id, sentAt := CallID(r.lastID), r.now
 	r.calls[id] = func(body []byte, err error) {
@@ -89,12 +64,12 @@
 			done(body, err)
 		}
 	}
-	r.emit(SendCall{ID: id, To: to, Kind: kind, Body: body, Timeout: CallTimeout(kind)})
+	r.emit(SendCall{ID: id, To: to, Kind: kind, Body: body, Timeout: rpc.Lookup(kind).Timeout})
 }
 
 // callPaxos calls an acceptor.
 func (r *Replica) callPaxos(to netip.AddrPort, body []byte, done func(resp paxos.Response, ok bool)) {
-	r.call(to, CallPaxos, body, func(body []byte, err error) {
+	r.call(to, rpc.KindPaxos, body, func(body []byte, err error) {
 		var resp paxos.Response
 		if err == nil {
 			resp, err = decodePaxosResponse(body)
@@ -105,7 +80,7 @@
 
 // callIdentity asks another replica for its identity.
 func (r *Replica) callIdentity(to netip.AddrPort, done func(i identity, ok bool)) {
-	r.call(to, CallIdentity, nil, func(body []byte, err error) {
+	r.call(to, rpc.KindIdentity, nil, func(body []byte, err error) {
 		var i identity
 		if err == nil {
 			i, err = decodeIdentity(body)
--- a/internal/control/replica/catchup.go
+++ b/internal/control/replica/catchup.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // oldestStateVersion is the format of a state for callers that do not say which they read.
@@ -18,10 +19,10 @@
 		return
 	}
 	body := EncodeIndexed(r.state.NextIndex, []byte{replog.StateVersion})
-	r.call(from, CallSnapshot, body, func(body []byte, err error) { r.receiveSnapshot(from, body, err) })
+	r.call(from, rpc.KindSnapshot, body, func(body []byte, err error) { r.receiveSnapshot(from, body, err) })
 }
 
-// receiveSnapshot handles the answer to a CallSnapshot; without a body the callee's log is no longer than the caller's.
+// receiveSnapshot handles the answer to an rpc.KindSnapshot; without a body the callee's log is no longer than the caller's.
 func (r *Replica) receiveSnapshot(from netip.AddrPort, body []byte, err error) {
 	if err != nil || len(body) == 0 {
 		r.catchUpDone(from)
@@ -71,8 +72,8 @@
 
 // receiveSnapshotCall answers a replica that catches up: with the state, if that is beyond the caller's next index, in the
 // newest format that the caller reads. An earlier release does not say which it reads.
-func (r *Replica) receiveSnapshotCall(body []byte, reply replyFunc) {
-	index, formats, err := DecodeIndexed(body)
+func (r *Replica) receiveSnapshotCall(c CallReceived, reply replyFunc) {
+	index, formats, err := DecodeIndexed(c.Body)
 	if err != nil || r.state.NextIndex <= index {
 		reply(nil, err)
 		return
--- a/internal/control/replica/commit.go
+++ b/internal/control/replica/commit.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // commit applies the value that was chosen for an index. It reports whether the state covers the index now: an index beyond the
@@ -37,16 +38,16 @@
 		switch {
 		case m.ID == r.Self.ID || !ok:
 		case a.HasGranted(m.ID):
-			r.call(to, CallCommit, number, nil)
+			r.call(to, rpc.KindCommit, number, nil)
 		default:
-			r.call(to, CallLearn, value, nil)
+			r.call(to, rpc.KindLearn, value, nil)
 		}
 	}
 	for i := range r.state.Members {
 		m := &r.state.Members[i]
 		wasVoter := slices.ContainsFunc(a.members, func(x replog.Member) bool { return x.ID == m.ID })
 		if to, ok := memberAddr(m); ok && m.ID != r.Self.ID && !wasVoter {
-			r.call(to, CallLearn, value, nil)
+			r.call(to, rpc.KindLearn, value, nil)
 		}
 	}
 }
@@ -55,12 +56,12 @@
 func (r *Replica) notifyLagging(id uint64, members []replog.Member) {
 	for i := range members {
 		if to, ok := memberAddr(&members[i]); ok && members[i].ID == id && id != r.Self.ID {
-			r.call(to, CallLearn, EncodeIndexed(r.state.NextIndex, nil), nil)
+			r.call(to, rpc.KindLearn, EncodeIndexed(r.state.NextIndex, nil), nil)
 		}
 	}
 }
 
-// receiveLearn handles a CallLearn: the value that was chosen for an index, or the notice that the caller's log is longer.
+// receiveLearn handles an rpc.KindLearn: the value that was chosen for an index, or the notice that the caller's log is longer.
 func (r *Replica) receiveLearn(c CallReceived, reply replyFunc) {
 	index, value, err := DecodeIndexed(c.Body)
 	if reply(nil, err); err == nil {
@@ -68,7 +69,7 @@
 	}
 }
 
-// receiveCommit handles a CallCommit: what was accepted for an index under a proposal number was chosen. If this replica has not
+// receiveCommit handles an rpc.KindCommit: what was accepted for an index under a proposal number was chosen. If this replica has not
 // accepted it, it catches up with the caller.
 func (r *Replica) receiveCommit(c CallReceived, reply replyFunc) {
 	index, number, err := decodeCommit(c.Body)
--- a/internal/control/replica/effect.go
+++ b/internal/control/replica/effect.go
@@ -8,6 +8,7 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // Effect is something that the owner must do: one of the types below. Effects are performed in their order.
@@ -17,7 +18,7 @@
 type SendCall struct {
 	ID      CallID
 	To      netip.AddrPort
-	Kind    CallKind
+	Kind    rpc.Kind
 	Body    []byte
 	Timeout time.Duration
 }
--- a/internal/control/replica/event.go
+++ b/internal/control/replica/event.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // RequestID identifies a request of the owner in the effect that answers it. The owner assigns it; see Pending. Zero is for a
@@ -27,7 +28,7 @@
 // CallReceived reports a call of another process. SendReply comes back with Request.
 type CallReceived struct {
 	Request RequestID
-	Kind    CallKind
+	Kind    rpc.Kind
 	Body    []byte
 	From    netip.Addr // of the caller
 }
--- a/internal/control/replica/failuredetector.go
+++ b/internal/control/replica/failuredetector.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/limits"
 )
 
@@ -100,7 +101,7 @@
 			continue
 		}
 		calls.sent()
-		r.call(to, CallReachable, []byte(suspect.String()), func(body []byte, err error) {
+		r.call(to, rpc.KindCheckReachable, []byte(suspect.String()), func(body []byte, err error) {
 			isReachable = isReachable || err == nil && len(body) == 1 && body[0] == 1
 			calls.answered()
 		})
@@ -121,8 +122,8 @@
 }
 
 // receiveReachable answers whether the replica at an address answers this one.
-func (r *Replica) receiveReachable(body []byte, reply replyFunc) {
-	to, err := netip.ParseAddrPort(string(body))
+func (r *Replica) receiveReachable(c CallReceived, reply replyFunc) {
+	to, err := netip.ParseAddrPort(string(c.Body))
 	if err != nil {
 		reply(nil, err)
 		return
--- a/internal/control/replica/golden_test.go
+++ b/internal/control/replica/golden_test.go
@@ -7,6 +7,7 @@
 
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/testutil/golden"
 )
 
@@ -59,14 +60,25 @@
 	}
 }
 
-// TestGoldenCallKinds: the kinds of calls have their numbers on the wire, and CallJoin its one-byte answer.
+// TestGoldenCallKinds: the kinds of calls have their numbers on the wire, and rpc.KindJoin its one-byte answer.
 func TestGoldenCallKinds(t *testing.T) {
 	golden.Equal(t, "numbers", []uint8{1, 2, 3, 4, 10, 16, 14, 1}, []uint8{
-		uint8(CallPaxos), uint8(CallLearn), uint8(CallSnapshot), uint8(CallIdentity), uint8(CallJoin), uint8(CallReachable),
-		uint8(CallCommit), joinGroupFull,
+		uint8(rpc.KindPaxos), uint8(rpc.KindLearn), uint8(rpc.KindSnapshot), uint8(rpc.KindIdentity), uint8(rpc.KindJoin), uint8(rpc.KindCheckReachable),
+		uint8(rpc.KindCommit), joinGroupFull,
 	})
 }
 
+// TestEveryCallHasAHandler: each kind of call that replicas own has a handler, and a kind of another owner is an error.
+func TestEveryCallHasAHandler(t *testing.T) {
+	if missing := callHandlers.Missing(rpc.OwnerReplica); len(missing) > 0 {
+		t.Errorf("handlers missing, or of another owner: %v", missing)
+	}
+	answers, _ := reduce(newSingle(true), time.Second, CallReceived{Kind: rpc.KindUsageReport}, true)
+	if len(answers) != 1 || !errors.Is(answers[0].(SendReply).Err, rpc.UnknownKindError(rpc.KindUsageReport)) {
+		t.Errorf("a call of another owner: %+v", answers)
+	}
+}
+
 // TestGoldenReplies: a call with the bytes of a golden file has the reply of another.
 func TestGoldenReplies(t *testing.T) {
 	r := newSingle(true)
@@ -80,13 +92,13 @@
 		golden.Check(t, name+".hex", answers[0].(SendReply).Body)
 	}
 	r.Reduce(time.Second, Tick{})
-	reply("reply-identity", CallReceived{Kind: CallIdentity})
-	reply("reply-snapshot-format-2", CallReceived{Kind: CallSnapshot, Body: EncodeIndexed(0, []byte{replog.StateVersion})})
-	reply("reply-snapshot-format-1", CallReceived{Kind: CallSnapshot, Body: EncodeIndexed(0, nil)})
-	reply("reply-snapshot-none", CallReceived{Kind: CallSnapshot, Body: golden.Read(t, "snapshot-request.hex")})
+	reply("reply-identity", CallReceived{Kind: rpc.KindIdentity})
+	reply("reply-snapshot-format-2", CallReceived{Kind: rpc.KindSnapshot, Body: EncodeIndexed(0, []byte{replog.StateVersion})})
+	reply("reply-snapshot-format-1", CallReceived{Kind: rpc.KindSnapshot, Body: EncodeIndexed(0, nil)})
+	reply("reply-snapshot-none", CallReceived{Kind: rpc.KindSnapshot, Body: golden.Read(t, "snapshot-request.hex")})
 	prepare := paxos.Request{Kind: paxos.KindPrepare, Index: 1, Number: paxos.ProposalNumber{Term: 3, Proposer: 5}}
-	reply("reply-prepare", CallReceived{Kind: CallPaxos, Body: encodePaxosRequest(&prepare)})
-	reply("reply-commit", CallReceived{Kind: CallCommit, Body: golden.Read(t, "commit.hex")})
+	reply("reply-prepare", CallReceived{Kind: rpc.KindPaxos, Body: encodePaxosRequest(&prepare)})
+	reply("reply-commit", CallReceived{Kind: rpc.KindCommit, Body: golden.Read(t, "commit.hex")})
 }
 
 // TestGoldenReachableReplies: a replica that is asked whether another answers it replies with one byte.
@@ -94,8 +106,8 @@
 	for name, err := range map[string]error{"reply-reachable": nil, "reply-unreachable": errors.New("no answer")} {
 		r := newSingle(true)
 		var asked []SendCall
-		for _, f := range r.Reduce(time.Second, CallReceived{Kind: CallReachable, Body: []byte("10.0.0.2:7000"), Request: 7}) {
-			if f, ok := f.(SendCall); ok && f.Kind == CallIdentity && f.To.String() == "10.0.0.2:7000" {
+		for _, f := range r.Reduce(time.Second, CallReceived{Kind: rpc.KindCheckReachable, Body: []byte("10.0.0.2:7000"), Request: 7}) {
+			if f, ok := f.(SendCall); ok && f.Kind == rpc.KindIdentity && f.To.String() == "10.0.0.2:7000" {
 				asked = append(asked, f)
 			}
 		}
--- a/internal/control/replica/learner.go
+++ b/internal/control/replica/learner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/limits"
 )
 
@@ -21,7 +22,7 @@
 
 // join asks a replica to make this one a voter.
 func (r *Replica) join(to netip.AddrPort) {
-	r.call(to, CallJoin, r.identity().encode(), func(body []byte, err error) {
+	r.call(to, rpc.KindJoin, r.identity().encode(), func(body []byte, err error) {
 		if err != nil {
 			r.log.Info("join not accepted", "peer", to.String(), "err", err)
 		}
@@ -33,7 +34,7 @@
 	})
 }
 
-// receiveJoin handles a CallJoin of a learner, or forwards it to the replica that proposes at present.
+// receiveJoin handles an rpc.KindJoin of a learner, or forwards it to the replica that proposes at present.
 func (r *Replica) receiveJoin(c CallReceived, reply replyFunc) {
 	learner, err := decodeIdentity(c.Body)
 	if err != nil {
@@ -41,7 +42,7 @@
 		return
 	}
 	if to, ok := r.busyProposer(&learner, c.From); ok {
-		r.call(to, CallJoin, c.Body, reply)
+		r.call(to, rpc.KindJoin, c.Body, reply)
 		return
 	}
 	r.admit(learner, func(err error) {
--- a/internal/control/replica/membership_test.go
+++ b/internal/control/replica/membership_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/rpc"
 )
 
 // TestLearnersReplaceFailedVoters: after as many replacements in a row as may come, all voters run, so that the loss of any f of
@@ -123,7 +124,7 @@
 	c.run(time.Second)
 	proposer.membership.suspects[c.addr(failed)] = suspicion{c.now - 5*time.Second, c.now}
 	c.handle(proposer, CallReceived{
-		Kind: CallJoin, Body: learner.identity().encode(), Request: c.calls.Add(caller{replica: learner}),
+		Kind: rpc.KindJoin, Body: learner.identity().encode(), Request: c.calls.Add(caller{replica: learner}),
 	})
 	c.run(after)
 	c.kill(proposer)
--- a/internal/control/replica/messages.go
+++ b/internal/control/replica/messages.go
@@ -14,7 +14,7 @@
 	maxValueBytes = fleetconfig.MaxBytes + 4096
 	// maxNameBytes bounds the name and the address of a replica.
 	maxNameBytes = 256
-	// joinGroupFull is the body that answers a CallJoin while the group has as many voters as it should and none has failed.
+	// joinGroupFull is the body that answers an rpc.KindJoin while the group has as many voters as it should and none has failed.
 	joinGroupFull byte = 1
 )
 
--- a/internal/control/replica/operator_test.go
+++ b/internal/control/replica/operator_test.go
@@ -9,6 +9,7 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/fleetconfig"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // The shortest configurations of revisions 4, 5 and 7.
@@ -76,7 +77,7 @@
 		}
 	}
 	for formats, want := range map[string]byte{"": 1, "\x01": 1, "\x02": 2, "\x09": 2} {
-		answers, _ := reduce(r, time.Second, CallReceived{Kind: CallSnapshot, Body: EncodeIndexed(3, []byte(formats))}, true)
+		answers, _ := reduce(r, time.Second, CallReceived{Kind: rpc.KindSnapshot, Body: EncodeIndexed(3, []byte(formats))}, true)
 		b := answers[0].(SendReply).Body
 		s, err := replog.DecodeState(b)
 		if err != nil || b[0] != want || s.Revision != 200 || s.NextIndex != r.State().NextIndex {
--- a/internal/control/replica/read_test.go
+++ b/internal/control/replica/read_test.go
@@ -10,6 +10,7 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
 // TestReadAsksNewVoters: a replica that learns during a read that the voters are others asks these, too: they may have gone on
@@ -43,7 +44,7 @@
 						resp = formerVoter(req)
 					}
 				}
-				if f.Kind == CallSnapshot {
+				if f.Kind == rpc.KindSnapshot {
 					return state.Encode()
 				}
 				return encodePaxosResponse(&resp)
@@ -119,10 +120,10 @@
 		}
 		body := encodePaxosResponse(&paxos.Response{Verdict: paxos.VerdictReported, NextIndex: rt.newest.NextIndex})
 		switch rt.calls[0].Kind {
-		case CallSnapshot:
+		case rpc.KindSnapshot:
 			fetched++
 			body = rt.newest.Encode()
-		case CallPaxos:
+		case rpc.KindPaxos:
 			polled++
 		}
 		rt.handle(at, CallReturned{ID: rt.calls[0].ID, Body: body})
@@ -167,7 +168,7 @@
 			case SendCall:
 				req, err := decodePaxosRequest(f.Body)
 				resp := paxos.Response{Verdict: paxos.VerdictReported, NextIndex: 5, Accepted: paxos.ProposalNumber{Term: 1, Proposer: 4}}
-				if f.Kind == CallPaxos && err == nil && req.Kind != paxos.KindQuery {
+				if f.Kind == rpc.KindPaxos && err == nil && req.Kind != paxos.KindQuery {
 					if proposals++; at < start+100*time.Millisecond {
 						t.Errorf("proposed %v after the read came", at-start)
 					}
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -67,7 +67,7 @@
 	// catchUps holds, for each replica whose state has been requested, what follows its arrival.
 	catchUps map[netip.AddrPort][]func()
 
-	committer   netip.Addr // who has sent the last CallLearn or CallCommit
+	committer   netip.Addr // who has sent the last rpc.KindLearn or rpc.KindCommit
 	committedAt time.Duration
 
 	log     logger
@@ -171,7 +171,7 @@
 	return w.ID
 }
 
-// identity returns the answer to a CallIdentity.
+// identity returns the answer to an rpc.KindIdentity.
 func (r *Replica) identity() identity {
 	return identity{Member: r.Self, nextIndex: r.state.NextIndex, isFounder: r.IsFounder}
 }
--- /dev/null
+++ b/internal/control/rpc/rpc_test.go
@@ -0,0 +1,51 @@
+package rpc
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestKindsKeepTheirNumbersAndOwners: the numbers stand on the wire.
+func TestKindsKeepTheirNumbersAndOwners(t *testing.T) {
+	for owner, want := range map[Owner][]Kind{
+		OwnerReplica:   {1, 2, 3, 4, 10, 14, 16},
+		OwnerConfigs:   {5},
+		OwnerSingleton: {8, 9, 11, 15},
+		OwnerNone:      nil,
+	} {
+		if diff := cmp.Diff(want, Kinds(owner)); diff != "" {
+			t.Errorf("owner %d (-want +got):\n%s", owner, diff)
+		}
+	}
+}
+
+// TestEveryKindIsDescribed: a listed kind has a time limit, and a number that is not listed has no owner.
+func TestEveryKindIsDescribed(t *testing.T) {
+	for number := range 256 {
+		kind := Kind(number)
+		spec := Lookup(kind)
+		isListed := slices.Contains(Kinds(spec.Owner), kind)
+		if spec.Timeout <= 0 || isListed != (spec.Owner != OwnerNone) {
+			t.Errorf("kind %d: %+v, listed %v", kind, spec, isListed)
+		}
+	}
+}
+
+// TestMissingHandlersAreNamed: a table without a kind of its owner, or with another owner's, says which.
+func TestMissingHandlersAreNamed(t *testing.T) {
+	handlers := Handlers[func()]{KindFetchConfig: func() {}}
+	if missing := handlers.Missing(OwnerConfigs); len(missing) > 0 {
+		t.Errorf("missing %v", missing)
+	}
+	handlers[KindJoin] = func() {}
+	delete(handlers, KindFetchConfig)
+	if diff := cmp.Diff([]Kind{KindFetchConfig, KindJoin}, handlers.Missing(OwnerConfigs)); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if _, err := handlers.Lookup(7); !errors.Is(err, UnknownKindError(7)) {
+		t.Errorf("an unknown kind: %v", err)
+	}
+}
--- a/internal/control/singleton/answer.go
+++ b/internal/control/singleton/answer.go
@@ -1,41 +1,60 @@
 package singleton
 
 import (
-	"errors"
+	"fmt"
 
 	"notchhinge/internal/control/encoding"
 	"notchhinge/internal/control/lease"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/usage"
 )
 
-var errUnknownCall = errors.New("singleton: unknown kind of call")
+// callHandler answers a call of another process.
+type callHandler func(c *Controller, body []byte) ([]byte, error)
+
+// callHandlers answer the calls that singleton roles own.
+var callHandlers = rpc.Handlers[callHandler]{
+	rpc.KindUsageReport:    (*Controller).answerReport,
+	rpc.KindUsageTable:     (*Controller).answerTable,
+	rpc.KindRenewLease:     (*Controller).answerRenewal,
+	rpc.KindCheckCandidacy: (*Controller).answerCandidacy,
+}
 
 // answer answers a call of another process.
-func (c *Controller) answer(kind uint8, body []byte) ([]byte, error) {
-	switch kind {
-	case CallUsageReport:
-		return c.answerReport(body)
-	case CallUsageTable:
-		r := encoding.Reader{Buf: body}
-		from, to := r.Uvarint(), r.Uvarint()
-		if err := r.Finish(); err != nil {
-			return nil, err
-		}
-		return c.table.Encode(from, to), nil
-	case CallRenewLease:
-		q, err := lease.DecodeRenewal(body, lease.VoterSet(c.state.Members))
-		if err != nil {
-			return nil, err
-		}
-		return lease.EncodeVerdict(c.grant(q)), nil
-	case CallCheckCandidacy:
-		q, err := lease.DecodeCandidacy(body)
-		if err != nil {
-			return nil, err
-		}
-		return lease.EncodeVerdict(c.permits(q)), nil
+func (c *Controller) answer(kind rpc.Kind, body []byte) ([]byte, error) {
+	handle, err := callHandlers.Lookup(kind)
+	if err != nil {
+		return nil, fmt.Errorf("singleton: %w", err)
+	}
+	return handle(c, body)
+}
+
+// answerTable answers another voter with the counters of a range of windows.
+func (c *Controller) answerTable(body []byte) ([]byte, error) {
+	r := encoding.Reader{Buf: body}
+	from, to := r.Uvarint(), r.Uvarint()
+	if err := r.Finish(); err != nil {
+		return nil, err
+	}
+	return c.table.Encode(from, to), nil
+}
+
+// answerRenewal grants the holder its lease, or does not.
+func (c *Controller) answerRenewal(body []byte) ([]byte, error) {
+	q, err := lease.DecodeRenewal(body, lease.VoterSet(c.state.Members))
+	if err != nil {
+		return nil, err
+	}
+	return lease.EncodeVerdict(c.grant(q)), nil
+}
+
+// answerCandidacy says whether a voter may stand for the lease.
+func (c *Controller) answerCandidacy(body []byte) ([]byte, error) {
+	q, err := lease.DecodeCandidacy(body)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errUnknownCall
+	return lease.EncodeVerdict(c.permits(q)), nil
 }
 
 // answerReport takes in a router's report.
--- a/internal/control/singleton/controller.go
+++ b/internal/control/singleton/controller.go
@@ -9,6 +9,7 @@
 	"notchhinge/internal/control/autoscale"
 	"notchhinge/internal/control/lease"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/usage"
 	"notchhinge/internal/limits"
 )
@@ -173,10 +174,10 @@
 }
 
 // call calls another process.
-func (c *Controller) call(to netip.AddrPort, kind uint8, body []byte, onReturn func(body []byte, err error)) {
+func (c *Controller) call(to netip.AddrPort, kind rpc.Kind, body []byte, onReturn func(body []byte, err error)) {
 	c.lastCall++
 	c.calls[c.lastCall] = onReturn
-	c.emit(SendCall{ID: c.lastCall, To: to, Kind: kind, Body: body, Timeout: limits.ReplicaCallTimeout})
+	c.emit(SendCall{ID: c.lastCall, To: to, Kind: kind, Body: body, Timeout: rpc.Lookup(kind).Timeout})
 }
 
 func (c *Controller) emit(f Effect) { c.effects = append(c.effects, f) }
--- a/internal/control/singleton/controller_test.go
+++ b/internal/control/singleton/controller_test.go
@@ -11,6 +11,7 @@
 	"notchhinge/internal/control/encoding"
 	"notchhinge/internal/control/lease"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/usage"
 )
 
@@ -59,7 +60,7 @@
 }
 
 // call returns the answer to a call.
-func (h *harness) call(t *testing.T, kind uint8, body []byte) SendReply {
+func (h *harness) call(t *testing.T, kind rpc.Kind, body []byte) SendReply {
 	t.Helper()
 	for _, f := range h.Reduce(h.now, h.wall(), &h.state, CallReceived{Kind: kind, Body: body}) {
 		if r, ok := f.(SendReply); ok {
@@ -71,7 +72,7 @@
 }
 
 // isGranted reports whether a call is answered by a grant.
-func (h *harness) isGranted(t *testing.T, kind uint8, body []byte) bool {
+func (h *harness) isGranted(t *testing.T, kind rpc.Kind, body []byte) bool {
 	t.Helper()
 	r := h.call(t, kind, body)
 	return r.Err == nil && lease.IsGranted(r.Body)
@@ -93,7 +94,7 @@
 	calls := h.calls
 	h.calls = nil
 	for i, c := range calls {
-		if c.Kind == CallRenewLease || c.Kind == CallCheckCandidacy {
+		if c.Kind == rpc.KindRenewLease || c.Kind == rpc.KindCheckCandidacy {
 			h.reduce(CallReturned{ID: c.ID, Body: lease.EncodeVerdict(i < n)})
 		}
 	}
@@ -126,7 +127,7 @@
 	counters := usage.Counters{}
 	counters.Add(usage.WindowAt(h.wall(), 5*sec), "t", 4)
 	p := usage.Report{Incarnation: 9, Counters: counters, Loads: []usage.Load{{Service: "s", Running: 1000, Arrived: 10}}}
-	report := func() { h.reduce(CallReceived{Kind: CallUsageReport, Body: p.Encode()}) }
+	report := func() { h.reduce(CallReceived{Kind: rpc.KindUsageReport, Body: p.Encode()}) }
 	expect := func(when, want string) {
 		t.Helper()
 		if got := fmt.Sprint(h.sent); got != want {
@@ -179,19 +180,19 @@
 func TestVoterGrantsToTheAgreedHolderOnly(t *testing.T) {
 	h := newHarness()
 	h.state.Apply(replog.Entry{Payload: replog.LeaseGrant{HolderID: 2, HolderName: "b"}}.Encode())
-	ask := func(kind, token, node byte) bool {
+	ask := func(kind rpc.Kind, token, node byte) bool {
 		t.Helper()
 		return h.isGranted(t, kind, []byte{token, 0, 0, 0, 0, 0, 0, 0, node})
 	}
-	if ask(CallRenewLease, 1, 3) || ask(CallRenewLease, 2, 2) || !ask(CallRenewLease, 1, 2) {
+	if ask(rpc.KindRenewLease, 1, 3) || ask(rpc.KindRenewLease, 2, 2) || !ask(rpc.KindRenewLease, 1, 2) {
 		t.Error("a lease is for the agreed holder, with its fencing token")
 	}
 	h.now += 2 * sec
-	if ask(CallCheckCandidacy, 1, 3) || !ask(CallCheckCandidacy, 1, 2) {
+	if ask(rpc.KindCheckCandidacy, 1, 3) || !ask(rpc.KindCheckCandidacy, 1, 2) {
 		t.Error("under a lease another may not stand, and its holder may")
 	}
 	h.now += 2 * sec
-	if ask(CallCheckCandidacy, 0, 3) || !ask(CallCheckCandidacy, 1, 3) {
+	if ask(rpc.KindCheckCandidacy, 0, 3) || !ask(rpc.KindCheckCandidacy, 1, 3) {
 		t.Error("after it whoever knows the newest holder may stand")
 	}
 }
@@ -201,7 +202,7 @@
 func TestNewVotersGrantNothingAtOnce(t *testing.T) {
 	ask := func(h *harness, voters uint64) bool {
 		t.Helper()
-		return h.isGranted(t, CallRenewLease, lease.Renewal{FencingToken: h.state.FencingToken, Holder: 2, Voters: voters}.Encode())
+		return h.isGranted(t, rpc.KindRenewLease, lease.Renewal{FencingToken: h.state.FencingToken, Holder: 2, Voters: voters}.Encode())
 	}
 	h := newHarness()
 	h.state.LeaseHolder, h.state.FencingToken, h.state.NextIndex = 2, 3, 4
@@ -243,7 +244,7 @@
 			h.cfg.NeverGranted, h.grants.NeverGranted = first, first
 			routers := func() uint64 {
 				t.Helper()
-				ack, err := usage.DecodeAck(h.call(t, CallUsageReport, (&usage.Report{Incarnation: 9}).Encode()).Body)
+				ack, err := usage.DecodeAck(h.call(t, rpc.KindUsageReport, (&usage.Report{Incarnation: 9}).Encode()).Body)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -280,15 +281,19 @@
 	}
 }
 
-// TestCallsAreChecked: what cannot be decoded, and what is not answered here, is an error.
+// TestCallsAreChecked: each kind of call of this package has a handler, and what cannot be decoded, or is not answered here, is an
+// error.
 func TestCallsAreChecked(t *testing.T) {
 	h := newHarness()
-	for _, kind := range []uint8{CallUsageReport, CallUsageTable, CallRenewLease, CallCheckCandidacy} {
-		if r := h.call(t, kind, nil); !OwnsCall(kind) || !errors.Is(r.Err, encoding.ErrTruncated) {
+	if missing := callHandlers.Missing(rpc.OwnerSingleton); len(missing) > 0 {
+		t.Errorf("handlers missing, or of another owner: %v", missing)
+	}
+	for _, kind := range rpc.Kinds(rpc.OwnerSingleton) {
+		if r := h.call(t, kind, nil); !errors.Is(r.Err, encoding.ErrTruncated) {
 			t.Errorf("an empty call %d: %v", kind, r.Err)
 		}
 	}
-	if r := h.call(t, 10, nil); OwnsCall(10) || !errors.Is(r.Err, errUnknownCall) {
+	if r := h.call(t, rpc.KindJoin, nil); !errors.Is(r.Err, rpc.UnknownKindError(rpc.KindJoin)) {
 		t.Errorf("a call of another package: %v", r.Err)
 	}
 }
--- a/internal/control/singleton/election.go
+++ b/internal/control/singleton/election.go
@@ -8,6 +8,7 @@
 	"notchhinge/internal/control/lease"
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/limits"
 )
 
@@ -65,7 +66,7 @@
 	entry := replog.Entry{Nonce: c.rnd.Uint64(), Payload: replog.LeaseGrant{HolderID: self.ID, HolderName: self.Name}}
 	a := candidate{c: c, token: c.state.FencingToken, entry: entry.Encode()}
 	q := lease.Candidacy{FencingToken: a.token, Candidate: self.ID}
-	c.startPoll(pollRequest{CallCheckCandidacy, q.Encode(), c.permits(q)}, a.propose)
+	c.startPoll(pollRequest{rpc.KindCheckCandidacy, q.Encode(), c.permits(q)}, a.propose)
 }
 
 // propose proposes the candidate, once a majority permits it.
@@ -95,12 +96,12 @@
 func (c *Controller) renew() {
 	requestedAt := c.now
 	q := lease.Renewal{FencingToken: c.state.FencingToken, Holder: c.cfg.Self.ID, Voters: lease.VoterSet(c.state.Members)}
-	c.startPoll(pollRequest{CallRenewLease, q.Encode(), c.grant(q)}, func() { c.holder.Extend(requestedAt) })
+	c.startPoll(pollRequest{rpc.KindRenewLease, q.Encode(), c.grant(q)}, func() { c.holder.Extend(requestedAt) })
 }
 
 // pollRequest is a question to all members.
 type pollRequest struct {
-	kind uint8
+	kind rpc.Kind
 	body []byte
 	own  bool // this voter's own verdict
 }
--- a/internal/control/singleton/event.go
+++ b/internal/control/singleton/event.go
@@ -6,25 +6,9 @@
 	"time"
 
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 )
 
-// Kinds of calls between processes that this package answers. Other numbers belong to other packages.
-const (
-	CallUsageReport    uint8 = 8  // from a router: a usage.Report, answered by a usage.Ack
-	CallUsageTable     uint8 = 9  // from a voter: a range of windows, answered by an encoded usage.Table
-	CallRenewLease     uint8 = 11 // from the holder: a lease.Renewal, answered by a verdict
-	CallCheckCandidacy uint8 = 15 // from a voter: a lease.Candidacy, answered by a verdict
-)
-
-// OwnsCall reports whether a kind of call belongs to this package.
-func OwnsCall(kind uint8) bool {
-	switch kind {
-	case CallUsageReport, CallUsageTable, CallRenewLease, CallCheckCandidacy:
-		return true
-	}
-	return false
-}
-
 // CallID identifies a call to another process until it returns.
 type CallID uint64
 
@@ -36,7 +20,7 @@
 	Tick struct{}
 	// CallReceived is a call of another process. Its SendReply is among the effects of the same Reduce.
 	CallReceived struct {
-		Kind uint8
+		Kind rpc.Kind
 		Body []byte
 	}
 	// CallReturned is the outcome of a SendCall.
@@ -65,7 +49,7 @@
 	SendCall struct {
 		ID      CallID
 		To      netip.AddrPort
-		Kind    uint8
+		Kind    rpc.Kind
 		Body    []byte
 		Timeout time.Duration
 	}
--- a/internal/control/singleton/golden_test.go
+++ b/internal/control/singleton/golden_test.go
@@ -5,15 +5,16 @@
 	"testing"
 
 	"notchhinge/internal/control/encoding"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/testutil/golden"
 )
 
 // TestGoldenCalls: what is asked before a lease, for one, and for usage tables has the bytes that it had, and so have the answers.
 func TestGoldenCalls(t *testing.T) {
-	golden.Equal(t, "numbers of calls", []uint8{8, 9, 11, 15}, []uint8{CallUsageReport, CallUsageTable, CallRenewLease, CallCheckCandidacy})
+	golden.Equal(t, "numbers of calls", []rpc.Kind{8, 9, 11, 15}, []rpc.Kind{rpc.KindUsageReport, rpc.KindUsageTable, rpc.KindRenewLease, rpc.KindCheckCandidacy})
 	h := newHarness()
 	h.cfg.Peers = func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1")} }
-	calls := func(name string, kind uint8) {
+	calls := func(name string, kind rpc.Kind) {
 		t.Helper()
 		n := 0
 		for _, c := range h.calls {
@@ -26,7 +27,7 @@
 			t.Fatalf("%s: not called, but %+v", name, h.calls)
 		}
 	}
-	answer := func(name string, kind uint8, body []byte) {
+	answer := func(name string, kind rpc.Kind, body []byte) {
 		t.Helper()
 		r := h.call(t, kind, body)
 		if r.Err != nil {
@@ -37,7 +38,7 @@
 	for n := 0; h.proposed == nil && n < 60; n++ {
 		h.advance(sec)
 		if h.proposed == nil && len(h.calls) > 0 {
-			calls("lease-candidacy", CallCheckCandidacy)
+			calls("lease-candidacy", rpc.KindCheckCandidacy)
 			h.grant(2)
 		}
 	}
@@ -45,27 +46,27 @@
 		t.Fatal("it is no candidate")
 	}
 	h.choose()
-	calls("lease-renewal", CallRenewLease)
+	calls("lease-renewal", rpc.KindRenewLease)
 	h.grant(2)
 
-	answer("lease-granted", CallRenewLease, golden.Read(t, "lease-renewal.hex"))
+	answer("lease-granted", rpc.KindRenewLease, golden.Read(t, "lease-renewal.hex"))
 	w := encoding.Writer{} // as an earlier program asks, which does not say whom it knows
 	w.Uvarint(h.state.FencingToken)
 	w.Fixed64(1)
-	answer("lease-granted-short", CallRenewLease, w.Buf)
-	answer("lease-rejected", CallRenewLease, golden.Read(t, "lease-candidacy.hex"))
-	answer("lease-candidacy-rejected", CallCheckCandidacy, golden.Read(t, "lease-candidacy.hex"))
-	answer("report-answered", CallUsageReport, golden.Read(t, "../../../usage/testdata/golden/report.hex"))
+	answer("lease-granted-short", rpc.KindRenewLease, w.Buf)
+	answer("lease-rejected", rpc.KindRenewLease, golden.Read(t, "lease-candidacy.hex"))
+	answer("lease-candidacy-rejected", rpc.KindCheckCandidacy, golden.Read(t, "lease-candidacy.hex"))
+	answer("report-answered", rpc.KindUsageReport, golden.Read(t, "../../../usage/testdata/golden/report.hex"))
 
 	h.calls = nil
 	w = encoding.Writer{}
 	w.Uvarint(352_800_000)
 	w.Uvarint(352_800_002)
 	golden.Check(t, "usage-table-request.hex", w.Buf)
-	answer("usage-table-answered", CallUsageTable, golden.Read(t, "usage-table-request.hex"))
+	answer("usage-table-answered", rpc.KindUsageTable, golden.Read(t, "usage-table-request.hex"))
 	h.requestTables(352_800_000, 352_800_002)
 	for _, f := range h.effects {
-		if f, ok := f.(SendCall); ok && f.Kind == CallUsageTable {
+		if f, ok := f.(SendCall); ok && f.Kind == rpc.KindUsageTable {
 			golden.Check(t, "usage-table-request.hex", f.Body)
 			return
 		}
--- a/internal/control/singleton/reporting.go
+++ b/internal/control/singleton/reporting.go
@@ -6,6 +6,7 @@
 
 	"notchhinge/internal/control/encoding"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/usage"
 )
 
@@ -97,7 +98,7 @@
 	w.Uvarint(to)
 	for _, peer := range c.cfg.Peers() {
 		c.tablesPending++
-		c.call(peer, CallUsageTable, w.Buf, func(body []byte, err error) {
+		c.call(peer, rpc.KindUsageTable, w.Buf, func(body []byte, err error) {
 			c.tablesPending--
 			if err != nil {
 				return
--- a/internal/control/transport/client.go
+++ b/internal/control/transport/client.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"notchhinge/internal/control/rpc"
 )
 
 // ErrTimeout is a call that got no response before its context ended.
@@ -30,7 +32,7 @@
 // user timeout would notice it later than any call may take. The error is a *RemoteError if the peer's handler returned
 // one; any other leaves open whether the call was executed. A connection that was kept from an earlier call may have been
 // closed by the peer; the call is then sent once more on a new one.
-func (t *Transport) Call(ctx context.Context, to netip.AddrPort, kind uint8, body []byte) ([]byte, error) {
+func (t *Transport) Call(ctx context.Context, to netip.AddrPort, kind rpc.Kind, body []byte) ([]byte, error) {
 	c, reused, err := t.conn(ctx, to)
 	if err != nil {
 		return nil, fmt.Errorf("call %v: %w", to, err)
@@ -63,7 +65,7 @@
 }
 
 // exchange sends a call on a connection and reads its response. The connection is closed unless the peer has answered.
-func exchange(ctx context.Context, c net.Conn, to netip.AddrPort, kind uint8, body []byte) ([]byte, error) {
+func exchange(ctx context.Context, c net.Conn, to netip.AddrPort, kind rpc.Kind, body []byte) ([]byte, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(inboundIdleTimeout)
@@ -87,7 +89,7 @@
 }
 
 // roundTrip writes one frame and reads one.
-func roundTrip(c net.Conn, kind uint8, body []byte) (uint8, []byte, error) {
+func roundTrip(c net.Conn, kind rpc.Kind, body []byte) (rpc.Kind, []byte, error) {
 	if err := writeFrame(c, kind, body); err != nil {
 		return 0, nil, err
 	}
--- a/internal/control/transport/frame.go
+++ b/internal/control/transport/frame.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"errors"
 	"io"
+
+	"notchhinge/internal/control/rpc"
 )
 
 // MaxFrameBytes bounds the body of a frame: a fleet configuration of 8 MiB with what is sent beside it.
@@ -15,7 +17,7 @@
 	frameVersion     = 1
 
 	// kindError marks a response that carries the text of an error.
-	kindError uint8 = 0
+	kindError rpc.Kind = 0
 	// firstReadBytes is how much memory a frame's header alone may claim.
 	firstReadBytes = 64 << 10
 )
@@ -28,7 +30,7 @@
 )
 
 // readFrame reads one frame.
-func readFrame(r io.Reader) (kind uint8, body []byte, err error) {
+func readFrame(r io.Reader) (kind rpc.Kind, body []byte, err error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return 0, nil, err
@@ -38,7 +40,7 @@
 		return 0, nil, ErrFrameFormat
 	}
 	body, err = readBody(r, int(size))
-	return header[3], body, err
+	return rpc.Kind(header[3]), body, err
 }
 
 // readBody reads a body of a known size. The buffer grows as bytes arrive, so that a header alone does not claim the memory
@@ -59,13 +61,13 @@
 }
 
 // writeFrame writes one frame in a single write.
-func writeFrame(w io.Writer, kind uint8, body []byte) error {
+func writeFrame(w io.Writer, kind rpc.Kind, body []byte) error {
 	if len(body) > MaxFrameBytes {
 		return ErrFrameTooLong
 	}
 	b := make([]byte, 0, frameHeaderBytes+len(body))
 	b = append(b, frameMagic...)
-	b = append(b, frameVersion, kind)
+	b = append(b, frameVersion, byte(kind))
 	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
 	_, err := w.Write(append(b, body...))
 	return err
--- a/internal/control/transport/golden_test.go
+++ b/internal/control/transport/golden_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/testutil/golden"
 )
 
@@ -21,7 +22,7 @@
 	c.SetDeadline(time.Now().Add(10 * time.Second))
 	for _, x := range []struct {
 		name string
-		kind uint8
+		kind rpc.Kind
 		body string
 	}{{"call", 3, "a body"}, {"call-empty", 255, ""}, {"call-rejected", 9, "a body"}} {
 		var asked, answered bytes.Buffer
--- a/internal/control/transport/transport.go
+++ b/internal/control/transport/transport.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"notchhinge/internal/control/rpc"
 )
 
 const (
@@ -32,13 +34,13 @@
 
 // Handler answers calls. Each call has its own goroutine, so it may block; ctx is the one given to ServeCalls. A returned
 // error reaches the caller as a [RemoteError].
-type Handler func(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error)
+type Handler func(ctx context.Context, kind rpc.Kind, from netip.Addr, body []byte) ([]byte, error)
 
 // Transport is a process's sockets. It is safe for concurrent use.
 type Transport struct {
 	// OnExchange, if set, is called for every exchange that begins here: for a call with its kind and the bytes of both
 	// frames, for a datagram with kind 0 and its content. It must not block, and is set before anything is sent.
-	OnExchange func(to netip.AddrPort, kind uint8, bytes int, datagram []byte)
+	OnExchange func(to netip.AddrPort, kind rpc.Kind, bytes int, datagram []byte)
 
 	udp     *net.UDPConn
 	ln      net.Listener
--- a/internal/control/transport/transport_test.go
+++ b/internal/control/transport/transport_test.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"notchhinge/internal/control/rpc"
 )
 
 // kindFails is a call whose handler returns an error.
@@ -26,11 +28,11 @@
 	return n
 }
 
-func echo(_ context.Context, kind uint8, _ netip.Addr, body []byte) ([]byte, error) {
+func echo(_ context.Context, kind rpc.Kind, _ netip.Addr, body []byte) ([]byte, error) {
 	if kind == kindFails {
 		return nil, errors.New("not here")
 	}
-	return append([]byte{kind}, body...), nil
+	return append([]byte{byte(kind)}, body...), nil
 }
 
 func idleConns(t *testing.T, n *Transport, to netip.AddrPort) int {
--- a/internal/lab/check/catchupreplica.go
+++ b/internal/lab/check/catchupreplica.go
@@ -17,6 +17,7 @@
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/storage"
 )
 
@@ -125,7 +126,7 @@
 		m.queue = m.queue[1:]
 		switch x := e.(type) {
 		case replica.CallReceived:
-			if m.sim.now-since > replica.CallTimeout(x.Kind) && m.sim.brokenRule != brokenTimeout {
+			if m.sim.now-since > rpc.Lookup(x.Kind).Timeout && m.sim.brokenRule != brokenTimeout {
 				if c, ok := m.calls.Take(x.Request); ok {
 					c.respond(nil, errCallTimeout)
 				}
@@ -210,7 +211,7 @@
 				continue
 			}
 			body := f.Body
-			if c.kind == replica.CallSnapshot && len(body) > 0 {
+			if c.kind == rpc.KindSnapshot && len(body) > 0 {
 				if body = w.alterSnapshot(body); w.brokenRule == brokenSnapshot {
 					body = w.encodedStates[c.index+1]
 				}
--- a/internal/lab/check/catchupsim.go
+++ b/internal/lab/check/catchupsim.go
@@ -10,6 +10,7 @@
 
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/timerqueue"
 )
 
@@ -152,7 +153,7 @@
 // pendingCall is a call that waits for its response.
 type pendingCall struct {
 	from    *simReplica
-	kind    replica.CallKind
+	kind    rpc.Kind
 	index   uint64 // with CallSnapshot: the caller's NextIndex
 	respond func(body []byte, err error)
 }
@@ -162,7 +163,7 @@
 	b := c.To.Addr().As4()
 	to, incarnation, isOver := w.replicas[b[3]-1], m.incarnation, false
 	p := &pendingCall{from: m, kind: c.Kind}
-	if c.Kind == replica.CallSnapshot {
+	if c.Kind == rpc.KindSnapshot {
 		w.snapshotCalls++
 		p.index, _, _ = replica.DecodeIndexed(c.Body) // encoded by the replica
 	}
--- a/internal/lab/check/cuts.go
+++ b/internal/lab/check/cuts.go
@@ -12,6 +12,7 @@
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/singleton"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/timerqueue"
@@ -226,11 +227,11 @@
 	if !h.up {
 		return
 	}
-	if c, ok := e.(replica.CallReceived); ok && singleton.OwnsCall(uint8(c.Kind)) {
+	if c, ok := e.(replica.CallReceived); ok && rpc.Lookup(c.Kind).Owner == rpc.OwnerSingleton {
 		if h.singleton == nil {
 			return
 		}
-		reply := h.singleton.reduce(singleton.CallReceived{Kind: uint8(c.Kind), Body: c.Body})
+		reply := h.singleton.reduce(singleton.CallReceived{Kind: c.Kind, Body: c.Body})
 		if done, ok := h.calls.Take(c.Request); ok {
 			done(reply.Body, reply.Err)
 		}
@@ -320,7 +321,7 @@
 
 // call carries a call there, and its answer back.
 func (s *site) call(from *host, c replica.SendCall, then func(body []byte, err error)) {
-	if s.broken == brokenRenewal && uint8(c.Kind) == singleton.CallRenewLease {
+	if s.broken == brokenRenewal && c.Kind == rpc.KindRenewLease {
 		c.Body = c.Body[:len(c.Body)-8] // as an earlier program asks
 	}
 	over := false
@@ -332,7 +333,7 @@
 	}
 	s.in(c.Timeout, func() { back(nil, errAway) })
 	to := s.hosts[c.To.Addr().As4()[3]]
-	if s.closed && c.Kind == replica.CallJoin {
+	if s.closed && c.Kind == rpc.KindJoin {
 		return
 	}
 	way := func(a, b *host, do func()) {
@@ -343,7 +344,7 @@
 	way(from, to, func() {
 		id := to.calls.Add(func(body []byte, err error) {
 			const noVote, known = byte(paxos.VerdictNotVoter), byte(paxos.VerdictReported)
-			if s.broken == brokenVoterCount && c.Kind == replica.CallPaxos && len(body) > 0 && body[0] == noVote && c.Body[0] == byte(paxos.KindQuery) {
+			if s.broken == brokenVoterCount && c.Kind == rpc.KindPaxos && len(body) > 0 && body[0] == noVote && c.Body[0] == byte(paxos.KindQuery) {
 				body = append([]byte{known}, body[1:]...)
 			}
 			way(to, from, func() { back(body, err) })
--- a/internal/lab/check/singletonhost.go
+++ b/internal/lab/check/singletonhost.go
@@ -6,6 +6,7 @@
 
 	"notchhinge/internal/control/autoscale"
 	"notchhinge/internal/control/replica"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/singleton"
 	"notchhinge/internal/control/usage"
 	"notchhinge/internal/limits"
@@ -50,7 +51,7 @@
 	}
 	s := c.s
 	report := usage.Report{Incarnation: 1, Loads: []usage.Load{{Service: "s", Running: 400, Arrived: uint64(s.now / time.Millisecond)}}}
-	c.reduce(singleton.CallReceived{Kind: singleton.CallUsageReport, Body: report.Encode()})
+	c.reduce(singleton.CallReceived{Kind: rpc.KindUsageReport, Body: report.Encode()})
 	c.reduce(singleton.Tick{})
 	s.in(limits.SingletonTickInterval, c.tick)
 }
@@ -72,7 +73,7 @@
 	for _, f := range append([]singleton.Effect(nil), effects...) {
 		switch f := f.(type) {
 		case singleton.SendCall:
-			call := replica.SendCall{To: f.To, Kind: replica.CallKind(f.Kind), Body: f.Body, Timeout: f.Timeout}
+			call := replica.SendCall{To: f.To, Kind: f.Kind, Body: f.Body, Timeout: f.Timeout}
 			s.call(c.host, call, func(body []byte, err error) {
 				c.reduce(singleton.CallReturned{ID: f.ID, Body: body, Err: err})
 			})
--- a/internal/lab/plane/cost.go
+++ b/internal/lab/plane/cost.go
@@ -5,7 +5,7 @@
 
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/metrics"
-	"notchhinge/internal/control/singleton"
+	"notchhinge/internal/control/rpc"
 )
 
 // What goes over the wire beside what is said: the headers of a datagram, and of a call's frame and its answer's.
@@ -56,12 +56,12 @@
 	w.spend(from, to, cause[gossip.PurposeOf(b)], len(b)+datagramBytes)
 }
 
-func (w *world) spendCall(from, to *machine, kind uint8, bytes int) {
+func (w *world) spendCall(from, to *machine, kind rpc.Kind, bytes int) {
 	cause := metrics.CausePaxos
 	switch kind {
-	case singleton.CallUsageReport, singleton.CallUsageTable:
+	case rpc.KindUsageReport, rpc.KindUsageTable:
 		cause = metrics.CauseUsage
-	case singleton.CallRenewLease, singleton.CallCheckCandidacy:
+	case rpc.KindRenewLease, rpc.KindCheckCandidacy:
 		cause = metrics.CauseLeases
 	}
 	w.spend(from, to, cause, bytes+frameBytes)
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -15,6 +15,7 @@
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/singleton"
 	"notchhinge/internal/control/usage"
 	"notchhinge/internal/timerqueue"
@@ -77,7 +78,7 @@
 // from is who has called, and what its answer does there.
 type from struct {
 	m    *machine
-	kind replica.CallKind
+	kind rpc.Kind
 	back func(body []byte, err error)
 }
 
@@ -184,8 +185,8 @@
 		e := m.queue[0]
 		m.queue = m.queue[1:]
 		now, wall := m.w.now, m.wall().UnixMilli()
-		if c, ok := e.(replica.CallReceived); ok && singleton.OwnsCall(uint8(c.Kind)) {
-			e = singletonEvent{event: singleton.CallReceived{Kind: uint8(c.Kind), Body: c.Body}, request: c.Request}
+		if c, ok := e.(replica.CallReceived); ok && rpc.Lookup(c.Kind).Owner == rpc.OwnerSingleton {
+			e = singletonEvent{event: singleton.CallReceived{Kind: c.Kind, Body: c.Body}, request: c.Request}
 		}
 		switch e := e.(type) {
 		case singletonEvent:
@@ -382,8 +383,8 @@
 		}
 	}
 	w.in(c.Timeout, func() { back(nil, errGone) })
-	w.spendCall(m, to, uint8(c.Kind), len(c.Body))
-	if to == nil || w.broken == "takes nobody in" && c.Kind == replica.CallJoin {
+	w.spendCall(m, to, c.Kind, len(c.Body))
+	if to == nil || w.broken == "takes nobody in" && c.Kind == rpc.KindJoin {
 		return
 	}
 	d, ok := w.link(m, to)
@@ -407,7 +408,7 @@
 	if !ok {
 		return
 	}
-	w.spendCall(f.m, nil, uint8(f.kind), len(r.Body)-frameBytes) // it is its caller's
+	w.spendCall(f.m, nil, f.kind, len(r.Body)-frameBytes) // it is its caller's
 	if d, ok := w.link(m, f.m); ok {
 		w.in(d, func() { f.back(r.Body, r.Err) })
 	}
--- a/internal/lab/plane/singletonhost.go
+++ b/internal/lab/plane/singletonhost.go
@@ -11,6 +11,7 @@
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/singleton"
 	"notchhinge/internal/control/usage"
 	"notchhinge/internal/limits"
@@ -86,7 +87,7 @@
 	for _, f := range append([]singleton.Effect(nil), m.singleton.Reduce(w.now, m.wall(), &s, e.event)...) {
 		switch f := f.(type) {
 		case singleton.SendCall:
-			call := replica.SendCall{To: f.To, Kind: replica.CallKind(f.Kind), Body: f.Body, Timeout: f.Timeout}
+			call := replica.SendCall{To: f.To, Kind: f.Kind, Body: f.Body, Timeout: f.Timeout}
 			w.call(m, call, func(body []byte, err error) { later(singleton.CallReturned{ID: f.ID, Body: body, Err: err}) })
 		case singleton.SendReply:
 			w.back(m, replica.SendReply{Request: e.request, Body: f.Body, Err: f.Err})
@@ -128,7 +129,7 @@
 	loads := []usage.Load{{Service: "s", Running: uint64(w.rnd.IntN(400)), Arrived: uint64(w.now / time.Second)}}
 	for i, p := range m.meter.Reports(m.wall(), loads, ids) {
 		call := replica.SendCall{
-			To: replicas[i].Addr, Kind: replica.CallKind(singleton.CallUsageReport), Body: p.Encode(), Timeout: limits.ReplicaFailoverTimeout,
+			To: replicas[i].Addr, Kind: rpc.KindUsageReport, Body: p.Encode(), Timeout: limits.ReplicaFailoverTimeout,
 		}
 		w.call(m, call, func(body []byte, err error) {
 			if m.life != life {
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -21,7 +21,7 @@
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/metrics"
 	"notchhinge/internal/control/replica"
-	"notchhinge/internal/control/singleton"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/transport"
 	"notchhinge/internal/control/usage"
 	"notchhinge/internal/limits"
@@ -113,13 +113,13 @@
 func (r *router) clock() time.Duration { return time.Since(r.start) + time.Hour }
 
 // counted keeps the account, as a node does.
-func (r *router) counted(to netip.AddrPort, kind uint8, bytes int, datagram []byte) {
+func (r *router) counted(to netip.AddrPort, kind rpc.Kind, bytes int, datagram []byte) {
 	cause := metrics.CauseConfigs
 	switch {
 	case kind == 0:
 		cause = map[gossip.Purpose]metrics.Cause{gossip.PurposeAntiEntropy: metrics.CauseDigests, gossip.PurposeShuffle: metrics.CauseShuffles, gossip.PurposeDissemination: metrics.CauseGossip}[gossip.PurposeOf(datagram)]
 		bytes += 28 // its headers
-	case singleton.OwnsCall(kind):
+	case rpc.Lookup(kind).Owner == rpc.OwnerSingleton:
 		cause = metrics.CauseUsage
 	}
 	there := r.at[to.Addr()]
@@ -240,8 +240,8 @@
 var errNotHere = errors.New("no state is held here")
 
 // handle answers other processes: configurations that are held here.
-func (r *router) handle(_ context.Context, kind uint8, _ netip.Addr, body []byte) ([]byte, error) {
-	if kind != configcache.CallFetch {
+func (r *router) handle(_ context.Context, kind rpc.Kind, _ netip.Addr, body []byte) ([]byte, error) {
+	if kind != rpc.KindFetchConfig {
 		return nil, errNotHere
 	}
 	place, _, err := replica.DecodeIndexed(body)
@@ -278,7 +278,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limits.ReplicaFailoverTimeout)
 	defer cancel()
 	has, had := r.texts.Newest()
-	b, err := r.net.Call(ctx, to, configcache.CallFetch, replica.EncodeIndexed(has, nil))
+	b, err := r.net.Call(ctx, to, rpc.KindFetchConfig, replica.EncodeIndexed(has, nil))
 	if err != nil {
 		return false
 	}
@@ -337,7 +337,7 @@
 		go func() {
 			one, cancel := context.WithTimeout(ctx, limits.ReplicaFailoverTimeout)
 			defer cancel()
-			b, err := r.net.Call(one, k.Addr, singleton.CallUsageReport, all[i].Encode())
+			b, err := r.net.Call(one, k.Addr, rpc.KindUsageReport, all[i].Encode())
 			r.turn(discovery.Gossip{Event: gossip.CallCompleted{PeerID: k.ID, Answered: err == nil}})
 			word, bad := usage.DecodeAck(b)
 			if err != nil || bad != nil {
--- a/internal/node/configsync.go
+++ b/internal/node/configsync.go
@@ -16,6 +16,7 @@
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/transport"
 	"notchhinge/internal/limits"
 )
@@ -26,7 +27,7 @@
 	confirmRetryInterval = 100 * time.Millisecond
 )
 
-// fetchMode is the option of a configcache.CallFetch: nothing, or one byte. Earlier versions of the program ignore it.
+// fetchMode is the option of an rpc.KindFetchConfig: nothing, or one byte. Earlier versions of the program ignore it.
 type fetchMode byte
 
 const (
@@ -176,7 +177,7 @@
 	defer cancel()
 	baseIndex, base := s.cache.Newest()
 	for {
-		reply, err := s.transport.Call(ctx, to, configcache.CallFetch, replica.EncodeIndexed(baseIndex, mode.encode()))
+		reply, err := s.transport.Call(ctx, to, rpc.KindFetchConfig, replica.EncodeIndexed(baseIndex, mode.encode()))
 		if err != nil {
 			return false
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,13 +7,14 @@
 
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/metrics"
+	"notchhinge/internal/control/rpc"
 )
 
 // datagramHeaderBytes are the IPv4 and UDP headers of a datagram.
 const datagramHeaderBytes = 28
 
 // countTraffic counts what goes to another process: a call's kind and bytes, both ways, or a datagram (kind 0).
-func (n *Node) countTraffic(to netip.AddrPort, kind uint8, bytes int, datagram []byte) {
+func (n *Node) countTraffic(to netip.AddrPort, kind rpc.Kind, bytes int, datagram []byte) {
 	if kind == 0 {
 		// The discovery's lock is held: datagrams are sent by its step only.
 		zone, ok := n.discovery.reducer.Gossip.ZoneOf(to.Addr())
@@ -21,7 +22,7 @@
 		return
 	}
 	zone, ok := n.discovery.zoneOf(to.Addr())
-	n.traffic.Add(causeOf(kind), bytes, ok && zone != zoneHash(n.cfg.Zone))
+	n.traffic.Add(rpc.Lookup(kind).Cause, bytes, ok && zone != zoneHash(n.cfg.Zone))
 }
 
 // causeOfDatagram is what a datagram is for, in the metrics.
--- a/internal/node/peercalls.go
+++ b/internal/node/peercalls.go
@@ -3,35 +3,38 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
 	"time"
 
-	"notchhinge/internal/control/configcache"
-	"notchhinge/internal/control/metrics"
 	"notchhinge/internal/control/replica"
-	"notchhinge/internal/control/singleton"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/limits"
 )
 
-// handleCall answers a peer's call, by its kind.
-func (n *Node) handleCall(ctx context.Context, kind uint8, from netip.Addr, body []byte) ([]byte, error) {
-	if kind == configcache.CallFetch {
+// handleCall answers a peer's call: the owner of its kind does.
+func (n *Node) handleCall(ctx context.Context, kind rpc.Kind, from netip.Addr, body []byte) ([]byte, error) {
+	switch rpc.Lookup(kind).Owner {
+	case rpc.OwnerConfigs:
 		return n.handleFetch(ctx, body)
+	case rpc.OwnerReplica:
+		return n.handleReplicaCall(ctx, kind, from, body)
+	case rpc.OwnerSingleton:
+		if n.singleton == nil {
+			return nil, errNoReplica
+		}
+		return n.singleton.handleCall(kind, body)
 	}
+	return nil, rpc.UnknownKindError(kind)
+}
+
+// handleReplicaCall answers a call for the replica of this process.
+func (n *Node) handleReplicaCall(ctx context.Context, kind rpc.Kind, from netip.Addr, body []byte) ([]byte, error) {
 	if n.replica == nil {
 		return nil, errNoReplica
 	}
-	switch call := replica.CallKind(kind); call {
-	case replica.CallPaxos, replica.CallLearn, replica.CallSnapshot, replica.CallIdentity, replica.CallJoin, replica.CallCommit:
-		ctx, cancel := context.WithTimeout(ctx, limits.OperatorCallTimeout)
-		defer cancel()
-		return n.replica.handleCall(ctx, call, from, body)
-	}
-	if n.singleton != nil && singleton.OwnsCall(kind) {
-		return n.singleton.handleCall(kind, body)
-	}
-	return nil, fmt.Errorf("unknown call %d", kind)
+	ctx, cancel := context.WithTimeout(ctx, limits.OperatorCallTimeout)
+	defer cancel()
+	return n.replica.handleCall(ctx, kind, from, body)
 }
 
 // handleFetch answers a peer that asks for the configuration, with its difference to the one that the peer has. A process
@@ -53,21 +56,3 @@
 	}
 	return n.configs.cache.EncodeReply(index), nil
 }
-
-// causeOf is what a call between processes is for, in the metrics. The kinds are numbered over all packages: replica,
-// singleton and configcache; 6, 7, 12 and 13 were an operator's forwarded calls, and are not used again.
-func causeOf(kind uint8) metrics.Cause {
-	switch replica.CallKind(kind) {
-	case replica.CallPaxos, replica.CallLearn, replica.CallCommit:
-		return metrics.CausePaxos
-	}
-	switch kind {
-	case configcache.CallFetch:
-		return metrics.CauseConfigs
-	case singleton.CallUsageReport, singleton.CallUsageTable:
-		return metrics.CauseUsage
-	case singleton.CallRenewLease, singleton.CallCheckCandidacy:
-		return metrics.CauseLeases
-	}
-	return metrics.CauseSnapshots
-}
--- a/internal/node/replicahost.go
+++ b/internal/node/replicahost.go
@@ -12,6 +12,7 @@
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/storage"
 	"notchhinge/internal/limits"
 )
@@ -23,7 +24,7 @@
 )
 
 // peerCall makes a call to another process.
-type peerCall func(ctx context.Context, to netip.AddrPort, kind uint8, body []byte) ([]byte, error)
+type peerCall func(ctx context.Context, to netip.AddrPort, kind rpc.Kind, body []byte) ([]byte, error)
 
 // replicaHost owns the process's replica.Replica: its lock, its disk, its clock and timer, and the calls that it makes.
 type replicaHost struct {
@@ -202,7 +203,7 @@
 func (h *replicaHost) sendCall(ctx context.Context, e replica.SendCall) {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
-	body, err := h.call(ctx, e.To, uint8(e.Kind), e.Body)
+	body, err := h.call(ctx, e.To, e.Kind, e.Body)
 	h.step(replica.CallReturned{ID: e.ID, Body: body, Err: err})
 }
 
@@ -264,9 +265,9 @@
 
 // handleCall answers a peer's call. A call that waits for the lock for longer than its caller waits for the answer is
 // dropped: newer ones have come meanwhile, and by these a replica that lags takes a snapshot, not one entry after another.
-func (h *replicaHost) handleCall(ctx context.Context, kind replica.CallKind, from netip.Addr, body []byte) ([]byte, error) {
+func (h *replicaHost) handleCall(ctx context.Context, kind rpc.Kind, from netip.Addr, body []byte) ([]byte, error) {
 	answer := make(chan callResult, 1)
-	wait, cancel := context.WithTimeout(ctx, replica.CallTimeout(kind))
+	wait, cancel := context.WithTimeout(ctx, rpc.Lookup(kind).Timeout)
 	defer cancel()
 	if !h.requestContext(wait, func() replica.Event {
 		return replica.CallReceived{Kind: kind, Body: body, From: from, Request: h.calls.Add(answer)}
--- a/internal/node/singletonhost.go
+++ b/internal/node/singletonhost.go
@@ -13,6 +13,7 @@
 	"notchhinge/internal/control/endpoints"
 	"notchhinge/internal/control/fleetconfig"
 	"notchhinge/internal/control/metrics"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/singleton"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/retrybudget"
@@ -168,7 +169,7 @@
 }
 
 // handleCall answers a peer's call. The reducer answers each at once.
-func (h *singletonHost) handleCall(kind uint8, body []byte) ([]byte, error) {
+func (h *singletonHost) handleCall(kind rpc.Kind, body []byte) ([]byte, error) {
 	reply := h.step(singleton.CallReceived{Kind: kind, Body: body})
 	return reply.Body, reply.Err
 }
--- a/internal/node/usagereport.go
+++ b/internal/node/usagereport.go
@@ -7,7 +7,7 @@
 
 	"notchhinge/internal/control/discovery"
 	"notchhinge/internal/control/gossip"
-	"notchhinge/internal/control/singleton"
+	"notchhinge/internal/control/rpc"
 	"notchhinge/internal/control/usage"
 	"notchhinge/internal/dispatch"
 	"notchhinge/internal/limits"
@@ -79,7 +79,7 @@
 func (n *Node) sendReport(ctx context.Context, meter *usageMeter, r routerReport) {
 	ctx, cancel := context.WithTimeout(ctx, limits.ReplicaFailoverTimeout)
 	defer cancel()
-	body, err := n.transport.Call(ctx, r.to.Addr, singleton.CallUsageReport, r.report.Encode())
+	body, err := n.transport.Call(ctx, r.to.Addr, rpc.KindUsageReport, r.report.Encode())
 	n.discovery.step(discovery.Gossip{Event: gossip.CallCompleted{PeerID: r.to.ID, Answered: err == nil}})
 	if err != nil {
 		return
