Usage windows of 65,536 tenants are agreed; what replicas would ignore is never proposed

Cause: the decoder of entries takes 4,096 counts and the encoder any number. A replica applies what it cannot decode as an entry that changes nothing, so the lease holder found the window not agreed and proposed it again with each turn, and changes of configuration competed with that. A window older than all that the state keeps was proposed without end by the same way.

Ruled out: a larger bound alone (the loop comes back with the next one); parts of a window in several entries (a holder that dies half way leaves a sum of nobody's); shards in logs of their own, weighed in docs/design/singleton.md.

Change: replog.Check decodes an entry before it is proposed, at the founding too (ErrInvalidEntry); a window that cannot be agreed is given up and logged; a window of more than 4,096 tenants is an entry kind and a third state format of its own, bounded to 2 MiB a state. lab/plane plays a number of tenants and links of a bandwidth, and counts windows that are reported late.

--- a/internal/control/encoding/encoding.go
+++ b/internal/control/encoding/encoding.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math/bits"
 )
 
 // Errors of a Reader.
@@ -27,6 +28,9 @@
 // Uvarint writes an unsigned integer of variable length.
 func (w *Writer) Uvarint(v uint64) { w.Buf = binary.AppendUvarint(w.Buf, v) }
 
+// UvarintBytes returns how many bytes Uvarint writes for v: one for each 7 bits.
+func UvarintBytes(v uint64) int { return (bits.Len64(v|1) + 6) / 7 }
+
 // Byte writes one byte.
 func (w *Writer) Byte(b byte) { w.Buf = append(w.Buf, b) }
 
--- a/internal/control/replica/bootstrap.go
+++ b/internal/control/replica/bootstrap.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,7 +71,13 @@
 		r.scheduleUpkeep()
 		return
 	}
-	proposer := paxos.Proposer{Index: 0, OwnValue: r.membersEntry(founders), Voters: memberIDs(founders), Quorum: len(founders)}
+	value := r.membersEntry(founders)
+	if err := replog.Check(value); err != nil {
+		r.log.Warn("founding impossible", "err", fmt.Errorf("%w: %w", ErrInvalidEntry, err))
+		r.scheduleUpkeep()
+		return
+	}
+	proposer := paxos.Proposer{Index: 0, OwnValue: value, Voters: memberIDs(founders), Quorum: len(founders)}
 	// A founder may have accepted another set before, whose members must then all accept that.
 	proposer.IsValidValue = func(value []byte) bool {
 		members, ok := decodeMembers(value)
--- a/internal/control/replica/golden_test.go
+++ b/internal/control/replica/golden_test.go
@@ -53,7 +53,9 @@
 		value []byte
 	}
 	for name, e := range map[string]entry{
-		"learn": {1000, value}, "learn-notice": {1001, []byte{}}, "snapshot-request": {1000, []byte{replog.StateVersion}},
+		"learn": {1000, value}, "learn-notice": {1001, []byte{}},
+		"snapshot-request":          {1000, []byte{replog.StateVersion}},
+		"snapshot-request-format-2": {1000, []byte{2}}, // of an earlier release
 	} {
 		golden.RoundTrip(t, name+".hex", e, func(e entry) []byte { return EncodeIndexed(e.index, e.value) },
 			func(b []byte) (e entry, err error) { e.index, e.value, err = DecodeIndexed(b); return e, err })
--- a/internal/control/replica/proposal.go
+++ b/internal/control/replica/proposal.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 // propose has entries chosen until next returns nil, and then calls done: with ErrQuorumUnavailable at the deadline, with
-// ErrNotFounded before the founding.
+// ErrNotFounded before the founding, with ErrInvalidEntry for one that replicas would ignore, which is not sent.
 func (r *Replica) propose(next EntryFunc, deadline time.Duration, done func(error)) {
 	p := &proposal{next: next, done: done}
 	p.timer = r.at(deadline, func() {
@@ -79,6 +80,10 @@
 		r.finishProposal(p, nil)
 		return
 	}
+	if err := replog.Check(value); err != nil {
+		r.finishProposal(p, fmt.Errorf("%w: %w", ErrInvalidEntry, err))
+		return
+	}
 	retries := p.attempts
 	p.attempts++
 	proposer := paxos.Proposer{
--- a/internal/control/replica/replica.go
+++ b/internal/control/replica/replica.go
@@ -23,6 +23,8 @@
 	ErrNotFounded = errors.New("replica: the group has not been founded yet")
 	// ErrQuorumUnavailable: no majority has answered by the deadline.
 	ErrQuorumUnavailable = errors.New("replica: no majority of the voters has answered in time")
+	// ErrInvalidEntry: the entry would be ignored by replicas, and is not proposed.
+	ErrInvalidEntry = errors.New("replica: invalid entry")
 
 	errDiskWrite = errors.New("replica: the disk has refused a write")
 	errLagging   = errors.New("replica: the log of the caller or of this replica lags behind")
--- a/internal/control/replog/codec.go
+++ b/internal/control/replog/codec.go
@@ -2,28 +2,36 @@
 
 import (
 	"errors"
+	"slices"
 
 	"notchhinge/internal/control/encoding"
 	"notchhinge/internal/control/fleetconfig"
 	"notchhinge/internal/limits"
 )
 
-// ErrUnknownVersion is returned for an entry or a state in a format of another version, or an entry of an unknown kind.
-var ErrUnknownVersion = errors.New("replog: unknown format version")
+// Errors of entries and states.
+var (
+	// ErrUnknownVersion is returned for an entry or a state in a format of another version, or an entry of an unknown kind.
+	ErrUnknownVersion = errors.New("replog: unknown format version")
+	// ErrEntryTooLarge is returned for a usage report whose counts take more than limits.UsageBytes.
+	ErrEntryTooLarge = errors.New("replog: entry is too large")
+)
 
 // Versions of the formats.
 const (
-	entryVersion      = 1
-	firstStateVersion = 1
-	// StateVersion is the newest format of a state that DecodeState reads.
-	StateVersion = 2
+	entryVersion       = 1
+	firstStateVersion  = 1
+	secondStateVersion = 2 // adds the compacted history and the former members
+	// StateVersion is the newest format of a state that DecodeState reads. It adds large usage windows.
+	StateVersion = 3
 )
 
 // Bounds of what is decoded.
 const (
-	maxMembers   = 64
-	maxNameBytes = 256 // names of members and tenants, and addresses
-	maxCounts    = 4096
+	maxMembers     = 64
+	maxNameBytes   = 256 // names of members and tenants, and addresses
+	maxCounts      = 4096
+	maxLargeCounts = 1 << 16 // of a large usage window
 )
 
 // Smallest encodings, in bytes. A length that the rest of the input cannot hold is rejected before anything is allocated.
@@ -45,15 +53,35 @@
 	kindConfig
 	kindLease
 	kindUsage
+	kindLargeUsage // of more tenants than kindUsage holds; an earlier release takes it for a Noop
 )
 
 func (Noop) kind() entryKind          { return kindNoop }
 func (MembersChange) kind() entryKind { return kindMembers }
 func (ConfigChange) kind() entryKind  { return kindConfig }
 func (LeaseGrant) kind() entryKind    { return kindLease }
-func (UsageReport) kind() entryKind   { return kindUsage }
 
-// Encode returns the entry as it is proposed, sent and stored.
+func (p UsageReport) kind() entryKind {
+	if len(p.Counts) > maxCounts {
+		return kindLargeUsage
+	}
+	return kindUsage
+}
+
+// Check returns the error for which replicas would ignore an encoded entry, if there is one. It must not be proposed: it would be
+// chosen and change nothing, again and again.
+func Check(encoded []byte) error {
+	e, err := Decode(encoded)
+	if err != nil {
+		return err
+	}
+	if p, ok := e.Payload.(UsageReport); ok && countBytes(p.Counts) > limits.UsageBytes {
+		return ErrEntryTooLarge
+	}
+	return nil
+}
+
+// Encode returns the entry as it is proposed, sent and stored. One that exceeds the bounds of Decode is for Check to find.
 func (e Entry) Encode() []byte {
 	w := encoding.Writer{}
 	w.Byte(entryVersion)
@@ -93,7 +121,9 @@
 	case kindLease:
 		e.Payload = LeaseGrant{HolderID: r.Fixed64(), HolderName: r.String(maxNameBytes)}
 	case kindUsage:
-		e.Payload = UsageReport{Window: r.Uvarint(), Counts: readCounts(&r)}
+		e.Payload = UsageReport{Window: r.Uvarint(), Counts: readCounts(&r, maxCounts)}
+	case kindLargeUsage:
+		e.Payload = UsageReport{Window: r.Uvarint(), Counts: readCounts(&r, maxLargeCounts)}
 	default:
 		return Entry{}, ErrUnknownVersion
 	}
@@ -103,24 +133,26 @@
 	return e, nil
 }
 
-// Encode returns the state in the first format, which the previous release reads, for as long as that holds all of it, and
-// else in the second one, which the previous release rejects as a whole with ErrUnknownVersion.
-func (s *State) Encode() []byte {
-	if len(s.CompactedHistory) > 0 || len(s.History) > minHistory || len(s.FormerMembers) > 0 {
-		return s.encode(StateVersion)
-	}
-	return s.encode(firstStateVersion)
-}
+// Encode returns the state in the oldest format that holds all of it. An earlier release that does not know the format rejects
+// the state as a whole with ErrUnknownVersion.
+func (s *State) Encode() []byte { return s.encode(s.version()) }
 
-// EncodeAs returns the state for a reader of formats up to maxVersion. The first format holds the newest 64 configurations
-// of the history alone, and no former members.
-func (s *State) EncodeAs(maxVersion byte) []byte {
-	if maxVersion >= StateVersion {
-		return s.Encode()
+// version returns the oldest format that holds all of the state.
+func (s *State) version() byte {
+	switch {
+	case slices.ContainsFunc(s.UsageWindows, UsageWindow.isLarge):
+		return StateVersion
+	case len(s.CompactedHistory) > 0 || len(s.History) > minHistory || len(s.FormerMembers) > 0:
+		return secondStateVersion
 	}
-	return s.encode(firstStateVersion)
+	return firstStateVersion
 }
 
+// EncodeAs returns the state for a reader of formats up to maxVersion, which is at least 1. The first format holds the newest 64
+// configurations of the history alone, and no former members; the first two hold no large usage windows, whose entries change
+// nothing in the releases that write these formats.
+func (s *State) EncodeAs(maxVersion byte) []byte { return s.encode(min(s.version(), maxVersion)) }
+
 func (s *State) encode(version byte) []byte {
 	w := encoding.Writer{}
 	w.Byte(version)
@@ -138,8 +170,12 @@
 	w.Fixed64(s.LeaseHolder)
 	w.String(s.LeaseHolderName)
 	w.Uvarint(s.FencingToken)
-	w.Uvarint(uint64(len(s.UsageWindows)))
-	for _, x := range s.UsageWindows {
+	windows := s.UsageWindows
+	if version < StateVersion {
+		windows = slices.DeleteFunc(slices.Clone(windows), UsageWindow.isLarge)
+	}
+	w.Uvarint(uint64(len(windows)))
+	for _, x := range windows {
 		w.Uvarint(x.Number)
 		writeCounts(&w, x.Counts)
 	}
@@ -154,14 +190,18 @@
 	return w.Buf
 }
 
-// DecodeState reads a state of either format. The state refers to b. The error is ErrUnknownVersion or one of package
+// DecodeState reads a state of any of the formats. The state refers to b. The error is ErrUnknownVersion or one of package
 // encoding.
 func DecodeState(b []byte) (*State, error) {
 	r := encoding.Reader{Buf: b}
 	version := r.Byte()
-	if r.Err == nil && version != firstStateVersion && version != StateVersion {
+	if r.Err == nil && (version < firstStateVersion || version > StateVersion) {
 		return nil, ErrUnknownVersion
 	}
+	maxWindowCounts := maxCounts
+	if version >= StateVersion {
+		maxWindowCounts = maxLargeCounts
+	}
 	s := &State{NextIndex: r.Uvarint()}
 	s.Members = readMembers(&r)
 	s.Revision, s.ConfigIndex = r.Uvarint(), r.Uvarint()
@@ -172,7 +212,7 @@
 	s.History = readHistory(&r)
 	s.LeaseHolder, s.LeaseHolderName, s.FencingToken = r.Fixed64(), r.String(maxNameBytes), r.Uvarint()
 	for range r.Length(maxUsageWindows, minWindowBytes) {
-		s.UsageWindows = append(s.UsageWindows, UsageWindow{Number: r.Uvarint(), Counts: readCounts(&r)})
+		s.UsageWindows = append(s.UsageWindows, UsageWindow{Number: r.Uvarint(), Counts: readCounts(&r, maxWindowCounts)})
 	}
 	if version == firstStateVersion {
 		return s, r.Finish()
@@ -208,8 +248,8 @@
 	}
 }
 
-func readCounts(r *encoding.Reader) (counts []TenantCount) {
-	for range r.Length(maxCounts, minCountBytes) {
+func readCounts(r *encoding.Reader, maxItems int) (counts []TenantCount) {
+	for range r.Length(maxItems, minCountBytes) {
 		counts = append(counts, TenantCount{Tenant: r.String(maxNameBytes), Requests: r.Uvarint()})
 	}
 	return counts
--- a/internal/control/replog/codec_test.go
+++ b/internal/control/replog/codec_test.go
@@ -19,6 +19,9 @@
 	} {
 		f.Add(e.Encode())
 	}
+	f.Add(Entry{Payload: UsageReport{1, tenantCounts(maxCounts + 1)}}.Encode())
+	large := State{NextIndex: 2, UsageWindows: []UsageWindow{{7, tenantCounts(maxCounts + 1)}}}
+	f.Add(large.Encode())
 	s := State{NextIndex: 300}
 	for n := range 300 {
 		s.appendHistory(AcceptedConfig{Revision: uint64(n + 1), Digest: fleetconfig.Digest{byte(n)}})
--- a/internal/control/replog/history_test.go
+++ b/internal/control/replog/history_test.go
@@ -51,7 +51,7 @@
 		t.Errorf("%d bytes, %d and %d configurations", len(b), len(s.History), len(s.CompactedHistory))
 	}
 	first := s.EncodeAs(1)
-	if b[0] != StateVersion || first[0] != firstStateVersion || len(first) > 4<<10 {
+	if b[0] != secondStateVersion || first[0] != firstStateVersion || len(first) > 4<<10 {
 		t.Errorf("format %d, %d bytes; for an earlier program format %d, %d bytes", b[0], len(b), first[0], len(first))
 	}
 }
--- a/internal/control/replog/state.go
+++ b/internal/control/replog/state.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"slices"
 
+	"notchhinge/internal/control/encoding"
 	"notchhinge/internal/control/fleetconfig"
+	"notchhinge/internal/limits"
 )
 
 // State is the sum of all entries below NextIndex. A copy by assignment is a snapshot: Apply replaces slices and does not
@@ -31,6 +33,18 @@
 	Counts []TenantCount
 }
 
+// isLarge reports whether the window has more tenants than earlier releases take.
+func (x UsageWindow) isLarge() bool { return len(x.Counts) > maxCounts }
+
+// countBytes is what counts take in an encoded entry or state.
+func countBytes(counts []TenantCount) (bytes int) {
+	for i := range counts {
+		c := &counts[i]
+		bytes += encoding.UvarintBytes(uint64(len(c.Tenant))) + len(c.Tenant) + encoding.UvarintBytes(c.Requests)
+	}
+	return bytes
+}
+
 const (
 	maxFormerMembers = 64 // as many as an entry can name members
 	maxUsageWindows  = 24 // a new lease holder reports again those that the previous one could not
@@ -72,12 +86,26 @@
 
 // apply ignores a window that is agreed or older than all that are kept: it may have been agreed and dropped.
 func (p UsageReport) apply(s *State, _ uint64) {
-	if s.AgreedUsage(p.Window) != nil || len(s.UsageWindows) > 0 && p.Window < s.UsageWindows[0].Number {
+	if s.AgreedUsage(p.Window) != nil || s.IsUsageTooOld(p.Window) {
 		return
 	}
 	windows := append(slices.Clone(s.UsageWindows), UsageWindow{Number: p.Window, Counts: p.Counts})
 	slices.SortFunc(windows, func(x, y UsageWindow) int { return cmp.Compare(x.Number, y.Number) })
-	s.UsageWindows = newest(windows, maxUsageWindows)
+	s.UsageWindows = boundWindows(newest(windows, maxUsageWindows))
+}
+
+// boundWindows drops the oldest windows while the counts take more than limits.UsageBytes, so that a state can be sent as one
+// message. It leaves the newest one, and windows among which none is large, which earlier releases keep as well.
+func boundWindows(windows []UsageWindow) []UsageWindow {
+	bytes := 0
+	for i := range windows {
+		bytes += countBytes(windows[i].Counts)
+	}
+	for len(windows) > 1 && bytes > limits.UsageBytes && slices.ContainsFunc(windows, UsageWindow.isLarge) {
+		bytes -= countBytes(windows[0].Counts)
+		windows = windows[1:]
+	}
+	return windows
 }
 
 // setMembers replaces the voters and keeps the names of those that lose their vote, so that a repeated request to remove one
@@ -118,5 +146,10 @@
 	return nil
 }
 
+// IsUsageTooOld reports whether a usage window is older than all that are kept, so that its counts cannot be agreed any more.
+func (s *State) IsUsageTooOld(number uint64) bool {
+	return len(s.UsageWindows) > 0 && number < s.UsageWindows[0].Number
+}
+
 // newest returns the last n elements of a list, or all if there are fewer.
 func newest[T any](list []T, n int) []T { return list[max(len(list)-n, 0):] }
--- a/internal/control/replog/state_test.go
+++ b/internal/control/replog/state_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"notchhinge/internal/control/encoding"
 	"notchhinge/internal/control/fleetconfig"
+	"notchhinge/internal/limits"
 )
 
 // encodedConfig returns a configuration of a revision, without routes, as an operator sends it.
@@ -155,7 +161,85 @@
 	for n := 141; n < 341; n += 2 { // and continues
 		apply(s, ConfigChange{s.Revision, encodedConfig(t, n)})
 	}
-	if !s.WasAccepted(13, d) || s.Encode()[0] != StateVersion {
+	if !s.WasAccepted(13, d) || s.Encode()[0] != secondStateVersion {
 		t.Error("the history of the earlier program is lost")
 	}
 }
+
+// tenantCounts returns the counts of a window with so many tenants.
+func tenantCounts(tenants int) []TenantCount {
+	counts := make([]TenantCount, tenants)
+	for i := range counts {
+		counts[i] = TenantCount{Tenant: fmt.Sprintf("tenant-%06d", i), Requests: uint64(i)}
+	}
+	return counts
+}
+
+// TestLargeUsageWindows: windows of up to 65,536 tenants are agreed, and survive the state's encoding. Readers of earlier formats
+// get the state without them.
+func TestLargeUsageWindows(t *testing.T) {
+	s := &State{}
+	for number, tenants := range []int{maxCounts, maxCounts + 1, 16_384, maxLargeCounts} {
+		p := UsageReport{Window: uint64(number + 1), Counts: tenantCounts(tenants)}
+		encoded := Entry{Payload: p}.Encode()
+		if err := Check(encoded); err != nil {
+			t.Fatalf("%d tenants: %v", tenants, err)
+		}
+		if s.Apply(encoded); len(s.AgreedUsage(p.Window).Counts) != tenants {
+			t.Fatalf("%d tenants: another window is agreed", tenants)
+		}
+		got, err := DecodeState(s.Encode())
+		if diff := cmp.Diff(s, got, cmpopts.EquateEmpty()); diff != "" || err != nil {
+			t.Fatalf("%d tenants: %v (-want +got):\n%s", tenants, err, diff)
+		}
+	}
+	if len(s.UsageWindows) != 4 || s.Encode()[0] != StateVersion {
+		t.Errorf("%d windows, format %d", len(s.UsageWindows), s.Encode()[0])
+	}
+	for _, version := range []byte{firstStateVersion, secondStateVersion} {
+		b := s.EncodeAs(version)
+		if got, err := DecodeState(b); err != nil || b[0] > version || len(got.UsageWindows) != 1 || got.NextIndex != s.NextIndex {
+			t.Errorf("for readers of format %d: %v, format %d, %+v", version, err, b[0], got)
+		}
+	}
+}
+
+// TestUsageWindowsAreBounded: the windows that a state keeps are bounded in bytes, and the newest ones stay.
+func TestUsageWindowsAreBounded(t *testing.T) {
+	const last = 12
+	s := &State{}
+	for number := range uint64(last + 1) {
+		apply(s, UsageReport{Window: number, Counts: tenantCounts(16_384)})
+	}
+	n := len(s.Encode())
+	if n > limits.UsageBytes+1000 || s.AgreedUsage(last) == nil || s.AgreedUsage(last-4) == nil || !s.IsUsageTooOld(0) {
+		t.Errorf("%d bytes, %d windows", n, len(s.UsageWindows))
+	}
+}
+
+// TestCheckFindsWhatReplicasWouldIgnore: an entry of each kind that exceeds a bound of its decoder is found before it is proposed.
+func TestCheckFindsWhatReplicasWouldIgnore(t *testing.T) {
+	long := strings.Repeat("x", maxNameBytes+1)
+	for name, c := range map[string]struct {
+		payload Payload
+		want    error
+	}{
+		"no operation":               {Noop{}, nil},
+		"members":                    {MembersChange{make([]Member, maxMembers)}, nil},
+		"too many members":           {MembersChange{make([]Member, maxMembers+1)}, encoding.ErrTooLong},
+		"a member's long name":       {MembersChange{[]Member{{Name: long}}}, encoding.ErrTooLong},
+		"a configuration":            {ConfigChange{1, encodedConfig(t, 2)}, nil},
+		"a configuration too large":  {ConfigChange{1, make([]byte, fleetconfig.MaxBytes+1)}, encoding.ErrTooLong},
+		"a holder's long name":       {LeaseGrant{1, long}, encoding.ErrTooLong},
+		"a tenant's long name":       {UsageReport{1, []TenantCount{{long, 1}}}, encoding.ErrTooLong},
+		"too many tenants":           {UsageReport{1, tenantCounts(maxLargeCounts + 1)}, encoding.ErrTooLong},
+		"tenants with names too big": {UsageReport{1, slices.Repeat([]TenantCount{{long[1:], 1}}, 9000)}, ErrEntryTooLarge},
+	} {
+		if err := Check(Entry{Payload: c.payload}.Encode()); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+	if err := Check([]byte{entryVersion, 99, 0, 0, 0, 0, 0, 0, 0, 0}); !errors.Is(err, ErrUnknownVersion) {
+		t.Errorf("an unknown kind: %v", err)
+	}
+}
--- a/internal/control/singleton/controller.go
+++ b/internal/control/singleton/controller.go
@@ -63,7 +63,7 @@
 	pausedUntilTick bool            // a role has failed; nothing is begun before the next tick
 
 	table           usage.Table
-	reportedWindows map[uint64]bool // by this process
+	finishedWindows map[uint64]bool // reported by this process, or given up
 	tablesRequested bool            // from the peers, since the last tick
 	tablesPending   int             // peers that have not answered
 
@@ -78,7 +78,7 @@
 		calls:           map[CallID]func([]byte, error){},
 		grants:          lease.Grants{Duration: cfg.LeaseDuration, StartedAt: now, NeverGranted: cfg.NeverGranted},
 		holder:          lease.Holder{Duration: cfg.LeaseDuration, Margin: limits.LeaseMargin},
-		reportedWindows: map[uint64]bool{},
+		finishedWindows: map[uint64]bool{},
 		planner:         autoscale.NewPlanner(),
 	}
 }
--- a/internal/control/singleton/reporting.go
+++ b/internal/control/singleton/reporting.go
@@ -13,7 +13,7 @@
 // Which windows are handled.
 const (
 	gatheredWindows   = 3   // the newest ones, for which the tables of the peers are read; of earlier ones this voter knows them already
-	rememberedWindows = 100 // a window that was reported is remembered for so many further ones
+	rememberedWindows = 100 // a window that is finished is remembered for so many further ones
 )
 
 // newestWindow returns the window from which on usage is not due yet. A window is due three tenths of the delay after its end,
@@ -33,13 +33,18 @@
 	newest := c.newestWindow()
 	gatherFrom := newest - min(newest, gatheredWindows)
 	for window := c.oldestWindow(); window < newest; window++ {
-		if c.reportedWindows[window] {
+		if c.finishedWindows[window] {
 			continue
 		}
 		if agreed := c.state.AgreedUsage(window); agreed != nil {
 			c.sendUsage(agreed)
 			return true
 		}
+		if c.state.IsUsageTooOld(window) {
+			c.finishWindow(window)
+			c.logLostWindow(window)
+			continue
+		}
 		if window >= gatherFrom && !c.tablesRequested {
 			c.requestTables(window, newest)
 			if c.tablesPending > 0 {
@@ -48,18 +53,23 @@
 		}
 		if counts := usage.SortedCounts(c.table.Sum(window)); len(counts) > 0 { // else no request began in it, as far as is known
 			c.proposeUsage(window, counts)
-			return true
+			return c.onComplete != nil
 		}
 	}
 	return false
 }
 
-// proposeUsage has the figures of a window agreed.
+// proposeUsage has the figures of a window agreed. It gives up a window that no entry can hold: it would hold up those after it.
 func (c *Controller) proposeUsage(window uint64, counts []replog.TenantCount) {
 	entry := replog.Entry{Nonce: c.rnd.Uint64(), Payload: replog.UsageReport{Window: window, Counts: counts}}
 	encoded, self := entry.Encode(), c.cfg.Self.ID
+	if err := replog.Check(encoded); err != nil {
+		c.finishWindow(window)
+		c.log(slog.LevelError, "usage window cannot be agreed", "window", window, "tenants", len(counts), "err", err)
+		return
+	}
 	next := func(s *replog.State) []byte {
-		if s.AgreedUsage(window) != nil || s.LeaseHolder != self {
+		if s.AgreedUsage(window) != nil || s.IsUsageTooOld(window) || s.LeaseHolder != self {
 			return nil
 		}
 		return encoded
@@ -67,6 +77,14 @@
 	c.propose(next, func(err error) { c.pausedUntilTick = err != nil })
 }
 
+// logLostWindow warns of requests in a window that is not reported any more, or no more by this process: a later one was agreed
+// before these were known, or the agreed figures were dropped before the platform took them.
+func (c *Controller) logLostWindow(window uint64) {
+	if tenants := len(c.table.Sum(window)); tenants > 0 {
+		c.log(slog.LevelWarn, "usage window is too old to be agreed", "window", window, "tenants", tenants)
+	}
+}
+
 // sendUsage reports the agreed figures of a window to the platform.
 func (c *Controller) sendUsage(w *replog.UsageWindow) {
 	counts := map[string]uint64{}
@@ -86,8 +104,13 @@
 		c.log(slog.LevelWarn, "usage report failed", "window", window, "err", err)
 		return
 	}
-	c.reportedWindows[window] = true
-	maps.DeleteFunc(c.reportedWindows, func(earlier uint64, _ bool) bool { return earlier+rememberedWindows < window })
+	c.finishWindow(window)
+}
+
+// finishWindow notes that nothing more is to be done for a window.
+func (c *Controller) finishWindow(window uint64) {
+	c.finishedWindows[window] = true
+	maps.DeleteFunc(c.finishedWindows, func(earlier uint64, _ bool) bool { return earlier+rememberedWindows < window })
 }
 
 // requestTables reads what the peers have of the windows in [from, to).
--- a/internal/control/transport/frame.go
+++ b/internal/control/transport/frame.go
@@ -6,10 +6,12 @@
 	"io"
 
 	"notchhinge/internal/control/rpc"
+	"notchhinge/internal/limits"
 )
 
-// MaxFrameBytes bounds the body of a frame: a fleet configuration of 8 MiB with what is sent beside it.
-const MaxFrameBytes = 9 << 20
+// MaxFrameBytes bounds the body of a frame: a state with a fleet configuration of 8 MiB, usage windows (limits.UsageBytes) and
+// what is sent beside them. An earlier release accepts 9 MiB.
+const MaxFrameBytes = 9<<20 + limits.UsageBytes
 
 const (
 	frameHeaderBytes = 8
--- a/internal/control/usage/counters.go
+++ b/internal/control/usage/counters.go
@@ -12,7 +12,7 @@
 // Bounds of encoded counters.
 const (
 	maxEncodedWindows = 16
-	maxTenants        = 4096
+	maxTenants        = 1 << 16 // as many as an entry of package replog holds
 	maxNameBytes      = 256
 )
 
--- a/internal/control/usage/report.go
+++ b/internal/control/usage/report.go
@@ -38,7 +38,7 @@
 func DecodeReport(b []byte) (*Report, error) {
 	r := encoding.Reader{Buf: b}
 	p := &Report{Incarnation: r.Fixed64(), Zone: r.String(maxNameBytes), Counters: DecodeCounters(&r)}
-	for range r.Length(maxTenants, 4) {
+	for range r.Length(maxServices, 4) {
 		p.Loads = append(p.Loads, Load{r.String(maxNameBytes), r.Uvarint(), r.Uvarint(), r.Uvarint()})
 	}
 	return p, r.Finish()
--- a/internal/control/usage/table.go
+++ b/internal/control/usage/table.go
@@ -11,8 +11,9 @@
 // Bounds of a table.
 const (
 	maxRouters        = 4096
-	maxRouterWindows  = 64 // of one incarnation of a router; a report of nonsense must not fill the memory
-	maxReportBytes    = 1 << 20
+	maxRouterWindows  = 64      // of one incarnation of a router; a report of nonsense must not fill the memory
+	maxReportBytes    = 3 << 20 // three windows of 65,536 tenants with names of 13 bytes
+	maxServices       = 4096
 	loadLifetime      = 3 * time.Second // a router's loads count for so long after its last report
 	idleRouterTimeout = time.Minute     // a router without counters is forgotten after so long without a report
 )
--- a/internal/lab/plane/file.go
+++ b/internal/lab/plane/file.go
@@ -20,6 +20,9 @@
 	Tolerate int       `toml:"tolerate" comment:"keepers that may be lost at once"`
 	Length   string    `toml:"length"`
 	Troubles []trouble `toml:"trouble"`
+
+	Tenants            int `toml:"tenants,omitempty" comment:"with requests in each usage window, at every router; 0 = up to three"`
+	LinkBytesPerSecond int `toml:"link_bytes_per_second,omitempty" comment:"what a link carries; 0 = any call at once"`
 }
 
 type trouble struct {
@@ -32,7 +35,7 @@
 
 // Encode writes a day as TOML.
 func (d *Day) Encode() ([]byte, error) {
-	f := file{Seed: d.Seed, Keepers: d.Keepers, Routers: d.Routers, Engines: d.Engines, Tolerate: d.Tolerate, Length: d.Length.String()}
+	f := file{Seed: d.Seed, Keepers: d.Keepers, Routers: d.Routers, Engines: d.Engines, Tolerate: d.Tolerate, Length: d.Length.String(), Tenants: d.Tenants, LinkBytesPerSecond: d.LinkBytesPerSecond}
 	for _, t := range d.Troubles {
 		f.Troubles = append(f.Troubles, trouble{t.At.String(), t.For.String(), t.Kind, t.How, t.On})
 	}
@@ -44,6 +47,7 @@
 	mostMachines = 4096
 	mostEngines  = 20_000
 	mostLength   = time.Hour
+	mostTenants  = 1 << 17
 )
 
 // Load reads a day. Its error says every fault.
@@ -69,7 +73,7 @@
 		}
 		return d
 	}
-	d := &Day{Seed: f.Seed, Keepers: f.Keepers, Routers: f.Routers, Engines: f.Engines, Tolerate: f.Tolerate}
+	d := &Day{Seed: f.Seed, Keepers: f.Keepers, Routers: f.Routers, Engines: f.Engines, Tolerate: f.Tolerate, Tenants: f.Tenants, LinkBytesPerSecond: f.LinkBytesPerSecond}
 	d.Length = span("length", f.Length, mostLength)
 	if d.Keepers < 1 || d.Routers < 1 || d.Keepers+d.Routers > mostMachines {
 		bad("keepers, routers: at least one of each and %d in all are wanted", mostMachines)
@@ -77,6 +81,9 @@
 	if d.Engines < 0 || d.Engines > mostEngines || d.Tolerate < 0 || 2*d.Tolerate+1 > d.Keepers {
 		bad("engines, tolerate: up to %d, and fewer than half of the keepers, are wanted", mostEngines)
 	}
+	if d.Tenants < 0 || d.Tenants > mostTenants || d.LinkBytesPerSecond < 0 {
+		bad("tenants, link_bytes_per_second: up to %d, and none below 0, are wanted", mostTenants)
+	}
 	for i, t := range f.Troubles {
 		at := fmt.Sprintf("trouble[%d]", i)
 		x := Trouble{At: span(at+".at", t.At, mostLength), Kind: t.Kind, How: t.How, On: t.On}
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -68,6 +68,8 @@
 	drag    time.Duration // a write to its disk takes so much longer
 	stalled time.Duration // until then its disk answers nothing
 
+	nextTenant int // that a router counts a request of
+
 	// What waits for the effects that answer events of this life.
 	calls     replica.Pending[from]
 	answers   replica.Pending[func(api.Result)]
@@ -357,6 +359,14 @@
 	return d + time.Duration(w.rnd.Int64N(int64(300*time.Microsecond))), true
 }
 
+// transfer is how long the bytes of a call occupy a link.
+func (w *world) transfer(bytes int) time.Duration {
+	if w.day.LinkBytesPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(bytes) * time.Second / time.Duration(w.day.LinkBytesPerSecond)
+}
+
 // datagram sends one, which may get lost.
 func (w *world) datagram(from, to *machine, b []byte) {
 	w.spendDatagram(from, to, b)
@@ -391,6 +401,7 @@
 	if !ok {
 		return
 	}
+	d += w.transfer(len(c.Body))
 	there := to.life
 	w.in(d, func() {
 		if to.life != there || !to.up {
@@ -410,7 +421,7 @@
 	}
 	w.spendCall(f.m, nil, f.kind, len(r.Body)-frameBytes) // it is its caller's
 	if d, ok := w.link(m, f.m); ok {
-		w.in(d, func() { f.back(r.Body, r.Err) })
+		w.in(d+w.transfer(len(r.Body)), func() { f.back(r.Body, r.Err) })
 	}
 }
 
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -24,6 +24,10 @@
 	Tolerate int // keepers that may be lost at once
 	Length   time.Duration
 	Troubles []Trouble
+	// Tenants is how many tenants have requests in each usage window, at every router; 0 = up to three, at random.
+	Tenants int
+	// LinkBytesPerSecond bounds what a link carries; 0 = it carries a call of any size at once.
+	LinkBytesPerSecond int
 }
 
 // Trouble is something that happens at a time.
@@ -109,6 +113,7 @@
 	Drained  int     // engines that were acknowledged as leaving
 	Windows  int     // of usage that were due
 	Untold   int     // of these, not reported
+	Late     int     // of these, reported later than the platform's delay
 	Orders   int     // of engines
 	Events   int
 	Slowest  time.Duration // from a configuration's first sending to its acknowledgement, in calm
@@ -149,6 +154,8 @@
 	platform platform
 	meter    meter
 	began    map[uint64]int // requests, by window
+
+	onUsageStep func(*machine, usageStep) // called at each step of a holder towards the report of a window; nil = no call
 }
 
 // in has something done after a time.
@@ -181,10 +188,12 @@
 )
 
 // Play plays a day. broken names a rule that is broken on purpose, which must be found out; "" = none.
-func (d *Day) Play(broken string) Report {
-	w := newWorld(d, broken)
+func (d *Day) Play(broken string) Report { return newWorld(d, broken).play() }
+
+// play plays the world's day.
+func (w *world) play() Report {
 	w.begin()
-	w.run(lead + d.Length)
+	w.run(lead + w.day.Length)
 	w.heal()
 	w.run(w.now + rest)
 	w.checkUsage()
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -292,3 +292,61 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// largeUsageDay is a day with usage windows that earlier releases could not agree, and a change of configuration beside each.
+func largeUsageDay(tenants int, length time.Duration) *Day {
+	d := &Day{Seed: 5, Keepers: 3, Routers: 1, Engines: 2, Tolerate: 1, Length: length, Tenants: tenants, LinkBytesPerSecond: 15_000_000}
+	for at := time.Second; at < d.Length; at += 700 * time.Millisecond {
+		d.Troubles = append(d.Troubles, Trouble{At: at, Kind: Change})
+	}
+	return d
+}
+
+// checkLargeUsageDay: each window is reported in time, and changes are acknowledged within a second beside them.
+func checkLargeUsageDay(t *testing.T, w *world) {
+	t.Helper()
+	r := w.play()
+	if len(r.Found) > 0 || r.Untold > 0 || r.Late > 0 || r.Windows < 8 || r.Acked < 40 || r.Slowest > time.Second {
+		t.Errorf("%+v", r)
+	}
+	complete := 0
+	for _, counts := range w.platform.usage {
+		if strings.Count(counts, ":") == w.day.Tenants {
+			complete++
+		}
+	}
+	if complete < 7 { // the first and the last window are cut by the day
+		t.Errorf("%d windows of %d have all tenants", complete, len(w.platform.usage))
+	}
+}
+
+// TestLargeUsageWindows: a window of 16,384 tenants is reported in time.
+func TestLargeUsageWindows(t *testing.T) {
+	checkLargeUsageDay(t, newWorld(largeUsageDay(16_384, 30*time.Second), ""))
+}
+
+// TestLargeUsageWindowsSurviveTheirHolder: the same while the holder is killed at a step of the agreement, again and again.
+func TestLargeUsageWindowsSurviveTheirHolder(t *testing.T) {
+	const between = 11 * time.Second // of two kills: the lease of the one before, and the window that it left
+	for _, step := range []usageStep{usageProposed, usageAgreed, usageSent, usageAccepted} {
+		t.Run(string(step), func(t *testing.T) {
+			w := newWorld(largeUsageDay(4200, 40*time.Second), "")
+			kills, killedAt := 0, lead-between
+			w.onUsageStep = func(m *machine, reached usageStep) {
+				if reached != step || w.now-killedAt < between || w.over || w.now < lead {
+					return
+				}
+				kills, killedAt = kills+1, w.now
+				w.in(time.Duration(kills%3)*time.Millisecond, func() {
+					m.die()
+					w.shake(m)
+					w.in(time.Second, func() { w.revive(m) })
+				})
+			}
+			checkLargeUsageDay(t, w)
+			if kills < 3 {
+				t.Errorf("%d kills", kills)
+			}
+		})
+	}
+}
--- a/internal/lab/plane/platform.go
+++ b/internal/lab/plane/platform.go
@@ -75,10 +75,14 @@
 // accept takes in a call.
 func (p *platform) accept(w *world, m *machine, c platformCall) {
 	if c.subject == usageSubject {
+		w.notifyUsageStep(m, usageAccepted)
 		before, known := p.usage[c.window]
 		switch {
 		case !known:
 			p.usage[c.window] = c.counts
+			if w.now-usage.WindowEnd(c.window, usageWindow).Sub(epoch) > usageDelay {
+				w.report.Late++
+			}
 		case before == c.counts:
 			return // an exact repetition
 		default:
--- a/internal/lab/plane/singletonhost.go
+++ b/internal/lab/plane/singletonhost.go
@@ -92,10 +92,15 @@
 		case singleton.SendReply:
 			w.back(m, replica.SendReply{Request: e.request, Body: f.Body, Err: f.Err})
 		case singleton.Propose:
-			id := m.proposals.Add(func(err error) { later(singleton.ProposalDone{Err: err}) })
+			id := m.proposals.Add(func(err error) {
+				w.notifyUsageStep(m, usageAgreed)
+				later(singleton.ProposalDone{Err: err})
+			})
 			m.queue = append(m.queue, replica.Propose{Next: f.Next, Deadline: w.now + f.Timeout, Request: id})
+			w.notifyUsageStep(m, usageProposed)
 		case singleton.ReportUsage:
 			w.callPlatform(m, f.Timeout, platformCall{subject: usageSubject, token: f.FencingToken, window: f.Window, counts: fmt.Sprint(f.Counts)})
+			w.notifyUsageStep(m, usageSent)
 		case singleton.ScaleEngines:
 			w.report.Orders++
 			w.callPlatform(m, f.Timeout, platformCall{subject: f.Service + "/" + f.Zone, token: f.FencingToken})
@@ -110,15 +115,50 @@
 		if !m.up || m.frozen {
 			return
 		}
-		for range w.rnd.IntN(4) {
-			tenant := fmt.Sprint("t", w.rnd.IntN(3))
-			m.meter.CountRequest(m.wall(), tenant)
-			w.began[usage.WindowAt(epoch.Add(w.now), usageWindow)]++
-		}
+		m.countRequests()
 		m.sendReports()
 	})
 }
 
+// countRequests has a router count requests: a few of three tenants, or of the next ones of the day's so that each has one in
+// every window.
+func (m *machine) countRequests() {
+	w := m.w
+	count := func(tenant int) {
+		m.meter.CountRequest(m.wall(), fmt.Sprint("t", tenant))
+		w.began[usage.WindowAt(epoch.Add(w.now), usageWindow)]++
+	}
+	if w.day.Tenants == 0 {
+		for range w.rnd.IntN(4) {
+			count(w.rnd.IntN(3))
+		}
+		return
+	}
+	const reportsPerWindow = int(usageWindow / limits.RouterReportInterval)
+	for range w.day.Tenants/reportsPerWindow + 1 {
+		count(m.nextTenant % w.day.Tenants)
+		m.nextTenant++
+	}
+}
+
+// usageStep is a step of a lease holder towards the report of a usage window.
+type usageStep string
+
+// The steps: an entry is proposed, which may be that of a lease; its outcome is known; the report is sent; the platform has it.
+const (
+	usageProposed usageStep = "proposed"
+	usageAgreed   usageStep = "agreed"
+	usageSent     usageStep = "sent"
+	usageAccepted usageStep = "accepted"
+)
+
+// notifyUsageStep tells a test of a step.
+func (w *world) notifyUsageStep(m *machine, step usageStep) {
+	if w.onUsageStep != nil {
+		w.onUsageStep(m, step)
+	}
+}
+
 // sendReports makes a report to each replica that a router knows.
 func (m *machine) sendReports() {
 	w, life, replicas := m.w, m.life, m.news.Gossip.Replicas()
--- a/internal/limits/replica.go
+++ b/internal/limits/replica.go
@@ -64,4 +64,8 @@
 	// one; at 8,500 a day they are eleven hours. An entry takes 17 to 18 bytes, in a replica's state (70 kB in all) and in
 	// what is sent to one that catches up.
 	ConfigHistoryEntries = 4096
+	// UsageBytes bounds the counts of one usage window, and of all that a state keeps once one of them has more than 4,096
+	// tenants. With names of 13 bytes these are nine windows of 14,000 tenants, or two of 65,536. A state is sent as one message,
+	// with a configuration of 8 MiB beside.
+	UsageBytes = 2 << 20
 )
