control/delta: the change of one tenant is found in bases above half a megabyte

Cause: the compressor's fastest level keeps one place for each hash of the base; later ones overwrite it, so that from 0.5 MB of random keys on less and less of the base is found (9,200 tenants: 57,878 bytes; 14,000: the whole text, 253,160).

Ruled out: the default level (30,720 bytes at 28,000 tenants); a difference of blocks in a format of its own, which earlier releases could not read.

Change: a base above 512 KiB takes the level "better"; below it nothing changes on the wire. Data are compressed without the base only where the delta is no sixteenth of them, which was done each time.

--- a/internal/control/delta/bench_test.go
+++ b/internal/control/delta/bench_test.go
@@ -50,16 +50,14 @@
 // BenchmarkLevels does the same with each level of the compressor.
 func BenchmarkLevels(b *testing.B) {
 	for _, level := range []zstd.EncoderLevel{zstd.SpeedFastest, zstd.SpeedDefault, zstd.SpeedBetterCompression} {
-		for _, n := range []int{4600, 14000, 28000, 56000} {
+		for _, n := range []int{10, 100, 1000, 4600, 14000, 28000, 56000} {
 			b.Run(fmt.Sprintf("%v/%d", level, n), func(b *testing.B) {
 				base, data := tenantsConfig(n, -1), tenantsConfig(n, n/3)
 				b.ReportAllocs()
 				var delta []byte
 				for b.Loop() {
-					delta = compress(formatDelta, base, data, []zstd.EOption{
-						zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(level),
-						zstd.WithWindowSize(window(len(base) + len(data))), zstd.WithEncoderDictRaw(dictionaryID, base),
-					})
+					delta = compress(formatDelta, base, data,
+						append(options(level, len(base)+len(data)), zstd.WithEncoderDictRaw(dictionaryID, base)))
 				}
 				b.ReportMetric(float64(len(delta)), "delta-bytes")
 			})
--- a/internal/control/delta/delta.go
+++ b/internal/control/delta/delta.go
@@ -23,9 +23,11 @@
 )
 
 const (
-	minBytes      = 512      // data or a base below that is not worth a compression
-	maxWindow     = 16 << 20 // bytes that the compressor looks back at most
-	dictionaryID  = 1        // of the base
+	minBytes      = 512       // data or a base below that is not worth a compression
+	smallDelta    = 16        // a delta so many times smaller than its data is not worth another attempt
+	maxFastBase   = 512 << 10 // bytes of the largest base in which the compressor's fastest level finds what is unchanged
+	maxWindow     = 16 << 20  // bytes that the compressor looks back at most
+	dictionaryID  = 1         // of the base
 	headBytes     = 1 + 8 + 8
 	extraDecoding = 32 << 20 // bytes of memory that the decoder may use beyond its output
 )
@@ -36,29 +38,43 @@
 	ErrCorrupt   = errors.New("delta: corrupt data")
 )
 
-// Encode returns the shortest encoding of data: plain, compressed, or relative to base, which may be nil.
+// Encode returns a short encoding of data: relative to base, which may be nil, where that is a fraction of the data, and else
+// the shortest of that, the compressed and the plain data.
 func Encode(base, data []byte) []byte {
-	best := append([]byte{formatPlain}, data...)
 	if len(data) < minBytes {
-		return best
-	}
-	options := []zstd.EOption{
-		zstd.WithEncoderConcurrency(1),
-		zstd.WithEncoderLevel(zstd.SpeedFastest),
-		zstd.WithWindowSize(window(len(base) + len(data))),
-	}
-	if b := compress(formatCompressed, nil, data, options); b != nil && len(b) < len(best) {
-		best = b
+		return append([]byte{formatPlain}, data...)
 	}
+	best := append([]byte{formatPlain}, data...)
 	if len(base) >= minBytes {
-		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
+		options := append(options(deltaLevel(base), len(base)+len(data)), zstd.WithEncoderDictRaw(dictionaryID, base))
 		if b := compress(formatDelta, base, data, options); b != nil && len(b) < len(best) {
 			best = b
 		}
+		if len(best) < len(data)/smallDelta {
+			return best
+		}
+	}
+	if b := compress(formatCompressed, nil, data, options(zstd.SpeedFastest, len(base)+len(data))); b != nil && len(b) < len(best) {
+		best = b
 	}
 	return best
 }
 
+// deltaLevel returns the compressor's level for a delta. The fastest one remembers one place for each of its hashes, which
+// later ones overwrite: from half a megabyte of keys on it finds less and less of the base. A base of many routes or tenants therefore takes
+// a level that remembers more, with 8 MB of memory beside the base.
+func deltaLevel(base []byte) zstd.EncoderLevel {
+	if len(base) <= maxFastBase {
+		return zstd.SpeedFastest
+	}
+	return zstd.SpeedBetterCompression
+}
+
+// options returns those of a compressor of a level whose window spans so many bytes.
+func options(level zstd.EncoderLevel, span int) []zstd.EOption {
+	return []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(level), zstd.WithWindowSize(window(span))}
+}
+
 // window returns the power of two that spans n bytes, within the bounds.
 func window(n int) int {
 	w := zstd.MinWindowSize
--- a/internal/control/delta/delta_test.go
+++ b/internal/control/delta/delta_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// TestDeltaOfManyTenantsIsAFractionOfTheData: one tenant's rate is found at the sizes of two years, and somewhat beyond.
+func TestDeltaOfManyTenantsIsAFractionOfTheData(t *testing.T) {
+	const maxDeltaBytes = 1000
+	for _, tenants := range []int{100, 4600, 9200, 14_000, 28_000} {
+		for _, changed := range []int{0, tenants / 3, tenants - 1} {
+			base, data := tenantsConfig(tenants, -1), tenantsConfig(tenants, changed)
+			delta := Encode(base, data)
+			if got, err := Decode(base, delta, len(data)); len(delta) > maxDeltaBytes || err != nil || !bytes.Equal(got, data) {
+				t.Errorf("tenant %d of %d: %d bytes of %d, %v", changed, tenants, len(delta), len(data), err)
+			}
+		}
+	}
+}
+
 func TestDecodeReturnsTheData(t *testing.T) {
 	base, data := routesConfig(5000, -1), routesConfig(5000, 2500)
 	for name, c := range map[string]struct{ base, data []byte }{
