control/gossip: comparisons by a tree of ranges, datagrams within their bound

Cause: the items were divided into 32 buckets whatever their number, and the versions of a bucket went in one datagram, cut at 256: 2,328 bytes of 1,400 with 8,000 items in a trial. The hash of an item did not cover its body, nor did versions show it, so that two bodies of one version stayed for good. An item of over 1,320 bytes and heartbeats with large numbers exceeded it too.

Ruled out: more buckets (their digests alone are several datagrams); a new format version (processes of two releases would not hear each other).

Change: ranges of key hashes, 32 children a level; more than 60 items in one are answered by the digests of its children. Digests cover all of an item, versions carry a hash of the body, a node asks for what it lacks. Nodes say that they compare so by a flag; with others they compare as before, within the bound. Up to four datagrams answer one.

Golden files: new ones; in those of discovery the sender's flags differ.

--- a/internal/control/discovery/golden_test.go
+++ b/internal/control/discovery/golden_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +99,14 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// TestLargestRecordsFit: the record of an engine with names as long as the API takes them is within a gossip item.
+func TestLargestRecordsFit(t *testing.T) {
+	name := strings.Repeat("x", 200) // as in package api
+	i := endpointItem(&endpoints.Record{
+		ID: name, Service: name, Addr: name, Zone: name, Revision: name, Slots: 1 << 20, State: endpoints.StateGone, CallCount: 1 << 60, WarmAtMS: 1 << 62,
+	})
+	if n := len(i.Key) + len(i.Body); n > gossip.MaxItemBytes {
+		t.Errorf("%d bytes of %d", n, gossip.MaxItemBytes)
+	}
+}
--- a/internal/control/encoding/encoding.go
+++ b/internal/control/encoding/encoding.go
@@ -2,7 +2,7 @@
 // integers, byte strings and list lengths. What a message or a record is made of is defined by its owner, which writes the
 // fields one after another and reads them back in the same order.
 //
-// A byte is one byte; Fixed64 is 8 bytes, big-endian; Uvarint is as in package encoding/binary; Bytes and String are their
+// A byte is one byte; Fixed32 and Fixed64 are 4 and 8 bytes, big-endian; Uvarint is as in package encoding/binary; Bytes and String are their
 // length as a Uvarint and the bytes.
 //
 // Input is not trusted. Each read of variable length takes a bound, and a length that the rest of the input cannot hold is
@@ -37,6 +37,9 @@
 // Fixed64 writes 8 bytes, for random ids and hashes.
 func (w *Writer) Fixed64(v uint64) { w.Buf = binary.BigEndian.AppendUint64(w.Buf, v) }
 
+// Fixed32 writes 4 bytes, for short hashes.
+func (w *Writer) Fixed32(v uint32) { w.Buf = binary.BigEndian.AppendUint32(w.Buf, v) }
+
 // Bytes writes a length and the bytes.
 func (w *Writer) Bytes(b []byte) {
 	w.Uvarint(uint64(len(b)))
@@ -96,6 +99,17 @@
 	return v
 }
 
+// Fixed32 reads 4 bytes.
+func (r *Reader) Fixed32() uint32 {
+	if len(r.Buf) < 4 {
+		r.fail(ErrTruncated)
+		return 0
+	}
+	v := binary.BigEndian.Uint32(r.Buf)
+	r.Buf = r.Buf[4:]
+	return v
+}
+
 // Bytes reads at most maxBytes bytes. They share memory with Buf.
 func (r *Reader) Bytes(maxBytes int) []byte {
 	n := r.Length(maxBytes, 1)
--- a/internal/control/gossip/antientropy.go
+++ b/internal/control/gossip/antientropy.go
@@ -1,7 +1,15 @@
 package gossip
 
-// A comparison has up to three steps: root digests, bucket digests, and versions of the buckets that differ. Most end with the
-// first one, which costs two small packets.
+import (
+	"net/netip"
+	"slices"
+
+	"notchhinge/internal/control/encoding"
+)
+
+// A comparison has up to three steps for each level of the tree of ranges that it descends: root digests, digests of the ranges
+// that differ, and versions of those that have few items. Most end with the first one, which costs two small packets. What does
+// not fit into the answer to one packet follows with a later comparison.
 
 // mayRetryCompare reports whether the current comparison is open and may be followed by another soon.
 func (n *Node) mayRetryCompare() bool { return n.compareWith != 0 && n.retriesLeft > 0 }
@@ -31,7 +39,7 @@
 	}
 	n.compareWith, n.nextRetry = peer.ID, n.now+compareRetryDelay
 	peer.expectAnswer(n.now)
-	n.send(peer.Addr, &packet{kind: kindRootDigest, root: n.items.rootDigest()})
+	n.send(peer.Addr, &packet{kind: kindRootDigest, root: n.items.rootDigest(peer.comparesContent())})
 }
 
 // comparePeer draws the peer to compare with; nil if there is none.
@@ -46,69 +54,154 @@
 	return peers[0]
 }
 
-// handleRootDigest answers with bucket digests where the items differ, else with an acknowledgement.
+// handleRootDigest answers with the digests of the root's children where the items differ, else with an acknowledgement.
 func (n *Node) handleRootDigest(p *packet) {
-	if p.root == n.items.rootDigest() {
+	comparesContent := p.from.comparesContent()
+	switch {
+	case p.root == n.items.rootDigest(comparesContent):
 		n.send(p.from.Addr, &packet{kind: kindAck})
-		return
+	case comparesContent:
+		n.send(p.from.Addr, &packet{kind: kindRangeDigests, ranges: []rangeDigests{{rootRange, n.items.digests}}})
+	default:
+		n.send(p.from.Addr, &packet{kind: kindBucketDigests, digests: n.items.legacyDigests[:]})
 	}
-	n.send(p.from.Addr, &packet{kind: kindBucketDigests, digests: n.items.digests[:]})
 }
 
-// handleBucketDigests answers with the versions of the buckets that differ, as many as one packet holds.
-func (n *Node) handleBucketDigests(p *packet) {
-	var buckets []bucketVersions
-	size := 0
-	for b, digest := range p.digests {
-		if digest == n.items.digests[b] {
-			continue
+// handleRangeDigests answers with the versions of the ranges that differ, or with their digests where they have many items here.
+func (n *Node) handleRangeDigests(p *packet) {
+	var few, many []keyRange
+	for i := range p.ranges {
+		theirs := &p.ranges[i]
+		ours := n.items.childDigests(theirs.keyRange)
+		for c := range theirs.digests {
+			r := theirs.child(c)
+			switch {
+			case ours[c] == theirs.digests[c]:
+			case r.depth < maxRangeDepth && n.items.countInRange(r, maxRangeItems+1) > maxRangeItems:
+				many = append(many, r)
+			default:
+				few = append(few, r)
+			}
 		}
-		versions := n.items.versions(b)
-		versions = versions[:min(len(versions), maxVersions)]
-		size += 4 + 13*len(versions)
-		if size > MaxPacketBytes-packetOverhead && len(buckets) > 0 {
-			break // the others follow with a later comparison
-		}
-		buckets = append(buckets, bucketVersions{bucket: b, versions: versions})
 	}
-	if len(buckets) == 0 {
+	if len(few)+len(many) == 0 {
 		n.send(p.from.Addr, &packet{kind: kindAck})
 		return
 	}
-	n.send(p.from.Addr, &packet{kind: kindVersions, buckets: buckets})
+	n.sendRangeVersions(p.from.Addr, few)
+	n.sendRangeDigests(p.from.Addr, many)
 }
 
-// handleVersions sends the items that the other node lacks, and asks for those that this node lacks by sending its versions.
-func (n *Node) handleVersions(p *packet) {
-	var items []Item
-	var behind []bucketVersions
-	for _, theirs := range p.buckets {
-		newer, isBehind := n.diffBucket(theirs)
-		items = append(items, newer...)
-		if isBehind {
-			behind = append(behind, bucketVersions{bucket: theirs.bucket, versions: n.items.versions(theirs.bucket)})
+// sendRangeVersions sends the versions of ranges: of random ones if they need more than maxAnswerPackets, since a range may differ
+// for as long as its items are obsolete for one of the two nodes.
+func (n *Node) sendRangeVersions(to netip.AddrPort, ranges []keyRange) {
+	all := make([]rangeVersions, len(ranges))
+	for i, r := range ranges {
+		versions := n.items.versionsIn(r)
+		all[i] = rangeVersions{r, versions[:min(len(versions), maxRangeItems)]} // of the deepest range there may be more
+	}
+	packets := packVersions(all)
+	if len(packets) > maxAnswerPackets {
+		n.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		packets = packVersions(all)[:maxAnswerPackets]
+	}
+	for _, versions := range packets {
+		n.send(to, &packet{kind: kindRangeVersions, versions: versions})
+	}
+}
+
+// packVersions divides ranges among packets, each as full as it may be.
+func packVersions(all []rangeVersions) (packets [][]rangeVersions) {
+	first, size := 0, packetOverhead
+	for i := range all {
+		if size+all[i].size() > MaxPacketBytes {
+			packets = append(packets, all[first:i])
+			first, size = i, packetOverhead
+		}
+		size += all[i].size()
+	}
+	if first < len(all) {
+		packets = append(packets, all[first:])
+	}
+	return packets
+}
+
+// size is an upper bound of the encoded size in bytes.
+func (v *rangeVersions) size() int {
+	size := rangeHeadBytes
+	for i := range v.versions {
+		size += keyHashBytes + encoding.UvarintBytes(v.versions[i].version) + contentHashBytes
+	}
+	return size
+}
+
+// sendRangeDigests sends the digests of ranges, of random ones likewise.
+func (n *Node) sendRangeDigests(to netip.AddrPort, ranges []keyRange) {
+	if len(ranges) > maxAnswerPackets*maxDigestRanges {
+		n.rnd.Shuffle(len(ranges), func(i, j int) { ranges[i], ranges[j] = ranges[j], ranges[i] })
+		ranges = ranges[:maxAnswerPackets*maxDigestRanges]
+	}
+	for chunk := range slices.Chunk(ranges, maxDigestRanges) {
+		all := make([]rangeDigests, len(chunk))
+		for i, r := range chunk {
+			all[i] = rangeDigests{r, n.items.childDigests(r)}
 		}
+		n.send(to, &packet{kind: kindRangeDigests, ranges: all})
+	}
+}
+
+// handleRangeVersions sends the items that the other node lacks, and asks for those that this node lacks.
+func (n *Node) handleRangeVersions(p *packet) {
+	var items []Item
+	var wanted []uint64
+	for i := range p.versions {
+		newer, lacking := n.diffRange(&p.versions[i])
+		items, wanted = append(items, newer...), append(wanted, lacking...)
 	}
-	n.sendItems(p.from.Addr, items, kindItems, 0)
-	if len(behind) > 0 {
-		n.send(p.from.Addr, &packet{kind: kindVersions, buckets: behind[:min(len(behind), maxVersionBuckets)]})
+	n.repair(p.from.Addr, items)
+	for len(wanted) > 0 {
+		count := min(len(wanted), maxRequests)
+		n.send(p.from.Addr, &packet{kind: kindItemRequest, wanted: wanted[:count]})
+		wanted = wanted[count:]
 	}
 }
 
-// diffBucket returns the items of a bucket that are newer here, ordered by key, and reports whether any is newer there.
-func (n *Node) diffBucket(theirs bucketVersions) (newer []Item, isBehind bool) {
-	remaining := make(map[uint64]uint64, len(theirs.versions)) // version by the hash of the key
+// diffRange returns the items of a range that may be newer here, ordered by key, and the hashes of keys that may be newer there.
+// Of two bodies of one version both nodes send theirs: the greater wins.
+func (n *Node) diffRange(theirs *rangeVersions) (newer []Item, wanted []uint64) {
+	remaining := make(map[uint64]contentVersion, len(theirs.versions)) // by the hash of the key
 	for _, v := range theirs.versions {
-		remaining[v.key] = v.version
+		remaining[v.keyHash] = v
 	}
-	for _, key := range sortedKeys(n.items.keys[theirs.bucket]) {
-		i, hash := n.items.byKey[key], Hash(key)
-		version, isThere := remaining[hash]
-		if !isThere || version < i.Version {
+	for _, i := range n.items.inRange(theirs.keyRange) {
+		hash := Hash(i.Key)
+		there, isThere := remaining[hash]
+		differs := isThere && there.version == i.Version && there.content != i.contentHash()
+		if !isThere || there.version < i.Version || differs {
 			newer = append(newer, *i)
 		}
-		isBehind = isBehind || isThere && version > i.Version
+		if isThere && there.version > i.Version || differs {
+			wanted = append(wanted, hash)
+		}
 		delete(remaining, hash)
 	}
-	return newer, isBehind || len(remaining) > 0
+	return newer, append(wanted, sortedKeys(remaining)...)
+}
+
+// handleItemRequest sends the items of keys that the other node has asked for.
+func (n *Node) handleItemRequest(p *packet) {
+	var items []Item
+	for _, hash := range p.wanted {
+		items = append(items, n.items.byHash(hash)...)
+	}
+	n.repair(p.from.Addr, items)
+}
+
+// repair sends items to a node that lacks them: no more than a socket's buffer holds, and random ones of more than that.
+func (n *Node) repair(to netip.AddrPort, items []Item) {
+	if len(items) > maxRepairItems {
+		n.rnd.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+		items = items[:maxRepairItems]
+	}
+	n.sendItems(to, items, kindItems, 0)
 }
--- a/internal/control/gossip/broadcast.go
+++ b/internal/control/gossip/broadcast.go
@@ -5,7 +5,7 @@
 // broadcast stores items of this node and queues those that are new.
 func (n *Node) broadcast(e Broadcast) {
 	for _, i := range e.Items {
-		if n.items.merge(i) {
+		if i.fits() && n.items.merge(i) {
 			n.broadcastQueue = append(n.broadcastQueue, i)
 		}
 	}
@@ -14,7 +14,7 @@
 // learnItems stores items from another node and queues those that are new here, so that they are passed on.
 func (n *Node) learnItems(p *packet) {
 	for _, i := range p.items {
-		if n.IsStale != nil && n.IsStale(&i) || !n.items.merge(i) {
+		if !i.fits() || n.IsStale != nil && n.IsStale(&i) || !n.items.merge(i) {
 			continue
 		}
 		n.out = append(n.out, ItemLearned{Item: i, From: p.from})
@@ -53,7 +53,7 @@
 func (n *Node) sendItems(to netip.AddrPort, items []Item, kind packetKind, ack ackID) {
 	for len(items) > 0 {
 		size, count := packetOverhead, 0
-		for count < len(items) && count < maxItems && (count == 0 || size+items[count].size() <= MaxPacketBytes) {
+		for count < len(items) && count < maxItems && size+items[count].size() <= MaxPacketBytes {
 			size += items[count].size()
 			count++
 		}
--- a/internal/control/gossip/codec.go
+++ b/internal/control/gossip/codec.go
@@ -21,14 +21,17 @@
 
 const (
 	kindItems         packetKind = iota + 1
-	kindBucketDigests            // answer to a root digest that differs
-	kindVersions                 // answer to bucket digests that differ, and to versions
+	kindBucketDigests            // answer to a root digest that differs, to and from the previous release
+	kindVersions                 // answer to bucket digests that differ, and to versions; likewise
 	kindShuffle
 	kindShuffleReply
 	kindUrgentItems // asks for kindAck
 	kindAck
 	kindHeartbeats
 	kindRootDigest
+	kindRangeDigests  // answer to a root digest, or to digests of ranges, that differ
+	kindRangeVersions // answer to digests of ranges that differ
+	kindItemRequest   // answer to versions that are newer; answered by kindItems
 )
 
 // packet is a decoded datagram. Which fields are set depends on its kind.
@@ -44,17 +47,9 @@
 	root       uint64           // kindRootDigest
 	digests    []uint64         // kindBucketDigests: one of each bucket
 	buckets    []bucketVersions // kindVersions
-}
-
-// bucketVersions are the versions of a bucket's items at the sender.
-type bucketVersions struct {
-	bucket   int
-	versions []itemVersion
-}
-
-type itemVersion struct {
-	key     uint64 // hash
-	version uint64
+	ranges     []rangeDigests   // kindRangeDigests
+	versions   []rangeVersions  // kindRangeVersions
+	wanted     []uint64         // kindItemRequest: hashes of keys
 }
 
 func (p *packet) encode() []byte {
@@ -77,6 +72,15 @@
 		}
 	case kindVersions:
 		writeVersions(&w, p.buckets)
+	case kindRangeDigests:
+		writeRangeDigests(&w, p.ranges)
+	case kindRangeVersions:
+		writeRangeVersions(&w, p.versions)
+	case kindItemRequest:
+		w.Uvarint(uint64(len(p.wanted)))
+		for _, hash := range p.wanted {
+			w.Fixed64(hash)
+		}
 	case kindShuffle, kindShuffleReply:
 		w.Uvarint(uint64(len(p.peers)))
 		for i := range p.peers {
@@ -102,21 +106,107 @@
 		readHeartbeats(&r, p)
 	case kindAck:
 		p.ackID = ackID(r.Uvarint())
+	case kindShuffle, kindShuffleReply:
+		p.peers = readPeers(&r)
+	default:
+		if err := readComparison(&r, p); err != nil {
+			return nil, err
+		}
+	}
+	return p, r.Finish()
+}
+
+// readComparison reads the fields of a packet of a comparison.
+func readComparison(r *encoding.Reader, p *packet) (err error) {
+	switch p.kind {
 	case kindRootDigest:
 		p.root = r.Fixed64()
 	case kindBucketDigests:
-		p.digests = readDigests(&r)
+		p.digests = readDigests(r)
 	case kindVersions:
-		var err error
-		if p.buckets, err = readVersions(&r); err != nil {
-			return nil, err
+		p.buckets, err = readVersions(r)
+	case kindRangeDigests:
+		p.ranges = readRangeDigests(r)
+	case kindRangeVersions:
+		p.versions = readRangeVersions(r)
+	case kindItemRequest:
+		for range r.Length(maxRequests, 8) {
+			p.wanted = append(p.wanted, r.Fixed64())
 		}
-	case kindShuffle, kindShuffleReply:
-		p.peers = readPeers(&r)
 	default:
-		return nil, errMalformed
+		err = errMalformed
 	}
-	return p, r.Finish()
+	if !p.hasValidRanges() {
+		err = errMalformed
+	}
+	return err
+}
+
+// hasValidRanges reports whether all ranges of the packet are of the tree. Digests have to be of a range that has children.
+func (p *packet) hasValidRanges() bool {
+	for i := range p.ranges {
+		if r := p.ranges[i].keyRange; !r.isValid() || r.depth >= maxRangeDepth {
+			return false
+		}
+	}
+	for i := range p.versions {
+		if r := p.versions[i].keyRange; !r.isValid() || r.depth == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func writeRange(w *encoding.Writer, r keyRange) {
+	w.Byte(r.depth)
+	w.Uvarint(r.prefix)
+}
+
+func readRange(r *encoding.Reader) keyRange { return keyRange{depth: r.Byte(), prefix: r.Uvarint()} }
+
+func writeRangeDigests(w *encoding.Writer, ranges []rangeDigests) {
+	w.Uvarint(uint64(len(ranges)))
+	for i := range ranges {
+		writeRange(w, ranges[i].keyRange)
+		for _, d := range ranges[i].digests {
+			w.Fixed64(d)
+		}
+	}
+}
+
+func readRangeDigests(r *encoding.Reader) (ranges []rangeDigests) {
+	for range r.Length(maxDigestRanges, 2+8*rangeFanout) {
+		x := rangeDigests{keyRange: readRange(r)}
+		for i := range x.digests {
+			x.digests[i] = r.Fixed64()
+		}
+		ranges = append(ranges, x)
+	}
+	return ranges
+}
+
+func writeRangeVersions(w *encoding.Writer, ranges []rangeVersions) {
+	w.Uvarint(uint64(len(ranges)))
+	for i := range ranges {
+		writeRange(w, ranges[i].keyRange)
+		w.Uvarint(uint64(len(ranges[i].versions)))
+		for _, v := range ranges[i].versions {
+			w.Fixed64(v.keyHash)
+			w.Uvarint(v.version)
+			w.Fixed32(v.content)
+		}
+	}
+}
+
+func readRangeVersions(r *encoding.Reader) (ranges []rangeVersions) {
+	for range r.Length(maxVersionRanges, 3) {
+		x := rangeVersions{keyRange: readRange(r)}
+		for range r.Length(maxVersions, 13) {
+			x.versions = append(x.versions, contentVersion{keyHash: r.Fixed64(), version: r.Uvarint(), content: r.Fixed32()})
+		}
+		ranges = append(ranges, x)
+	}
+	return ranges
 }
 
 func writePeer(w *encoding.Writer, p *Peer) {
@@ -238,7 +328,7 @@
 		return PurposeDissemination
 	}
 	switch packetKind(b[3]) {
-	case kindBucketDigests, kindVersions, kindRootDigest:
+	case kindBucketDigests, kindVersions, kindRootDigest, kindRangeDigests, kindRangeVersions, kindItemRequest:
 		return PurposeAntiEntropy
 	case kindShuffle, kindShuffleReply:
 		return PurposeShuffle
--- a/internal/control/gossip/doc.go
+++ b/internal/control/gossip/doc.go
@@ -15,9 +15,10 @@
 //
 // New items go to [Fanout] random peers of the view every [BroadcastInterval], which pass on what is new to them (rumor
 // mongering, broadcast.go). Urgent items go out at once, to peers of different roles and zones, and are acknowledged (urgent.go).
-// Gaps close by anti-entropy (antientropy.go): two nodes compare a root digest, then digests of buckets, then the versions
-// in the buckets that differ, and send what the other lacks. Both parts follow Demers et al., Epidemic Algorithms for Replicated
-// Database Maintenance (1987).
+// Gaps close by anti-entropy (antientropy.go): two nodes compare a root digest, then digests of ranges of key hashes down a tree
+// (ranges.go), as in a Merkle tree, to ranges of few items whose versions they compare, and send what the other lacks. Digests
+// cover all of an item. Both parts follow Demers et al., Epidemic Algorithms for Replicated Database Maintenance (1987). With nodes
+// of the previous release the tree has one level and digests do not cover bodies (legacy.go).
 //
 // # Heartbeats
 //
@@ -27,7 +28,7 @@
 //
 // # Promises and assumptions
 //
-// The traffic of an idle node does not depend on the size of the fleet. Datagrams are filled up to [MaxPacketBytes].
+// The traffic of an idle node does not depend on the size of the fleet. No datagram exceeds [MaxPacketBytes].
 // Datagrams may be lost, duplicated, delayed and reordered. Malformed datagrams are ignored; peers are trusted otherwise.
 // Peer ids are unique, and never zero. Times are durations on the caller's steady clock.
 package gossip
--- a/internal/control/gossip/event.go
+++ b/internal/control/gossip/event.go
@@ -11,7 +11,7 @@
 	// Tick says that the time that [Node.NextTimer] named has come.
 	Tick struct{}
 	// Broadcast disseminates items of this node with the next broadcast round. Items that are not newer than what the node
-	// has are dropped.
+	// has are dropped, and so are those above [MaxItemBytes].
 	Broadcast struct{ Items []Item }
 	// UrgentBroadcast sends items at once, also those that the node has already. With MinAcks > 0 it ends with
 	// [BroadcastCompleted], which carries ID.
--- a/internal/control/gossip/fleet_test.go
+++ b/internal/control/gossip/fleet_test.go
@@ -21,6 +21,7 @@
 	sendBlocked    map[int]bool        // receives, but nobody receives its packets
 	receiveBlocked map[int]bool        // the other way round
 	isPartitioned  func(i, k int) bool // no packets between these two; nil = none
+	legacy         map[int]bool        // of the previous release: others look so to it as well
 	heartbeats     []map[uint64]uint64 // of each node: the latest sequence that it learned, by key
 	acks           map[BroadcastID]int
 }
@@ -83,11 +84,11 @@
 			switch x := x.(type) {
 			case SendPacket:
 				f.packets++
-				if len(x.Payload) > MaxPacketBytes+300 {
+				if len(x.Payload) > MaxPacketBytes {
 					panic(fmt.Sprintf("a datagram of %d bytes", len(x.Payload)))
 				}
 				if to, ok := f.byAddr[x.To]; ok && f.delivers(i, to) {
-					deliveries = append(deliveries, delivery{to, x.Payload})
+					deliveries = append(deliveries, delivery{to, f.asSeenBy(to, x.Payload)})
 				}
 			case HeartbeatLearned:
 				if x.Heartbeat.Sequence > f.heartbeats[i][x.Heartbeat.Key] {
@@ -102,6 +103,19 @@
 	return deliveries
 }
 
+// asSeenBy returns a packet as the node to understands it: one of the previous release does not know FlagComparesContent.
+func (f *fleet) asSeenBy(to int, payload []byte) []byte {
+	if !f.legacy[to] {
+		return payload
+	}
+	p, err := decode(payload)
+	if err != nil {
+		panic(err)
+	}
+	p.from.Flags &^= FlagComparesContent
+	return p.encode()
+}
+
 // delivers decides whether a packet arrives.
 func (f *fleet) delivers(from, to int) bool {
 	if f.isolated[from] || f.isolated[to] || f.sendBlocked[from] || f.receiveBlocked[to] {
--- a/internal/control/gossip/golden_test.go
+++ b/internal/control/gossip/golden_test.go
@@ -33,6 +33,9 @@
 		"digest":               {kind: kindRootDigest, from: from, root: 0xfedcba9876543210},
 		"digest-buckets":       {kind: kindBucketDigests, from: from, digests: digests},
 		"repair-request":       {kind: kindVersions, from: from, buckets: []bucketVersions{{bucket: 31, versions: []itemVersion{{1, 2}, {1 << 63, 300}}}, {bucket: 0}}},
+		"range-digests":        {kind: kindRangeDigests, from: from, ranges: []rangeDigests{{rootRange, [rangeFanout]uint64(digests)}, {keyRange{2, 1023}, [rangeFanout]uint64{1}}}},
+		"range-versions":       {kind: kindRangeVersions, from: from, versions: []rangeVersions{{keyRange{1, 31}, []contentVersion{{1, 2, 3}, {1 << 63, 300, 1 << 31}}}, {keyRange{3, 0}, nil}}},
+		"item-request":         {kind: kindItemRequest, from: from, wanted: []uint64{1, 1 << 63}},
 		"peer-exchange":        {kind: kindShuffle, from: from, peers: others},
 		"peer-exchange-answer": {kind: kindShuffleReply, from: from, peers: others[:1]},
 	} {
@@ -53,8 +56,13 @@
 	} {
 		n.items.merge(i)
 	}
-	b := binary.BigEndian.AppendUint64(nil, n.items.rootDigest())
+	content := binary.BigEndian.AppendUint64(nil, n.items.rootDigest(true))
 	for _, d := range n.items.digests {
+		content = binary.BigEndian.AppendUint64(content, d)
+	}
+	golden.Check(t, "digests-of-contents.hex", content)
+	b := binary.BigEndian.AppendUint64(nil, n.items.rootDigest(false))
+	for _, d := range n.items.legacyDigests {
 		b = binary.BigEndian.AppendUint64(b, d)
 	}
 	b = binary.BigEndian.AppendUint64(b, Hash("e/engine-1"))
--- a/internal/control/gossip/heartbeats.go
+++ b/internal/control/gossip/heartbeats.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"notchhinge/internal/control/encoding"
 )
 
 // Heartbeat says that an endpoint sent the heartbeat Sequence, AgeMS milliseconds ago.
@@ -91,7 +93,7 @@
 // sendHeartbeatsTo sends heartbeats in as many packets as they need, at least one.
 func (n *Node) sendHeartbeatsTo(replica netip.AddrPort, heartbeats []Heartbeat, audible []PeerID) {
 	for {
-		count := min(len(heartbeats), heartbeatsPerPacket)
+		count := fittingHeartbeats(heartbeats, len(audible))
 		n.send(replica, &packet{kind: kindHeartbeats, audible: audible, heartbeats: heartbeats[:count]})
 		if heartbeats = heartbeats[count:]; len(heartbeats) == 0 {
 			return
@@ -99,6 +101,18 @@
 	}
 }
 
+// fittingHeartbeats returns how many heartbeats one packet holds beside the ids of replicas.
+func fittingHeartbeats(heartbeats []Heartbeat, ids int) int {
+	size := packetOverhead + 8*ids
+	for i, h := range heartbeats {
+		size += 8 + encoding.UvarintBytes(h.Sequence) + encoding.UvarintBytes(h.AgeMS)
+		if i == heartbeatsPerPacket || size > MaxPacketBytes {
+			return i
+		}
+	}
+	return len(heartbeats)
+}
+
 // handleHeartbeats takes in the heartbeats that another node reports, and from a replica also whom it hears.
 func (n *Node) handleHeartbeats(p *packet) {
 	if r := n.replicas[p.from.ID]; r != nil {
--- a/internal/control/gossip/items.go
+++ b/internal/control/gossip/items.go
@@ -16,77 +16,85 @@
 }
 
 // bucketCount is the number of buckets into which the hashes of their keys divide the items.
-const bucketCount = 32
+const bucketCount = rangeFanout
 
-// itemStore holds the current version of each item, with digests of it that are kept up to date.
+// itemStore holds the current version of each item, with digests of it that are kept up to date. A bucket is a child of rootRange.
 type itemStore struct {
-	byKey   map[string]*Item
-	digests [bucketCount]uint64          // of each bucket: XOR of the hashes of its items
-	keys    [bucketCount]map[string]bool // of each bucket
+	byKey         map[string]*Item
+	digests       [bucketCount]uint64            // of each bucket: XOR of the hashes of its items
+	legacyDigests [bucketCount]uint64            // the same for nodes of the previous release
+	keys          [bucketCount]map[string]uint64 // of each bucket, with their hashes
 }
 
 func newItemStore() itemStore {
 	s := itemStore{byKey: map[string]*Item{}}
 	for b := range s.keys {
-		s.keys[b] = map[string]bool{}
+		s.keys[b] = map[string]uint64{}
 	}
 	return s
 }
 
-func bucketOf(key string) int { return int(Hash(key) % bucketCount) }
-
 // merge stores an item if it is newer than what is stored under its key, and reports whether it is.
 func (s *itemStore) merge(i Item) bool {
-	b, old := bucketOf(i.Key), s.byKey[i.Key]
+	old := s.byKey[i.Key]
 	if old != nil && !i.supersedes(old) {
 		return false
 	}
 	if old != nil {
-		s.digests[b] ^= old.hash()
+		s.toggle(old)
 	}
 	s.byKey[i.Key] = &i
-	s.keys[b][i.Key] = true
-	s.digests[b] ^= i.hash()
+	hash := s.toggle(&i)
+	s.keys[hash%bucketCount][i.Key] = hash
 	return true
 }
 
+// toggle adds an item to the digests, or takes it out of them, and returns the hash of its key.
+func (s *itemStore) toggle(i *Item) (keyHash uint64) {
+	keyHash = Hash(i.Key)
+	s.digests[keyHash%bucketCount] ^= i.hash()
+	s.legacyDigests[keyHash%bucketCount] ^= i.legacyHash()
+	return keyHash
+}
+
 func (s *itemStore) remove(key string) {
 	i := s.byKey[key]
 	if i == nil {
 		return
 	}
-	b := bucketOf(key)
-	s.digests[b] ^= i.hash()
+	hash := s.toggle(i)
 	delete(s.byKey, key)
-	delete(s.keys[b], key)
+	delete(s.keys[hash%bucketCount], key)
 }
 
-// rootDigest is a digest of all items.
-func (s *itemStore) rootDigest() uint64 {
-	var root uint64
-	for _, d := range s.digests {
+// rootDigest is a digest of all items, with or without their bodies.
+func (s *itemStore) rootDigest(withContent bool) (root uint64) {
+	digests := &s.legacyDigests
+	if withContent {
+		digests = &s.digests
+	}
+	for _, d := range digests {
 		root = CombineHashes(root, d)
 	}
 	return root
 }
 
-// versions lists the items of a bucket by the hashes of their keys, ordered by key.
-func (s *itemStore) versions(bucket int) []itemVersion {
-	var versions []itemVersion
-	for _, key := range sortedKeys(s.keys[bucket]) {
-		versions = append(versions, itemVersion{key: Hash(key), version: s.byKey[key].Version})
-	}
-	return versions
-}
-
 // supersedes reports whether an item is newer than another of the same key.
 func (i *Item) supersedes(old *Item) bool {
 	return i.Version > old.Version || i.Version == old.Version && bytes.Compare(i.Body, old.Body) > 0
 }
 
-// hash covers the key, the kind and the version. Two bodies of one version have one hash, so that a digest does not show that
-// they differ.
-func (i *Item) hash() uint64 {
+// hash covers all of the item.
+func (i *Item) hash() uint64 { return CombineHashes(i.legacyHash(), xxhash.Sum64(i.Body)) }
+
+// contentHash covers what a comparison does not show otherwise.
+func (i *Item) contentHash() uint32 {
+	return uint32(CombineHashes(uint64(i.Kind), xxhash.Sum64(i.Body)))
+}
+
+// legacyHash covers the key, the kind and the version. Two bodies of one version have one hash, so that a digest does not show
+// that they differ.
+func (i *Item) legacyHash() uint64 {
 	d := xxhash.New()
 	d.WriteString(i.Key)
 	d.Write([]byte{
@@ -97,7 +105,10 @@
 }
 
 // size is an upper bound of the encoded size in bytes.
-func (i *Item) size() int { return len(i.Key) + len(i.Body) + 16 }
+func (i *Item) size() int { return len(i.Key) + len(i.Body) + itemOverhead }
+
+// fits reports whether a datagram holds the item.
+func (i *Item) fits() bool { return i.size() <= MaxPacketBytes-packetOverhead }
 
 // Item returns the stored item of a key.
 func (n *Node) Item(key string) (Item, bool) {
--- a/internal/control/gossip/limits.go
+++ b/internal/control/gossip/limits.go
@@ -53,16 +53,30 @@
 
 // Bounds of the wire format.
 const (
-	// MaxPacketBytes is the size up to which a datagram is filled, below the MTU of every link here. What is not split may exceed
-	// it: a single large item, and the versions of a bucket of more than about 100 items, so with over 3,000 items in all.
+	// MaxPacketBytes bounds a datagram, below the MTU of every link here.
 	MaxPacketBytes = 1400
+	// MaxItemBytes bounds the key and the body of an item together. A larger one is not stored.
+	MaxItemBytes = MaxPacketBytes - packetOverhead - itemOverhead
 
+	itemOverhead  = 16 // upper bound of what an item needs beside its key and body
 	maxItems      = 256
 	maxHeartbeats = 512
 	maxPeers      = 32  // also the number of replicas that are known
-	maxVersions   = 256 // of a bucket; with more items in one, comparisons send items that the other node has
+	maxVersions   = 256 // of a bucket, in a packet of the previous release
 	maxKeyBytes   = 256
 	maxBodyBytes  = 1200
 
-	maxVersionBuckets = 4 // buckets whose versions go back in answer to versions
+	maxVersionBuckets = 4 // buckets whose versions go back in answer to versions of the previous release
+
+	rangeHeadBytes      = 1 + 9 + 2 // of a range: depth, prefix, number of versions
+	keyHashBytes        = 8
+	maxVersionBytes     = 10
+	contentHashBytes    = 4
+	contentVersionBytes = keyHashBytes + maxVersionBytes + contentHashBytes
+	maxRangeItems       = (MaxPacketBytes - packetOverhead - rangeHeadBytes) / contentVersionBytes // a range with more is divided
+	maxDigestRanges     = (MaxPacketBytes - packetOverhead) / (rangeHeadBytes + 8*rangeFanout)
+	maxVersionRanges    = maxDigestRanges * rangeFanout
+	maxRequests         = (MaxPacketBytes - packetOverhead) / 8
+	maxAnswerPackets    = 4    // of versions, and of digests, in answer to one packet
+	maxRepairItems      = 2048 // in answer to one packet; some 130 datagrams of endpoint records
 )
--- a/internal/control/gossip/node.go
+++ b/internal/control/gossip/node.go
@@ -53,6 +53,7 @@
 
 // New returns a node that knows no peers.
 func New(self Peer, seed uint64) *Node {
+	self.Flags |= FlagComparesContent
 	return &Node{
 		self:           self,
 		rnd:            rand.New(rand.NewPCG(seed, uint64(self.ID))),
@@ -156,6 +157,12 @@
 		n.handleBucketDigests(p)
 	case kindVersions:
 		n.handleVersions(p)
+	case kindRangeDigests:
+		n.handleRangeDigests(p)
+	case kindRangeVersions:
+		n.handleRangeVersions(p)
+	case kindItemRequest:
+		n.handleItemRequest(p)
 	case kindShuffle:
 		n.handleShuffle(p)
 	case kindShuffleReply:
--- a/internal/control/gossip/urgent.go
+++ b/internal/control/gossip/urgent.go
@@ -21,11 +21,12 @@
 
 // startUrgent stores items and sends them at once.
 func (n *Node) startUrgent(e UrgentBroadcast) {
-	for _, i := range e.Items {
+	items := slices.DeleteFunc(slices.Clone(e.Items), func(i Item) bool { return !i.fits() })
+	for _, i := range items {
 		n.items.merge(i)
 	}
 	u := &urgentBroadcast{
-		id: e.ID, items: e.Items, minAcks: min(e.MinAcks, max(n.knownPeers(), 1)),
+		id: e.ID, items: items, minAcks: min(e.MinAcks, max(n.knownPeers(), 1)),
 		asked: map[PeerID]*peerState{}, acked: map[PeerID]bool{},
 	}
 	n.lastAckID++
--- a/internal/control/gossip/view.go
+++ b/internal/control/gossip/view.go
@@ -20,8 +20,12 @@
 const (
 	FlagReplica uint8 = 1 << iota // holds the control plane's state
 	FlagRouter                    // carries client traffic
+	// FlagComparesContent: compares items by ranges, bodies included. A node sets it by itself; those of earlier releases do not.
+	FlagComparesContent
 )
 
+func (p *Peer) comparesContent() bool { return p.Flags&FlagComparesContent != 0 }
+
 func (p *Peer) isReplica() bool { return p.Flags&FlagReplica != 0 }
 
 // peerState is what a node knows of a peer.
