control/gossip: acknowledgements for the process before at an address do not count

Cause: numbers of urgent broadcasts began at 1 with each start. A router that crashed while it told others of an engine's drain, started again and was called again by the engine counted acknowledgements that were on their way to the process before; it had asked nobody, and wanted as many as the peers that it knew when the call came: none, so one was enough.

Ruled out: lost datagrams by themselves; the bound of 2.25 s.

Change: numbers begin at one made of the process's id and seed; only peers that were asked count; how many are wanted follows from the peers known when an acknowledgement comes.

--- a/internal/control/gossip/node.go
+++ b/internal/control/gossip/node.go
@@ -61,6 +61,7 @@
 		replicas:       map[PeerID]*replicaState{},
 		items:          newItemStore(),
 		urgent:         map[ackID]*urgentBroadcast{},
+		lastAckID:      firstAckID(self.ID, seed),
 		heartbeatQueue: map[uint64]observation{},
 		relayQueue:     map[PeerID][]observation{},
 		contactSince:   noContact,
--- a/internal/control/gossip/urgent.go
+++ b/internal/control/gossip/urgent.go
@@ -5,14 +5,18 @@
 	"time"
 )
 
-// ackID correlates urgent items and their acknowledgement on the wire. Numbers begin at 1; 0 answers a comparison.
+// ackID correlates urgent items and their acknowledgement on the wire. Numbers begin at one that differs with each start of a
+// process, so that an acknowledgement for the process before it at this address does not count; 0 answers a comparison.
 type ackID uint64
 
+// firstAckID returns the number before the first one of a process.
+func firstAckID(self PeerID, seed uint64) ackID { return ackID(uint32(CombineHashes(uint64(self), seed))) }
+
 // urgentBroadcast is an urgent broadcast that waits for acknowledgements.
 type urgentBroadcast struct {
 	id       BroadcastID
 	items    []Item
-	minAcks  int
+	minAcks  int // unless fewer peers are known
 	asked    map[PeerID]*peerState
 	acked    map[PeerID]bool
 	attempts int
@@ -26,7 +30,7 @@
 		n.items.merge(i)
 	}
 	u := &urgentBroadcast{
-		id: e.ID, items: items, minAcks: min(e.MinAcks, max(n.knownPeers(), 1)),
+		id: e.ID, items: items, minAcks: e.MinAcks,
 		asked: map[PeerID]*peerState{}, acked: map[PeerID]bool{},
 	}
 	n.lastAckID++
@@ -87,7 +91,7 @@
 	if p.ackID == 0 && p.from.ID == n.compareWith {
 		n.compareWith = 0
 	}
-	if u := n.urgent[p.ackID]; u != nil {
+	if u := n.urgent[p.ackID]; u != nil && u.asked[p.from.ID] != nil {
 		u.acked[p.from.ID] = true
 		n.completeIfAcked(p.ackID, u)
 	}
@@ -98,7 +102,8 @@
 	if n.urgent[ack] == nil {
 		return
 	}
-	if n.isAlone() || len(u.acked) >= u.minAcks && u.ackedAcrossDomains(n.self.Zone) {
+	minAcks := min(u.minAcks, max(n.knownPeers(), 1)) // now: at its start a process knows nobody
+	if n.isAlone() || len(u.acked) >= minAcks && u.ackedAcrossDomains(n.self.Zone) {
 		n.completeUrgent(ack, true)
 	}
 }
