--- a/internal/control/gossip/urgent.go
+++ b/internal/control/gossip/urgent.go
@@ -10,7 +10,9 @@
 type ackID uint64
 
 // firstAckID returns the number before the first one of a process.
-func firstAckID(self PeerID, seed uint64) ackID { return ackID(uint32(CombineHashes(uint64(self), seed))) }
+func firstAckID(self PeerID, seed uint64) ackID {
+	return ackID(uint32(CombineHashes(uint64(self), seed)))
+}
 
 // urgentBroadcast is an urgent broadcast that waits for acknowledgements.
 type urgentBroadcast struct {
