control/replog: a retried call to remove a voter is known though that has a vote again

Cause: a replica whose vote another had taken runs on; an operator's call to remove it is acknowledged, since it is a former member. Then it takes the place of a voter that fails.

Change: a state notes who has lost a vote, with the entry's index, for 4,096 entries, in the third format, which an earlier release does not read.

Golden files: those of the second format stay and are read; those of the third are new.

--- a/internal/control/replica/membership_test.go
+++ b/internal/control/replica/membership_test.go
@@ -159,6 +159,30 @@
 	c.requireVoters(3)
 }
 
+// TestRetriedRemovalOfAVoterAgainIsAcknowledged: the answer to an operator's call is lost, the replica that it has removed runs
+// on and takes the place of a voter that fails, and the call is retried.
+func TestRetriedRemovalOfAVoterAgainIsAcknowledged(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	removed, failed := c.running()[3], c.running()[2]
+	remove := func(name string) api.Result {
+		return c.operate(c.running()[0], func(id RequestID, deadline time.Duration) Event {
+			return RemoveMember{Request: id, Name: name, Deadline: deadline}
+		})
+	}
+	requireOK(t, "removal", remove(removed.Self.Name))
+	c.kill(failed)
+	c.run(10 * time.Second)
+	c.requireVoters(3)
+	if !slices.Contains(c.voters(), removed.Self.Name) {
+		t.Fatalf("the removed replica has no vote again: %v", c.voters())
+	}
+	requireOK(t, "the call retried", remove(removed.Self.Name))
+	if got := remove(c.running()[0].Self.Name); got.Status != http.StatusConflict {
+		t.Errorf("another one, so that two are left: %+v", got)
+	}
+	c.requireVoters(3)
+}
+
 // TestSurplusVotersAreRemoved: of more voters than there should be, those that have failed for long lose their votes.
 func TestSurplusVotersAreRemoved(t *testing.T) {
 	c := newCluster(t, 5, 3)
--- a/internal/control/replica/operator.go
+++ b/internal/control/replica/operator.go
@@ -199,6 +199,8 @@
 			res = succeeded(s.Revision, nil)
 		case len(left) == len(s.Members):
 			res = operatorResult{outcome: api.StatusNotFound, reason: fmt.Sprintf("no member is named %q", e.Name)}
+		case len(left) < r.MinVoters && s.HasLostVote(e.Name): // a retry: it has a vote again
+			res = succeeded(s.Revision, nil)
 		case len(left) < r.MinVoters:
 			reason := fmt.Sprintf("%d members would be left, %d are required", len(left), r.MinVoters)
 			res = operatorResult{outcome: api.StatusConflict, reason: reason}
--- a/internal/control/replog/codec.go
+++ b/internal/control/replog/codec.go
@@ -22,7 +22,7 @@
 	entryVersion       = 1
 	firstStateVersion  = 1
 	secondStateVersion = 2 // adds the compacted history and the former members
-	// StateVersion is the newest format of a state that DecodeState reads. It adds large usage windows.
+	// StateVersion is the newest format of a state that DecodeState reads. It adds large usage windows and the losses of votes.
 	StateVersion = 3
 )
 
@@ -42,6 +42,7 @@
 	minWindowBytes    = 2
 	minCompactedBytes = 17
 	minNameBytes      = 1
+	minVoteLossBytes  = 2
 )
 
 // entryKind is the kind of an entry as encoded.
@@ -140,7 +141,7 @@
 // version returns the oldest format that holds all of the state.
 func (s *State) version() byte {
 	switch {
-	case slices.ContainsFunc(s.UsageWindows, UsageWindow.isLarge):
+	case slices.ContainsFunc(s.UsageWindows, UsageWindow.isLarge), len(s.VoteLosses) > 0:
 		return StateVersion
 	case len(s.CompactedHistory) > 0 || len(s.History) > minHistory || len(s.FormerMembers) > 0:
 		return secondStateVersion
@@ -150,7 +151,7 @@
 
 // EncodeAs returns the state for a reader of formats up to maxVersion, which is at least 1. The first format holds the newest 64
 // configurations of the history alone, and no former members; the first two hold no large usage windows, whose entries change
-// nothing in the releases that write these formats.
+// nothing in the releases that write these formats, and no losses of votes.
 func (s *State) EncodeAs(maxVersion byte) []byte { return s.encode(min(s.version(), maxVersion)) }
 
 func (s *State) encode(version byte) []byte {
@@ -187,6 +188,14 @@
 	for _, name := range s.FormerMembers {
 		w.String(name)
 	}
+	if version == secondStateVersion {
+		return w.Buf
+	}
+	w.Uvarint(uint64(len(s.VoteLosses)))
+	for _, l := range s.VoteLosses {
+		w.String(l.Name)
+		w.Uvarint(l.Index)
+	}
 	return w.Buf
 }
 
@@ -221,6 +230,12 @@
 	for range r.Length(maxFormerMembers, minNameBytes) {
 		s.FormerMembers = append(s.FormerMembers, r.String(maxNameBytes))
 	}
+	if version == secondStateVersion {
+		return s, r.Finish()
+	}
+	for range r.Length(maxVoteLosses, minVoteLossBytes) {
+		s.VoteLosses = append(s.VoteLosses, VoteLoss{Name: r.String(maxNameBytes), Index: r.Uvarint()})
+	}
 	return s, r.Finish()
 }
 
--- a/internal/control/replog/golden_test.go
+++ b/internal/control/replog/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"testing"
 
 	"notchhinge/internal/control/fleetconfig"
@@ -42,8 +43,12 @@
 			golden.RoundTrip(t, "state-format-1.hex", &first, (*State).Encode, DecodeState)
 		}
 	}
-	golden.RoundTrip(t, "state-format-2.hex", s, (*State).Encode, DecodeState)
+	golden.RoundTrip(t, "state-format-3.hex", s, (*State).Encode, DecodeState)
+	golden.Check(t, "state-format-2.hex", s.EncodeAs(secondStateVersion))
 	golden.Check(t, "state-format-2-as-1.hex", s.EncodeAs(1))
+	second := *s
+	second.VoteLosses = nil
+	golden.RoundTrip(t, "state-format-2.hex", &second, (*State).Encode, DecodeState)
 	if b := golden.Read(t, "state-format-1.hex"); b[0] != 1 {
 		t.Errorf("format %d", b[0])
 	}
@@ -52,7 +57,7 @@
 	}
 	want := &State{
 		NextIndex: 6, Members: goldenEntries()[5].Payload.(MembersChange).Members, Config: goldenEntries()[1].Payload.(ConfigChange).Config, Revision: 5, ConfigIndex: 1,
-		LeaseHolder: 2, LeaseHolderName: "k-2", FencingToken: 2, FormerMembers: []string{"k-2"},
+		LeaseHolder: 2, LeaseHolderName: "k-2", FencingToken: 2, FormerMembers: []string{"k-2"}, VoteLosses: []VoteLoss{{"k-2", 5}},
 		UsageWindows: []UsageWindow{{Number: 352_800_000, Counts: []TenantCount{{"lab", 300}, {"shop", 1}}}},
 	}
 	_, want.Digest, _ = fleetconfig.DecodeWithDigest(want.Config)
@@ -77,3 +82,14 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// TestGoldenLargeUsage: an entry and a state with a large usage window, which are long, have the bytes whose digests the golden
+// file has.
+func TestGoldenLargeUsage(t *testing.T) {
+	s := &State{}
+	apply(s, MembersChange{[]Member{{1, "k-1", "10.0.0.1:1"}, {2, "k-2", "10.0.0.2:1"}}})
+	entry := Entry{Nonce: 7, Payload: UsageReport{Window: 352_800_000, Counts: tenantCounts(maxCounts + 1)}}.Encode()
+	s.Apply(entry)
+	entryDigest, stateDigest := sha256.Sum256(entry), sha256.Sum256(s.Encode())
+	golden.Check(t, "large-usage-digests.hex", append(entryDigest[:], stateDigest[:]...))
+}
--- a/internal/control/replog/state.go
+++ b/internal/control/replog/state.go
@@ -25,6 +25,13 @@
 	FencingToken     uint64        // index of the grant
 	UsageWindows     []UsageWindow // newest ones, by number
 	FormerMembers    []string      // names that once had a vote and have none now, latest removal last
+	VoteLosses       []VoteLoss    // of the last limits.RemovalRetryEntries entries, latest last; who lost a vote may have one again
+}
+
+// VoteLoss is the loss of a member's vote, by an operator's call or to a member that replaced it.
+type VoteLoss struct {
+	Name  string
+	Index uint64 // of the entry
 }
 
 // UsageWindow is a usage window whose counts are agreed.
@@ -47,6 +54,7 @@
 
 const (
 	maxFormerMembers = 64 // as many as an entry can name members
+	maxVoteLosses    = 64
 	maxUsageWindows  = 24 // a new lease holder reports again those that the previous one could not
 )
 
@@ -65,10 +73,12 @@
 
 func (Noop) apply(*State, uint64) {}
 
-func (p MembersChange) apply(s *State, _ uint64) {
-	if len(p.Members) > 0 {
-		s.setMembers(p.Members)
+func (p MembersChange) apply(s *State, index uint64) {
+	if len(p.Members) == 0 {
+		return
 	}
+	s.recordVoteLosses(p.Members, index)
+	s.setMembers(p.Members)
 }
 
 func (p ConfigChange) apply(s *State, index uint64) {
@@ -126,6 +136,27 @@
 	s.FormerMembers, s.Members = former, members
 }
 
+// recordVoteLosses notes who loses its vote, and forgets losses that no call is retried for any more.
+func (s *State) recordVoteLosses(members []Member, index uint64) {
+	losses := slices.DeleteFunc(slices.Clone(s.VoteLosses), func(l VoteLoss) bool { return l.isForgotten(index) })
+	for _, old := range s.Members {
+		if !slices.ContainsFunc(members, func(m Member) bool { return m.ID == old.ID }) {
+			losses = append(losses, VoteLoss{Name: old.Name, Index: index})
+		}
+	}
+	if s.VoteLosses = newest(losses, maxVoteLosses); len(s.VoteLosses) == 0 {
+		s.VoteLosses = nil
+	}
+}
+
+func (l VoteLoss) isForgotten(index uint64) bool { return index-l.Index > limits.RemovalRetryEntries }
+
+// HasLostVote reports whether a member of a name lost its vote within the last limits.RemovalRetryEntries entries. It may have one
+// again: a replica that runs takes the place of one that has failed.
+func (s *State) HasLostVote(name string) bool {
+	return slices.ContainsFunc(s.VoteLosses, func(l VoteLoss) bool { return l.Name == name && !l.isForgotten(s.NextIndex) })
+}
+
 // Member returns the voter with an id, or nil.
 func (s *State) Member(id uint64) *Member {
 	for i := range s.Members {
--- a/internal/control/replog/state_test.go
+++ b/internal/control/replog/state_test.go
@@ -124,6 +124,36 @@
 	}
 }
 
+// TestVoteLossesAreKnownForAWhile: that a member lost its vote, to nobody or to another, is known also once it has a vote again and
+// after the state was read back, until so many entries later.
+func TestVoteLossesAreKnownForAWhile(t *testing.T) {
+	s := &State{}
+	member := func(i int) Member { return Member{ID: uint64(i + 1), Name: fmt.Sprint("k-", i), Addr: "x"} }
+	apply(s, MembersChange{[]Member{member(0), member(1), member(2)}})
+	apply(s, MembersChange{[]Member{member(0), member(1)}})            // 2 is removed
+	apply(s, MembersChange{[]Member{member(0), member(2)}})            // 1 is replaced
+	apply(s, MembersChange{[]Member{member(0), member(1), member(2)}}) // and both have a vote
+	got, err := DecodeState(s.Encode())
+	if diff := cmp.Diff(s, got, cmpopts.EquateEmpty()); diff != "" || err != nil {
+		t.Fatalf("%v (-want +got):\n%s", err, diff)
+	}
+	if !got.HasLostVote("k-2") || !got.HasLostVote("k-1") || got.HasLostVote("k-0") {
+		t.Errorf("losses %+v", got.VoteLosses)
+	}
+	if earlier, err := DecodeState(got.EncodeAs(secondStateVersion)); err != nil || len(earlier.VoteLosses) > 0 || len(earlier.Members) != 3 {
+		t.Errorf("for readers of the second format: %v, %+v", err, earlier)
+	}
+	for range limits.RemovalRetryEntries {
+		apply(got, Noop{})
+	}
+	if got.HasLostVote("k-1") || got.HasLostVote("k-2") {
+		t.Error("a loss is known for good")
+	}
+	if apply(got, MembersChange{got.Members}); len(got.VoteLosses) > 0 {
+		t.Errorf("losses %+v are kept", got.VoteLosses)
+	}
+}
+
 func TestFormerMembersAreKeptAndBounded(t *testing.T) {
 	s := State{}
 	member := func(i int) Member { return Member{ID: uint64(i + 1), Name: fmt.Sprint("k-", i), Addr: "x"} }
--- a/internal/control/storage/golden_test.go
+++ b/internal/control/storage/golden_test.go
@@ -118,9 +118,43 @@
 	}
 }
 
+// withoutVoteLosses returns the state of all goldenEntries as a release before the third format has it.
+func withoutVoteLosses() *replog.State {
+	s := goldenState(5)
+	s.VoteLosses = nil
+	return s
+}
+
+// TestGoldenRecordsOfTheSecondFormat: a database with the records of a release before the third format is recovered.
+func TestGoldenRecordsOfTheSecondFormat(t *testing.T) {
+	files := leveldbstorage.NewMemStorage()
+	openFiles := func() (leveldbstorage.Storage, error) { return files, nil }
+	s, _, err := OpenFiles(openFiles, Identity{ID: 99})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range bytes.Lines(golden.Read(t, "records-state-of-5-format-2.txt")) {
+		var key string
+		var value []byte
+		if _, err := fmt.Sscanf(string(line), "%q %x\n", &key, &value); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.db.Put([]byte(key), value, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	closeStore(t, s)
+	s, recovered, err := OpenFiles(openFiles, Identity{ID: 99})
+	if err != nil {
+		t.Fatal(err)
+	}
+	golden.Equal(t, "recovered", &Recovered{Identity{ID: 7, IsFounder: true}, *withoutVoteLosses(), goldenAcceptor}, recovered)
+	closeStore(t, s)
+}
+
 // TestGoldenBackup: a backup has the bytes of the golden file, and is decoded to the same state.
 func TestGoldenBackup(t *testing.T) {
-	for n, name := range map[int]string{4: "backup-format-1.hex", 5: "backup-format-2.hex"} {
-		golden.RoundTrip(t, name, goldenState(n), EncodeBackup, DecodeBackup)
-	}
+	golden.RoundTrip(t, "backup-format-1.hex", goldenState(4), EncodeBackup, DecodeBackup)
+	golden.RoundTrip(t, "backup-format-2.hex", withoutVoteLosses(), EncodeBackup, DecodeBackup)
+	golden.RoundTrip(t, "backup-format-3.hex", goldenState(5), EncodeBackup, DecodeBackup)
 }
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -71,6 +71,7 @@
 //	loss there was no majority, though one loss is to be borne
 //	replaced-two.toml: the same with two and two of five
 //	replaced-planned.toml: the same where the successor comes first, and its predecessor ends by SIGTERM
+//	removed-again.toml: a voter that an operator removed took the place of one that had failed, and the call retried was rejected
 func TestKeptDays(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.toml")
 	if err != nil || len(files) == 0 {
--- a/internal/limits/replica.go
+++ b/internal/limits/replica.go
@@ -64,6 +64,10 @@
 	// one; at 8,500 a day they are eleven hours. An entry takes 17 to 18 bytes, in a replica's state (70 kB in all) and in
 	// what is sent to one that catches up.
 	ConfigHistoryEntries = 4096
+	// RemovalRetryEntries is the number of log entries for which a call to remove a member that has lost its vote and has one
+	// again is taken for the retry of one that was acknowledged. At 14 changes a second and the entries of singleton roles these are some five minutes, where an operator
+	// retries for one.
+	RemovalRetryEntries = 4096
 	// UsageBytes bounds the counts of one usage window, and of all that a state keeps once one of them has more than 4,096
 	// tenants. With names of 13 bytes these are nine windows of 14,000 tenants, or two of 65,536. A state is sent as one message,
 	// with a configuration of 8 MiB beside.
