Log lines of the data plane say engine; request_limits logged when they change

Cause: whoever is on call met "replica" for an engine in one line and for the control side's replicas in the next; and a storm of configurations logged the same reduction at WARN fourteen times a second.

Ruled out: fields in place of values in the module's messages: its Log takes a kind and a line, as the platform's simulator reads them.

--- a/internal/node/dataplaneconfig.go
+++ b/internal/node/dataplaneconfig.go
@@ -48,14 +48,15 @@
 	return nil
 }
 
-// applyRequestLimits takes over what a client's message may have, as far as this machine can hold it.
+// applyRequestLimits takes over what a client's message may have, as far as this machine can hold it. That it holds less is logged
+// when it changes: configurations come many times a second.
 func (d *dataPlane) applyRequestLimits(l *fleetconfig.RequestLimits) {
 	bounds, isReduced := d.limits.ConfiguredBounds(l.MaxHeaderBytes, l.MaxBodyBytes, fleetconfig.Milliseconds(l.HeaderTimeoutMS), fleetconfig.Milliseconds(l.IdleTimeoutMS))
-	if isReduced {
+	previous := d.bounds.Swap(&bounds)
+	if isReduced && (previous == nil || *previous != bounds) {
 		d.log.Warn("request_limits reduced to what this machine holds", "max_header_bytes", bounds.HeaderBytes, "max_body_bytes",
 			bounds.BodyBytes, "header_timeout", bounds.ReadTimeout.String(), "idle_timeout", bounds.IdleTimeout.String())
 	}
-	d.bounds.Store(&bounds)
 }
 
 // setPool makes a service's policy module, or gives it the classes that it lacks. The lock is held.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -344,7 +344,7 @@
 
 // giveUp ends r without a result: rejected where nothing has run or a repetition is harmless, else failed.
 func (b *Balancer) giveUp(now Time, a Actions, r *request, why Reason) {
-	b.log(now, a, "rejected", "no replica could take a request")
+	b.log(now, a, "rejected", "no engine could take a request")
 	c := r.class
 	if c.Effect == EffectSafe || c.Effect == EffectKeyed && c.DedupGroup == GroupAll || !r.mayHaveRun() {
 		b.reject(a, r, why, min(fullPause, b.settings.Limits.MaxRetryAfter))
@@ -739,7 +739,7 @@
 		return
 	}
 	to.ejection.extend(now)
-	b.log(now, a, "ejected", fmt.Sprintf("replica %d: %s; ejected for %v", to.ID, why, to.duration))
+	b.log(now, a, "ejected", fmt.Sprintf("engine %d: %s; ejected for %v", to.ID, why, to.duration))
 }
 
 // Load reports.
