--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -1,7 +1,6 @@
 package plane
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -12,7 +11,6 @@
 	"notchhinge/internal/control/discovery"
 	"notchhinge/internal/control/fleetconfig"
 	"notchhinge/internal/control/gossip"
-	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
 	"notchhinge/internal/control/rpc"
@@ -21,15 +19,6 @@
 	"notchhinge/internal/timerqueue"
 )
 
-// disk is what a keeper's disk holds for good.
-type disk struct {
-	id      uint64 // 0 = it is empty
-	founder bool
-	vote    paxos.AcceptorState
-	state   replog.State
-	places  map[uint64][]byte
-}
-
 // machine is a machine of the fleet and the process on it.
 type machine struct {
 	w      *world
@@ -253,8 +242,6 @@
 	}
 }
 
-var errGone = errors.New("no answer")
-
 // perform does what the state's part asks for, in order; a write takes its time, and the process does nothing else meanwhile.
 func (m *machine) perform(effects []replica.Effect) {
 	for len(effects) > 0 {
@@ -315,126 +302,6 @@
 	}
 }
 
-// write writes to the disk, if it takes anything. After it has refused something it is told all that stands here first, as a
-// keeper of the program does.
-func (m *machine) write(f *replica.Write) bool {
-	if m.full {
-		m.shut = true
-		return false
-	}
-	if m.shut {
-		m.shut = false
-		state := m.core.State()
-		m.disk.keep(&replica.Write{Snapshot: true, State: &state}, m.w)
-		m.disk.keep(&replica.Write{Acceptor: m.core.AcceptorState()}, m.w)
-	}
-	m.disk.keep(f, m.w)
-	return true
-}
-
-// keep makes a write durable.
-func (d *disk) keep(f *replica.Write, w *world) {
-	switch {
-	case f.Snapshot:
-		d.state = *f.State
-		clear(d.places)
-	case f.Value != nil:
-		d.state = *f.State
-		d.places[f.State.NextIndex-1] = f.Value
-		delete(d.places, f.State.NextIndex-33)
-	case w.broken != "forgets its votes":
-		d.vote = f.Acceptor
-	}
-}
-
-// link tells whether words from one machine reach another, and how long they take.
-func (w *world) link(from, to *machine) (time.Duration, bool) {
-	if w.cuts[[2]int{from.i, to.i}] > 0 {
-		return 0, false
-	}
-	d := 500 * time.Microsecond
-	if from.zone != to.zone {
-		d = time.Millisecond
-	}
-	return d + time.Duration(w.rnd.Int64N(int64(300*time.Microsecond))), true
-}
-
-// transfer is how long the bytes of a call occupy a link.
-func (w *world) transfer(bytes int) time.Duration {
-	if w.day.LinkBytesPerSecond == 0 {
-		return 0
-	}
-	return time.Duration(bytes) * time.Second / time.Duration(w.day.LinkBytesPerSecond)
-}
-
-// datagram sends one, which may get lost.
-func (w *world) datagram(from, to *machine, b []byte) {
-	w.spendDatagram(from, to, b)
-	if to == nil || w.rnd.Float64() < w.loss {
-		return
-	}
-	if d, ok := w.link(from, to); ok {
-		life := to.life
-		w.in(d, func() {
-			if to.life == life {
-				to.take(discovery.Gossip{Event: gossip.PacketReceived{Payload: b}})
-			}
-		})
-	}
-}
-
-// call carries a call, whose answer comes back or does not in its time.
-func (w *world) call(m *machine, c replica.SendCall, then func(body []byte, err error)) {
-	to, over := w.at(c.To), false
-	back := func(body []byte, err error) {
-		if !over {
-			over = true
-			then(body, err)
-		}
-	}
-	w.in(c.Timeout, func() { back(nil, errGone) })
-	w.spendCall(m, to, c.Kind, len(c.Body))
-	if to == nil || w.broken == "takes nobody in" && c.Kind == rpc.KindJoin {
-		return
-	}
-	d, ok := w.link(m, to)
-	if !ok {
-		return
-	}
-	d += w.transfer(len(c.Body))
-	there := to.life
-	w.in(d, func() {
-		if to.life != there || !to.up {
-			w.in(d, func() { back(nil, errGone) })
-			return
-		}
-		id := to.calls.Add(from{m, c.Kind, back})
-		to.take(replica.CallReceived{Kind: c.Kind, Body: c.Body, From: addrOf(m.i).Addr(), Request: id})
-	})
-}
-
-// back carries an answer.
-func (w *world) back(m *machine, r replica.SendReply) {
-	f, ok := m.calls.Take(r.Request)
-	if !ok {
-		return
-	}
-	w.spendCall(f.m, nil, f.kind, len(r.Body)-frameBytes) // it is its caller's
-	if d, ok := w.link(m, f.m); ok {
-		w.in(d+w.transfer(len(r.Body)), func() { f.back(r.Body, r.Err) })
-	}
-}
-
-// later has something done once a write that nobody waits for reaches the disk, if its process lives for so long.
-func (w *world) later(m *machine, do func()) {
-	life := m.life
-	w.in(w.sync, func() {
-		if m.life == life {
-			do()
-		}
-	})
-}
-
 // newWorld makes the machines of a day.
 func newWorld(d *Day, broken string) *world {
 	w := &world{
