--- a/internal/lab/plane/available.go
+++ b/internal/lab/plane/available.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// watchRecovery notes whether the core recovers from losses beyond those that are to be borne.
+// watchRecovery notes whether the core recovers from losses beyond those that are to be borne, on a day that has such.
 func (w *world) watchRecovery(lost int) {
 	core := &w.core
 	switch {
@@ -59,7 +59,7 @@
 	case core.allBack == notBack:
 		core.allBack = w.now
 	}
-	if lost > w.day.Tolerate {
+	if w.day.Overlaps && lost > w.day.Tolerate {
 		core.beyond = true
 	}
 	if core.beyond && core.allBack != notBack && w.now-core.allBack >= recovery {
--- a/internal/lab/plane/operators.go
+++ b/internal/lab/plane/operators.go
@@ -103,7 +103,7 @@
 	w.report.Changes++
 	w.send(c, at)
 	w.in(w.bounds.ack, func() {
-		isSettled := w.calmFor(w.bounds.ack+w.bounds.contact) && w.now-w.core.unsettled >= w.bounds.ack
+		isSettled := w.calmFor(w.bounds.ack+w.bounds.contact) && (!w.day.Overlaps || w.now-w.core.unsettled >= w.bounds.ack)
 		if !c.answered && c.lost == 0 && isSettled { // with lost answers AVAILABLE sees to it
 			w.breaks("ACKS", "version %d was sent %v ago, in calm, and is not acknowledged", c.revision, w.bounds.ack)
 		}
