review 3: reach the past drain by a slow engine with slots and a queue

Change: engines of case 3 have 13 slots and a queue of 26, as on the site; the first one is five times as slow and ends in order. Case 2 waits longer than revoke_ms; ports are tried at all addresses, for TCP and UDP.

--- a/review/standins/case2.go
+++ b/review/standins/case2.go
@@ -54,7 +54,7 @@
 	if err := f.mustReplace(1, 3, []any{draft(splitBack), added}, services); err != nil {
 		return false, err
 	}
-	time.Sleep(configApply + 2*time.Second)
+	time.Sleep(max(configApply, revoke) + time.Second)
 	broken := 0
 	for i := range perEdge * len(f.edges) {
 		m := f.edges[i%len(f.edges)]
--- a/review/standins/case3.go
+++ b/review/standins/case3.go
@@ -11,18 +11,20 @@
 
 // Case 3: a request is sent to an engine that is past its drain, because its service was taken out of the configuration.
 //
-// Two old services have two engines each. Configuration 3 moves their routes to a new service. It no longer lists the first old
-// service, and still lists the second one, for comparison. A second later all old engines say draining, serve on for
-// drain_timeout_ms and a little longer, and end. With the disruption, the first engine of each old service holds the requests that it
-// was sent just before configuration 3 in its queue, and turns them away, not run, when its drain is over.
+// Two old services have two engines each, with 13 slots and a queue of 26. Streams fill the slots, and more wait in the queues.
+// Configuration 3 moves the routes to a new service. It no longer lists the first old service, and still lists the second one, for
+// comparison. A second later all old engines say draining; they serve on for drain_timeout_ms and a little longer, turn away what still
+// waits in their queue (503, X-Not-Executed), and end. With the disruption, the first engine of each old service is five times as slow,
+// so that requests still wait in its queue when it ends.
 func playDrain(f *fleet, trouble bool) (bool, error) {
 	const (
 		dropped, listed, newService = "huvo11a", "wuno96b", "kilo77c"
 		droppedPath, listedPath     = "/lohu930/", "/pufi791/"
 		drainTimeout                = 3 * time.Second
-		turnAwayAfter               = drainTimeout + 500*time.Millisecond // from the acknowledgement
-		endAfter                    = drainTimeout + 1200*time.Millisecond
-		perRoute                    = 24
+		firstEnd                    = drainTimeout + 500*time.Millisecond // of the first engine, from its acknowledgement
+		secondEnd                   = drainTimeout + 1200*time.Millisecond
+		slowness                    = 5 // of the first engine
+		perRoute                    = 48
 	)
 	type arrival struct {
 		engine, id string
@@ -31,24 +33,26 @@
 	var all runs
 	var mu sync.Mutex
 	var arrivals []arrival
-	var isHolding atomic.Bool
-	turnAway := make(chan struct{})
+	var isSlow atomic.Bool
 	behave := func(e *engine, r *engineRequest) {
 		mu.Lock()
 		arrivals = append(arrivals, arrival{e.id, r.id, time.Now()})
 		mu.Unlock()
-		if isHolding.Load() && trouble && (e.id == "i-11" || e.id == "i-21") {
-			<-turnAway
+		if !e.takeSlot() {
 			f.rec.linef("engine %s turns request %s away, not run", e.id, r.id)
 			r.answer("503 Service Unavailable", "X-Not-Executed: 1\r\n", nil)
 			return
 		}
+		defer e.freeSlot()
 		r.ran()
+		pause, events := 100*time.Millisecond, 15
 		if strings.HasSuffix(r.URL.Path, "warm") {
-			r.stream(2, 5*time.Millisecond)
-			return
+			pause, events = 5*time.Millisecond, 2
+		}
+		if isSlow.Load() && (e.id == "i-11" || e.id == "i-21") {
+			pause *= slowness
 		}
-		r.stream(15, 100*time.Millisecond)
+		r.stream(events, pause)
 	}
 	if err := f.start(); err != nil {
 		return false, err
@@ -87,7 +91,7 @@
 		time.Sleep(25 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
-	isHolding.Store(true)
+	isSlow.Store(trouble)
 	ends := map[string]*try{}
 	var group sync.WaitGroup
 	for i := range 2 * perRoute {
@@ -106,14 +110,16 @@
 	}
 	time.Sleep(time.Second)
 	acks := map[string]time.Time{}
-	for _, e := range old {
+	for i, e := range old {
 		at, by := e.drain()
 		acks[e.id] = at
 		f.rec.sayf("%s acknowledges that %s (%s) is draining", by, e.id, e.service)
-		time.AfterFunc(endAfter, e.end)
+		group.Add(1)
+		time.AfterFunc([]time.Duration{firstEnd, secondEnd}[i%2], func() {
+			defer group.Done()
+			e.end()
+		})
 	}
-	time.Sleep(turnAwayAfter)
-	close(turnAway)
 	group.Wait()
 
 	mu.Lock()
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -23,9 +23,11 @@
 	addr              string
 	calls             int
 	draining          bool
-	mu                sync.Mutex   // guards calls, draining and the sending of heartbeats
-	served            atomic.Int64 // requests that have run here
-	stop              chan struct{}
+	mu                sync.Mutex    // guards calls, draining and the sending of heartbeats
+	served            atomic.Int64  // requests that have run here
+	stop              chan struct{} // closed at the engine's end
+	slots             chan struct{} // holds one value for each request at work
+	queued            atomic.Int64
 	ln                net.Listener
 	conns             map[*net.TCPConn]bool // guarded by mu
 }
@@ -49,6 +51,30 @@
 	e.served.Add(1)
 }
 
+// What an engine of the deployment can take: requests at work, and requests that wait.
+const (
+	slotCount   = 13
+	queueLength = 26
+)
+
+// takeSlot waits in the queue for a slot. It returns false if the request must be turned away, because the queue is full or the engine
+// ends.
+func (e *engine) takeSlot() bool {
+	if e.queued.Add(1) > queueLength {
+		e.queued.Add(-1)
+		return false
+	}
+	defer e.queued.Add(-1)
+	select {
+	case e.slots <- struct{}{}:
+		return true
+	case <-e.stop:
+		return false
+	}
+}
+
+func (e *engine) freeSlot() { <-e.slots }
+
 // runs counts by request id how often engines have begun to run a request.
 type runs struct {
 	mu   sync.Mutex
@@ -77,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, service: service, zone: zone, fleet: f, runs: r, behave: behave, addr: ln.Addr().String(), stop: make(chan struct{}), ln: ln, conns: map[*net.TCPConn]bool{}}
+	e := &engine{id: id, service: service, zone: zone, fleet: f, runs: r, behave: behave, addr: ln.Addr().String(), stop: make(chan struct{}), slots: make(chan struct{}, slotCount), ln: ln, conns: map[*net.TCPConn]bool{}}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -124,7 +150,7 @@
 		status = "draining"
 	}
 	body := encodeCBOR(map[string]any{
-		"target_service": e.service, "address": e.addr, "zone": e.zone, "revision": "v1", "capacity_slots": 13, "status": status,
+		"target_service": e.service, "address": e.addr, "zone": e.zone, "revision": "v1", "capacity_slots": slotCount, "status": status,
 		"warmup_remaining_ms": 0, "call_count": e.calls,
 	})
 	client := http.Client{Timeout: time.Second}
@@ -152,9 +178,8 @@
 	}
 }
 
-// end deregisters the engine and ends it, with all of its connections.
+// end deregisters the engine, turns away what waits in its queue, and ends it with all of its connections.
 func (e *engine) end() {
-	close(e.stop)
 	client := http.Client{Timeout: time.Second}
 	for _, m := range e.fleet.machines() {
 		resp, err := client.Post("http://"+m.control+"/Instances.Deregister/"+e.id, "application/cbor", nil)
@@ -166,7 +191,9 @@
 			break
 		}
 	}
-	e.fleet.rec.linef("engine %s (%s) ends", e.id, e.service)
+	e.fleet.rec.linef("engine %s (%s) ends, %d at work, %d in its queue", e.id, e.service, len(e.slots), e.queued.Load())
+	close(e.stop)
+	time.Sleep(30 * time.Millisecond) // the answers to what waited
 	e.ln.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -20,6 +20,7 @@
 // Bounds of the deployment, as in the settings of tidewater-notchhinge-control.
 const (
 	configApply = 3 * time.Second
+	revoke      = 5 * time.Second
 	zoneCount   = 3
 )
 
@@ -79,11 +80,15 @@
 	f := &fleet{rec: rec, root: root, dir: dir}
 	subnet := 64 + os.Getpid()%128
 	ip := func(i int) string { return fmt.Sprintf("127.%d.%d.1", subnet, i+1) }
+	var ips []string
+	for i := range zoneCount + edges {
+		ips = append(ips, ip(i))
+	}
 	for port := 21000 + os.Getpid()%7000; f.ports[1] == 0; port += 32 {
 		if port > 60000 {
 			return nil, errors.New("no free ports")
 		}
-		if isFree(ip(0), port) && isFree(ip(0), port+15) && isFree(ip(0), port+20) {
+		if areFree(ips, port, port+20, port+21, port+22) {
 			f.ports = [2]int{port, port + 15}
 		}
 	}
@@ -115,12 +120,23 @@
 	return f, nil
 }
 
-func isFree(ip string, port int) bool {
-	ln, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
-	if err != nil {
-		return false
+// areFree reports whether ports are free at all addresses, for TCP and UDP.
+func areFree(ips []string, ports ...int) bool {
+	for _, ip := range ips {
+		for _, port := range ports {
+			addr := fmt.Sprintf("%s:%d", ip, port)
+			ln, err := net.Listen("tcp4", addr)
+			if err != nil {
+				return false
+			}
+			ln.Close()
+			c, err := net.ListenPacket("udp4", addr)
+			if err != nil {
+				return false
+			}
+			c.Close()
+		}
 	}
-	ln.Close()
 	return true
 }
 
