node: create a service's pool with its first route, so that unsafe requests run once

Cause: each listed service got a policy module at once, without a route with a placeholder class whose effect was the zero value, repeatable. The dispatcher keeps the module of a pool that exists, so that the first route's requests ran under the placeholder, and SetClasses rejected lists that began otherwise. Change: a service without a route has no pool; pool and module are made with the first route. New modules are made before any pool changes, so that a configuration that fails leaves nothing behind. Why it works: a module's first classes are now those of the route whose requests use it, and lists only grow.

--- a/internal/node/dataplane.go
+++ b/internal/node/dataplane.go
@@ -52,8 +52,8 @@
 
 	mu          sync.Mutex // held while a configuration is applied or endpoints are published; guards the fields below and the retry options
 	nextPool    hoststate.PoolID
-	modules     map[hoststate.PoolID]*policy.Balancer
-	classCounts map[hoststate.PoolID]int // number of priority classes of each module
+	modules     map[hoststate.PoolID]*policy.Balancer // of the services that have had a route
+	classCounts map[hoststate.PoolID]int              // number of classes of each module
 }
 
 func newDataPlane(o dataPlaneOptions) *dataPlane {
--- a/internal/node/dataplaneconfig.go
+++ b/internal/node/dataplaneconfig.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"notchhinge/internal/control/endpoints"
 	"notchhinge/internal/control/fleetconfig"
 	"notchhinge/internal/dialect"
 	"notchhinge/internal/dispatch"
+	"notchhinge/internal/hoststate"
 	"notchhinge/internal/limits"
 	"notchhinge/internal/quota"
 	"notchhinge/internal/upstream"
@@ -32,10 +34,8 @@
 	if err != nil {
 		return err
 	}
-	for _, s := range next.Services() {
-		if err := d.configurePool(s); err != nil {
-			return err
-		}
+	if err := d.configurePools(next.Services()); err != nil {
+		return err
 	}
 	d.applyRequestLimits(&c.RequestLimits)
 	d.routes.Store(next)
@@ -60,25 +60,35 @@
 	}
 }
 
-// configurePool creates the policy module of a service, or adds the priority classes that an existing one lacks. d.mu is held.
-func (d *dataPlane) configurePool(s *dialect.Service) error {
-	_, exists := d.modules[s.ID]
-	if exists && d.classCounts[s.ID] == len(s.Classes) {
-		return nil
-	}
-	classes := s.Classes
-	if len(classes) == 0 { // no route targets the service yet
-		classes = []policy.Class{{Name: "none", TargetLatency: time.Second, Deadline: time.Second, Value: 1}}
-	}
-	if exists && d.classCounts[s.ID] > 0 {
-		d.loop.Post(dispatch.AddClasses{Pool: s.ID, Classes: classes})
-		d.classCounts[s.ID] = len(s.Classes)
-		return nil
+// configurePools creates the pools of services that have got their first route, and adds the request classes that the policy modules
+// of existing pools lack. A service without a route has no pool: a module keeps its classes for good, and which requests may be
+// retried is known with the first route only. If a module cannot be created, no pool changes. d.mu is held.
+func (d *dataPlane) configurePools(services map[string]*dialect.Service) error {
+	created := map[hoststate.PoolID]*policy.Balancer{}
+	for _, s := range services {
+		if d.modules[s.ID] != nil || len(s.Classes) == 0 {
+			continue
+		}
+		m, err := policy.New(dialect.PolicySettings(s.Classes, d.drainGrace, d.limits.MaxAttempts), d.seed^uint64(s.ID))
+		if err != nil {
+			return fmt.Errorf("service %q: %w", s.Name, err)
+		}
+		created[s.ID] = m
 	}
-	m, err := policy.New(dialect.PolicySettings(classes, d.drainGrace, d.limits.MaxAttempts), d.seed^uint64(s.ID))
-	if err != nil {
-		return err
+	for _, s := range services {
+		switch m := created[s.ID]; {
+		case m != nil:
+			d.createPool(s, m)
+		case len(s.Classes) > d.classCounts[s.ID]:
+			d.loop.Post(dispatch.AddClasses{Pool: s.ID, Classes: s.Classes})
+			d.classCounts[s.ID] = len(s.Classes)
+		}
 	}
+	return nil
+}
+
+// createPool creates the pool of a service with its policy module. d.mu is held.
+func (d *dataPlane) createPool(s *dialect.Service, m *policy.Balancer) {
 	d.modules[s.ID], d.classCounts[s.ID] = m, len(s.Classes)
 	d.upstream.ConfigurePool(s.ID, upstream.LoadReporting{}, quota.Claim{})
 	d.frontend.ConfigurePool(s.ID, quota.Claim{}, quota.Claim{})
@@ -90,7 +100,6 @@
 		e.RetryBudget = &budget
 	}
 	d.loop.Post(e)
-	return nil
 }
 
 // publishEndpoints sends the endpoints of each service to its policy module. d.mu is held.
