dialect, fleetconfig: whatever configuration is acknowledged can be put in force

Cause: two judges. fleetconfig.Validate stood before the acknowledgement; the route table of serve, with a stricter grammar of hosts, paths and splits, and the settings of the policy module stood after it, and one route that these refused kept the whole configuration out, for good. Change: Compile cannot fail. Validate refuses what the platform's list has and what no router can do (tenant names that a header or a usage report cannot hold, service names longer than a heartbeat's, a target that is no number), also an unknown target_service beside a split. Why it works: nothing between the acknowledgement and the routing of requests can say no.

--- a/internal/control/fleetconfig/config.go
+++ b/internal/control/fleetconfig/config.go
@@ -26,8 +26,8 @@
 	Name string `cbor:"name" toml:"name" jsonschema:"required,minLength=1,description=name of the route"`
 	// Hostname is matched against the Host header of a request, without the port and ignoring case.
 	Hostname string `cbor:"hostname" toml:"hostname" jsonschema:"required,minLength=1,description=value of the Host header without a port"`
-	// PathPrefix is a prefix of the request path. It begins and ends with a slash, so that it matches only whole segments. No two
-	// routes have the same hostname and prefix.
+	// PathPrefix is a prefix of the request path. It usually begins and ends with a slash, so that it matches only whole segments. No
+	// two routes have the same hostname and prefix.
 	PathPrefix string `cbor:"path_prefix" toml:"path_prefix" jsonschema:"required,pattern=^/(.*/)?$,description=prefix of the path; begins and ends with a slash"`
 	// Type determines when a failed request may be retried on another engine: a RouteIdempotent one until its response has begun,
 	// a RouteNonIdempotent or RouteStreaming one only if the first engine has certainly not run it.
@@ -45,7 +45,7 @@
 	// TargetService is the only service of the route. It is ignored if TrafficSplit is set.
 	TargetService string `cbor:"target_service,omitempty" toml:"target_service" jsonschema:"description=name of the service; ignored with traffic_split"`
 	// TrafficSplit divides the requests among several services by weight, for example for a canary. The service is chosen at
-	// random for each request, so that a session may use several services.
+	// random for each request, so that a session may use several services. The weights of a service that it names twice are added.
 	TrafficSplit []WeightedService `cbor:"traffic_split,omitempty" toml:"traffic_split" jsonschema:"description=several services with weights; replaces target_service"`
 	// MaxAttempts is the maximum number of engines to which a request is sent, including the first; 0, the default, means 1. More
 	// attempts hide failed engines but use capacity during overload; the retry budget bounds them for the fleet.
@@ -87,7 +87,7 @@
 
 // Service is a service that a group of engines runs.
 type Service struct {
-	// Name is the name that engines report in their heartbeats. It is unique.
+	// Name is the name that engines report in their heartbeats. Entries of the same name are one service.
 	Name string `cbor:"name" toml:"name" jsonschema:"required,minLength=1,description=name that engines report in heartbeats"`
 	// HealthPath is accepted and has no effect: the health of engines is determined from their heartbeats and responses. See
 	// docs/design/health.md.
@@ -133,7 +133,7 @@
 
 // Tenant is the owner of API keys.
 type Tenant struct {
-	// Name is sent to engines with requests. It is unique.
+	// Name is sent to engines with requests. Entries of the same name may have different keys and priorities.
 	Name string `cbor:"name" toml:"name" jsonschema:"required,minLength=1,description=name that is sent to engines with requests"`
 	// APIKeys are the credentials of clients. No two tenants have the same key. In a file, env:NAME and file:PATH refer to a key in
 	// an environment variable or in another file.
@@ -145,7 +145,12 @@
 	RatePerS float64 `cbor:"rate_per_s" toml:"rate_per_s" jsonschema:"minimum=0,description=no effect yet"`
 }
 
-// Milliseconds converts a number of milliseconds to a duration. Numbers too large for a duration are capped.
+// Milliseconds converts a number of milliseconds to a duration. Numbers too large for a duration are capped. A number above 0 is at
+// least a nanosecond, because 0 stands for a default.
 func Milliseconds(ms float64) time.Duration {
-	return time.Duration(min(ms, float64(math.MaxInt64/2)/1e6) * float64(time.Millisecond))
+	d := time.Duration(min(ms, float64(math.MaxInt64/2)/1e6) * float64(time.Millisecond))
+	if d == 0 && ms > 0 {
+		return time.Nanosecond
+	}
+	return d
 }
--- a/internal/control/fleetconfig/validate.go
+++ b/internal/control/fleetconfig/validate.go
@@ -5,13 +5,22 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Maximum lengths of names, in bytes.
+const (
+	MaxServiceNameBytes = 200 // as in a heartbeat
+	MaxTenantNameBytes  = 256 // as in a usage report
 )
 
 // maxFieldErrors bounds the number of reported errors: each of thousands of routes may be invalid.
 const maxFieldErrors = 64
 
 // Validate returns the errors in the configuration as FieldErrors, at most maxFieldErrors of them; nil means that it is valid. Only
-// a valid configuration is accepted.
+// a valid configuration is accepted, and every router can put a valid one in force. An error is either on the platform's list of
+// what makes a configuration invalid, or something that no router can do; what is only unusual is valid.
 func (c *Config) Validate() error {
 	v := validator{}
 	if c.Revision == 0 {
@@ -77,26 +86,21 @@
 	for i := range services {
 		s, e := &services[i], entry{"services", i}
 		v.owner = s.Name
-		switch {
-		case s.Name == "":
-			v.addf(e.at("name"), "must not be empty")
-		case names[s.Name]:
-			v.addf(e.at("name"), "another service has this name")
-		}
+		v.nameLength(e, s.Name, MaxServiceNameBytes)
 		names[s.Name] = true
-		if a := s.Autoscaling; a != nil && (a.MinInstances < 0 || a.MaxInstances < a.MinInstances) {
-			v.addf(e.at("autoscaling"), "min_instances %d, max_instances %d: must be 0 or more, and the first no more than the second",
-				a.MinInstances, a.MaxInstances)
-		}
 	}
 	return names
 }
 
-// routeKey is the pair of fields that requests are matched against.
-type routeKey struct{ hostname, pathPrefix string }
+// nameLength rejects a name that is too long for the messages that carry it.
+func (v *validator) nameLength(e entry, name string, maxBytes int) {
+	if len(name) > maxBytes {
+		v.addf(e.at("name"), "%d bytes, at most %d allowed", len(name), maxBytes)
+	}
+}
 
 func (v *validator) routes(routes []Route, services map[string]bool) {
-	seen := map[routeKey]int{}
+	seen := map[MatchKey]int{}
 	for i := range routes {
 		r, e := &routes[i], entry{"routes", i}
 		v.owner = r.Name
@@ -106,17 +110,9 @@
 	}
 }
 
-// match checks the fields of a route that requests are matched against, and that no earlier route has the same. seen maps the keys
-// of earlier routes to their indices.
-func (v *validator) match(routes []Route, e entry, seen map[routeKey]int) {
-	r := &routes[e.index]
-	if r.Hostname == "" {
-		v.addf(e.at("hostname"), "must not be empty")
-	}
-	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		v.addf(e.at("path_prefix"), "%q must begin and end with a slash", r.PathPrefix)
-	}
-	key := routeKey{strings.ToLower(r.Hostname), r.PathPrefix}
+// match checks that no earlier route matches the same requests. seen maps the keys of earlier routes to their indices.
+func (v *validator) match(routes []Route, e entry, seen map[MatchKey]int) {
+	key := routes[e.index].MatchKey()
 	if first, ok := seen[key]; ok {
 		v.addf(e.at("path_prefix"), "routes[%d] (%s) has the same host and path_prefix", first, routes[first].Name)
 	}
@@ -133,14 +129,17 @@
 	if !(r.TimeoutMS > 0) || math.IsInf(r.TimeoutMS, 0) {
 		v.addf(e.at("timeout_ms"), "must be above 0, not %v", r.TimeoutMS)
 	}
-	if r.TargetLatencyMS < 0 {
-		v.addf(e.at("target_latency_ms"), "must be 0 or more, not %v", r.TargetLatencyMS)
+	if math.IsNaN(r.TargetLatencyMS) {
+		v.addf(e.at("target_latency_ms"), "must be a number")
 	}
 	v.nonNegative(e.at("max_attempts"), float64(r.MaxAttempts))
 }
 
 // targets checks the services of a route and their weights.
 func (v *validator) targets(r *Route, e entry, services map[string]bool) {
+	if r.TargetService != "" && len(r.TrafficSplit) > 0 && !services[r.TargetService] {
+		v.addf(e.at("target_service"), "unknown service %q", r.TargetService)
+	}
 	sum := 0.0
 	for k, target := range r.Targets() {
 		at := func(key string) []string {
@@ -163,22 +162,19 @@
 }
 
 func (v *validator) tenants(tenants []Tenant) {
-	names, ownerOf := map[string]bool{}, map[string]string{}
+	ownerOf := map[string]int{}
 	for i := range tenants {
 		t, e := &tenants[i], entry{"tenants", i}
 		v.owner = t.Name
-		switch {
-		case t.Name == "":
-			v.addf(e.at("name"), "must not be empty")
-		case names[t.Name]:
-			v.addf(e.at("name"), "another tenant has this name")
+		v.nameLength(e, t.Name, MaxTenantNameBytes)
+		if !httpguts.ValidHeaderFieldValue(t.Name) || strings.Trim(t.Name, " \t") != t.Name {
+			v.addf(e.at("name"), "%q cannot be the value of a header", t.Name)
 		}
-		names[t.Name] = true
 		for _, key := range t.APIKeys {
-			if other, ok := ownerOf[key]; ok && other != t.Name {
-				v.addf(e.at("api_keys"), "tenant %q has one of these keys too", other)
+			if other, ok := ownerOf[key]; ok && other != i {
+				v.addf(e.at("api_keys"), "tenant %q has one of these keys too", tenants[other].Name)
 			}
-			ownerOf[key] = t.Name
+			ownerOf[key] = i
 		}
 	}
 }
--- a/internal/dialect/frontend.go
+++ b/internal/dialect/frontend.go
@@ -29,10 +29,10 @@
 
 // routedRequest is the dialect's state of a request, in DialectData.
 type routedRequest struct {
-	config   *CompiledConfig
-	route    *compiledRoute
-	tenant   *fleetconfig.Tenant // nil if the route needs no key
-	service  *Service
+	config *CompiledConfig
+	route  *compiledRoute
+	tenant *fleetconfig.Tenant // nil if the route needs no key
+	routeTarget
 	deadline time.Time // when the client stops waiting
 }
 
@@ -64,11 +64,11 @@
 		}
 	}
 	path, _, _ := strings.Cut(req.RequestURI, "?")
-	target := config.Route(req.Host, path)
-	if target == nil {
+	found := config.routes.find(req.Host, path)
+	if found == nil {
 		return dst, &frontend.Rejection{Status: http.StatusNotFound, Reason: reasonNoRoute}
 	}
-	r := &routedRequest{config: config, route: &config.routes[target.RouteIndex]}
+	r := &routedRequest{config: config, route: found}
 	if config.needsKey && !r.route.Public {
 		if r.tenant = config.tenantOfRequest(req); r.tenant == nil {
 			return dst, &frontend.Rejection{Status: http.StatusUnauthorized, Reason: reasonUnknownKey}
@@ -79,13 +79,14 @@
 		return dst, &frontend.Rejection{Status: http.StatusBadRequest, Reason: reasonBadDeadline}
 	}
 	r.deadline = now.Add(timeout)
-	pool := target.PoolFor(d.SplitKey())
-	for _, s := range config.services {
-		if int(s.ID) == pool {
-			dst.Pool, r.service = s.Pool, s
+	index := found.split.PoolFor(d.SplitKey())
+	if index < 0 {
+		return dst, &frontend.Rejection{
+			Status: http.StatusServiceUnavailable, Reason: reasonNotRun, RetryAfter: overloadRetryAfter,
 		}
 	}
-	dst.Target, dst.Host, dst.BodyDeadline, dst.DialectData = req.RequestURI, req.Host, r.deadline, r
+	r.routeTarget = found.targets[index]
+	dst.Pool, dst.Target, dst.Host, dst.BodyDeadline, dst.DialectData = r.service.Pool, req.RequestURI, req.Host, r.deadline, r
 	return dst, nil
 }
 
@@ -130,7 +131,7 @@
 		}
 	}
 	request := frontend.Request{DialectData: r, MaxAttempts: r.route.MaxAttempts}
-	request.Policy = policy.Request{Class: r.route.classes[dst.Pool.ID], Timeout: min(remaining, r.route.maxSilence)}
+	request.Policy = policy.Request{Class: r.class, Timeout: min(remaining, r.route.maxSilence)}
 	if prefixes := req.Header[prefixHeader]; len(prefixes) == 1 && prefixes[0] != "" && r.route.SessionAffinity {
 		request.Policy.Session = r.sessionID(d.Salt, dst.Pool.Name, prefixes[0])
 		request.Policy.Prefix = r.sessionID(0, dst.Pool.Name, prefixes[0])
--- a/internal/dialect/service.go
+++ b/internal/dialect/service.go
@@ -62,8 +62,8 @@
 func ClassOf(r *fleetconfig.Route) policy.Class {
 	class := policy.Class{
 		Name:          fmt.Sprintf("%s/%v/%d/%d", r.Type, r.TargetLatencyMS, r.Priority, r.MaxAttempts),
-		TargetLatency: fleetconfig.Milliseconds(cmp.Or(r.TargetLatencyMS, r.TimeoutMS)),
-		Deadline:      fleetconfig.Milliseconds(r.TimeoutMS),
+		TargetLatency: max(fleetconfig.Milliseconds(cmp.Or(r.TargetLatencyMS, r.TimeoutMS)), 0),
+		Deadline:      max(fleetconfig.Milliseconds(r.TimeoutMS), time.Nanosecond),
 		Value:         math.Exp2(-float64(min(max(r.Priority, 0), lowestPriority))),
 		LateValue:     1,
 		Effect:        policy.EffectUnsafe,
@@ -101,5 +101,5 @@
 	if r.Type != fleetconfig.RouteStreaming {
 		return math.MaxInt64
 	}
-	return max(2*time.Second, 4*fleetconfig.Milliseconds(r.TargetLatencyMS))
+	return max(2*time.Second, fleetconfig.Milliseconds(4*r.TargetLatencyMS))
 }
--- a/internal/node/dataplaneconfig.go
+++ b/internal/node/dataplaneconfig.go
@@ -28,12 +28,9 @@
 	if old != nil {
 		before = old.Services()
 	}
-	next, err := dialect.Compile(c, dialect.CompileOptions{
+	next := dialect.Compile(c, dialect.CompileOptions{
 		LogIndex: index, Previous: before, NextPool: &d.nextPool, Yield: func() { time.Sleep(limits.ConfigYieldPause) },
 	})
-	if err != nil {
-		return err
-	}
 	if err := d.configurePools(next.Services()); err != nil {
 		return err
 	}
--- a/internal/node/singletonhost.go
+++ b/internal/node/singletonhost.go
@@ -58,15 +58,18 @@
 	return h
 }
 
-// autoscaledServices lists the services with autoscaling, with the counts of their known endpoints.
+// autoscaledServices lists the services with autoscaling, each once, with the counts of their known endpoints.
 func (n *Node) autoscaledServices() (all []autoscale.Service) {
 	c := n.configs.config()
 	if c == nil {
 		return nil
 	}
+	seen := map[string]bool{}
 	for i := range c.Services {
-		if c.Services[i].Autoscaling != nil {
-			all = append(all, n.autoscaledService(&c.Services[i]))
+		s := &c.Services[i]
+		if s.Autoscaling != nil && !seen[s.Name] {
+			seen[s.Name] = true
+			all = append(all, n.autoscaledService(s))
 		}
 	}
 	return all
--- /dev/null
+++ b/internal/node/unusualconfig_test.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// unusualConfig returns a valid configuration such as operators seldom send: entries of the same name, a split that names its
+// service twice, very small weights, and hosts and prefixes in unusual forms.
+func unusualConfig(t *testing.T, revision int, key string) []byte {
+	t.Helper()
+	route := func(prefix string) map[string]any {
+		return map[string]any{
+			"name": prefix, "hostname": "f.example", "path_prefix": prefix, "route_type": "idempotent", "timeout_ms": 3000,
+			"target_latency_ms": 500, "target_service": "s", "max_attempts": 3,
+		}
+	}
+	split := route("/read/")
+	delete(split, "target_service")
+	split["traffic_split"] = []any{
+		map[string]any{"target_service": "s", "weight": 1e-310},
+		map[string]any{"target_service": "s", "weight": 1e-310},
+		map[string]any{"target_service": "none yet", "weight": 0},
+	}
+	otherHost := route("/read/")
+	otherHost["hostname"] = "f.example:8080"
+	b, err := cbor.Marshal(map[string]any{
+		"revision": revision,
+		"routes":   []any{split, otherHost, route("/提示/"), route("//x//"), route("/no-slash")},
+		"services": []any{map[string]any{"name": "s"}, map[string]any{"name": "s"}, map[string]any{"name": "none yet"}},
+		"tenants": []any{
+			map[string]any{"name": "lab", "api_keys": []any{key}}, map[string]any{"name": "lab", "api_keys": []any{key + " too"}},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestAcknowledgedConfigurationIsInForceAtEveryRouter guards against configurations that were acknowledged and that no router could
+// put in force: added routes had 404, keys that were taken away stayed valid, and no router was ready, also after a restart.
+func TestAcknowledgedConfigurationIsInForceAtEveryRouter(t *testing.T) {
+	f := newTestFleet(t, 10, fleetSize{routers: 2})
+	e := newFakeEngine(t, "i-one")
+	if code := replaceConfig(t, f.routers[0].control, 0, encodedConfig(3, "old key")); code != http.StatusOK {
+		t.Fatalf("first configuration: status %d", code)
+	}
+	isServed := func(path, key string, want int) func() bool {
+		return func() bool {
+			e.heartbeat(f.replicas[0].control, "ready")
+			for _, m := range f.routers {
+				if resp, _ := clientRequest(t, m, path, key); resp == nil || resp.StatusCode != want || !m.isReady() {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	waitUntil(t, "the first configuration at every router", isServed("/read/1", "old key", http.StatusOK))
+	if code := replaceConfig(t, f.replicas[1].control, 3, unusualConfig(t, 5, "new key")); code != http.StatusOK {
+		t.Fatalf("unusual configuration: status %d", code)
+	}
+	checkInForce := func(when string) {
+		for _, path := range []string{"/read/1", "/%E6%8F%90%E7%A4%BA/1", "//x//1", "/no-slash", "/no-slashes/1"} {
+			waitUntil(t, when+", "+path, isServed(path, "new key", http.StatusOK))
+		}
+		waitUntil(t, when+", the old key", isServed("/read/1", "old key", http.StatusUnauthorized))
+	}
+	checkInForce("after the acknowledgement")
+	for _, m := range f.nodes() {
+		m.stop()
+		m.restart()
+	}
+	checkInForce("after a restart")
+	if code := replaceConfig(t, f.replicas[2].control, 5, encodedConfig(7, "new key")); code != http.StatusOK {
+		t.Errorf("the next configuration: status %d", code)
+	}
+}
--- a/internal/route/path.go
+++ b/internal/route/path.go
@@ -30,6 +30,27 @@
 	return string(b), nil
 }
 
+// EscapePath returns a path in which the bytes that no path of a request can contain are percent-encoded, as clients do. Escapes stay
+// as they are, even malformed ones.
+func EscapePath(s string) string {
+	var b []byte // nil until a byte is encoded
+	for i := range len(s) {
+		switch c := s[i]; {
+		case c != '/' && c != '%' && !isPathChar(c):
+			if b == nil {
+				b = append(make([]byte, 0, 3*len(s)), s[:i]...)
+			}
+			b = append(b, '%', upperHex[c>>4], upperHex[c&15])
+		case b != nil:
+			b = append(b, c)
+		}
+	}
+	if b == nil {
+		return s
+	}
+	return string(b)
+}
+
 const upperHex = "0123456789ABCDEF"
 
 // checkPath validates a path and reports whether it is canonical.
--- a/internal/route/split.go
+++ b/internal/route/split.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 
@@ -23,11 +24,57 @@
 	keyHash uint64
 }
 
+// Split divides sessions among pools by weight.
+type Split struct {
+	pools []weightedPool
+}
+
+// NewSplit returns the split of a list of pools. The number of a pool is the index of its first entry in the list. If the list
+// names a pool several times, the pool's weight is the sum. Entries whose weight is not above 0 are ignored.
+func NewSplit(list []WeightedPool) Split {
+	var pools []weightedPool
+	for i, p := range list {
+		if p.Weight > 0 {
+			pools = append(pools, p.compile(i))
+		}
+	}
+	scaleWeights(pools)
+	indexByKey := map[uint64]int{}
+	var merged []weightedPool
+	for _, p := range pools {
+		index, isKnown := indexByKey[p.keyHash]
+		if isKnown {
+			merged[index].weight += p.weight
+			continue
+		}
+		indexByKey[p.keyHash] = len(merged)
+		merged = append(merged, p)
+	}
+	return Split{merged}
+}
+
+// compile returns the pool with a number.
+func (p *WeightedPool) compile(number int) weightedPool {
+	return weightedPool{number: number, weight: p.Weight, keyHash: xxhash.Sum64String(cmp.Or(p.HashKey, p.Pool))}
+}
+
+// scaleWeights divides the weights by the highest one. The scores of PoolFor would overflow with very small weights, and sums of
+// very large weights would too.
+func scaleWeights(pools []weightedPool) {
+	highest := 0.0
+	for _, p := range pools {
+		highest = max(highest, p.weight)
+	}
+	for i := range pools {
+		pools[i].weight /= highest
+	}
+}
+
 // Target is the destination of a request: a service, and the route that matched.
 type Target struct {
 	Service    string
 	RouteIndex int // index in the list passed to New; -1 = the service was addressed by name
-	pools      []weightedPool
+	Split
 }
 
 // compileSplit compiles the pools of the service at index.
@@ -48,15 +95,12 @@
 			addError("pool %q: the weight must be finite and 0 or more", p.Pool)
 		}
 		seen[p.Pool] = true
-		key := p.HashKey
-		if key == "" {
-			key = p.Pool
-		}
 		if p.Weight > 0 {
 			total += p.Weight
-			pools = append(pools, weightedPool{number: number, weight: p.Weight, keyHash: xxhash.Sum64String(key)})
+			pools = append(pools, p.compile(number))
 		}
 	}
+	scaleWeights(pools)
 	if total == 0 && len(errs) == 0 {
 		addError("at least one pool must have a weight above 0")
 	}
@@ -64,11 +108,11 @@
 }
 
 // IsSplit reports whether PoolFor can return more than one pool.
-func (t *Target) IsSplit() bool { return len(t.pools) > 1 }
+func (s *Split) IsSplit() bool { return len(s.pools) > 1 }
 
 // Pools returns the numbers of all pools that PoolFor can return.
-func (t *Target) Pools() (numbers []int) {
-	for _, p := range t.pools {
+func (s *Split) Pools() (numbers []int) {
+	for _, p := range s.pools {
 		numbers = append(numbers, p.number)
 	}
 	return numbers
@@ -76,14 +120,14 @@
 
 // PoolFor returns the number of the pool for a session, by weighted rendezvous hashing. All requests of a session have the same
 // pool, and the sessions are distributed in proportion to the weights. When weights change, the fewest possible sessions move,
-// and only from pools whose share shrinks to pools whose share grows.
-func (t *Target) PoolFor(sessionHash uint64) int {
-	if len(t.pools) == 1 {
-		return t.pools[0].number
+// and only from pools whose share shrinks to pools whose share grows. The result is -1 if there is no pool.
+func (s *Split) PoolFor(sessionHash uint64) int {
+	if len(s.pools) == 1 {
+		return s.pools[0].number
 	}
 	best, lowestScore := -1, math.Inf(1)
-	for i := range t.pools {
-		p := &t.pools[i]
+	for i := range s.pools {
+		p := &s.pools[i]
 		if score := -math.Log(uniform(sessionHash, p.keyHash)) / p.weight; score < lowestScore {
 			best, lowestScore = p.number, score
 		}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -75,7 +75,7 @@
 		}
 		pools, splitErrs := compileSplit(i, s, poolNumber)
 		errs = append(errs, splitErrs...)
-		t.services[s.Name] = &Target{Service: s.Name, RouteIndex: noIndex, pools: pools}
+		t.services[s.Name] = &Target{Service: s.Name, RouteIndex: noIndex, Split: Split{pools}}
 	}
 	return errs
 }
@@ -85,7 +85,7 @@
 	r := &t.routes[index]
 	target := &Target{Service: r.Service, RouteIndex: index}
 	if s := t.services[r.Service]; s != nil {
-		target.pools = s.pools
+		target.Split = s.Split
 	} else {
 		errs = append(errs, routeError(index, "service", "there is no service %q", r.Service))
 	}
