node: publish endpoints to every pool, also of services that were dropped

Cause: the pool of a dropped service lives until its last request has ended, but lists of endpoints were sent to the services of the configuration in force only, so that its module chose among drained and deregistered engines. Change: lists go to every pool that exists; one map of pools in place of two of modules and counts. Why it works: the module learns of drains as long as it can choose an engine.

--- a/internal/node/dataplane.go
+++ b/internal/node/dataplane.go
@@ -18,7 +18,6 @@
 	"notchhinge/internal/limits"
 	"notchhinge/internal/retrybudget"
 	"notchhinge/internal/upstream"
-	"notchhinge/policy"
 )
 
 // dataPlaneOptions are the parameters of newDataPlane.
@@ -50,16 +49,21 @@
 	bounds           atomic.Pointer[limits.RequestBounds] // of the configuration in force
 	endpointZones    atomic.Pointer[map[string]string]    // zones of endpoints, by address
 
-	mu          sync.Mutex // held while a configuration is applied or endpoints are published; guards the fields below and the retry options
-	nextPool    hoststate.PoolID
-	modules     map[hoststate.PoolID]*policy.Balancer // of the services that have had a route
-	classCounts map[hoststate.PoolID]int              // number of classes of each module
+	mu       sync.Mutex // held while a configuration is applied or endpoints are published; guards the fields below and the retry options
+	nextPool hoststate.PoolID
+	pools    map[hoststate.PoolID]*poolState // of the services that have had a route, until their last request has ended
+}
+
+// poolState is what the data plane keeps of the pool of a service.
+type poolState struct {
+	service    string
+	classCount int // of the policy module
 }
 
 func newDataPlane(o dataPlaneOptions) *dataPlane {
 	d := &dataPlane{
 		dataPlaneOptions: o, endpointsChanged: make(chan struct{}, 1),
-		nextPool: 1, modules: map[hoststate.PoolID]*policy.Balancer{}, classCounts: map[hoststate.PoolID]int{},
+		nextPool: 1, pools: map[hoststate.PoolID]*poolState{},
 	}
 	defaults, _ := o.limits.ConfiguredBounds(0, 0, 0, 0)
 	d.bounds.Store(&defaults)
@@ -85,11 +89,9 @@
 			return
 		case <-d.endpointsChanged:
 		}
-		if routes := d.routes.Load(); routes != nil {
-			d.mu.Lock()
-			d.publishEndpoints(routes)
-			d.mu.Unlock()
-		}
+		d.mu.Lock()
+		d.publishEndpoints()
+		d.mu.Unlock()
 	}
 }
 
@@ -131,8 +133,7 @@
 	d.frontend.RemovePool(id)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.modules, id)
-	delete(d.classCounts, id)
+	delete(d.pools, id)
 }
 
 // limitIdleReuse limits the reuse of idle connections for limits.StaleConnAvoidPeriod after an engine has dropped one.
--- a/internal/node/dataplaneconfig.go
+++ b/internal/node/dataplaneconfig.go
@@ -41,7 +41,7 @@
 			d.loop.Post(dispatch.EndPool{Pool: s.ID})
 		}
 	}
-	d.publishEndpoints(next)
+	d.publishEndpoints()
 	d.log.Info("configuration applied", "revision", c.Revision, "index", index, "routes", len(c.Routes), "services", len(c.Services))
 	return nil
 }
@@ -63,7 +63,7 @@
 func (d *dataPlane) configurePools(services map[string]*dialect.Service) error {
 	created := map[hoststate.PoolID]*policy.Balancer{}
 	for _, s := range services {
-		if d.modules[s.ID] != nil || len(s.Classes) == 0 {
+		if d.pools[s.ID] != nil || len(s.Classes) == 0 {
 			continue
 		}
 		m, err := policy.New(dialect.PolicySettings(s.Classes, d.drainGrace, d.limits.MaxAttempts), d.seed^uint64(s.ID))
@@ -73,12 +73,13 @@
 		created[s.ID] = m
 	}
 	for _, s := range services {
+		pool := d.pools[s.ID]
 		switch m := created[s.ID]; {
 		case m != nil:
 			d.createPool(s, m)
-		case len(s.Classes) > d.classCounts[s.ID]:
+		case pool != nil && len(s.Classes) > pool.classCount:
 			d.loop.Post(dispatch.AddClasses{Pool: s.ID, Classes: s.Classes})
-			d.classCounts[s.ID] = len(s.Classes)
+			pool.classCount = len(s.Classes)
 		}
 	}
 	return nil
@@ -86,7 +87,7 @@
 
 // createPool creates the pool of a service with its policy module. d.mu is held.
 func (d *dataPlane) createPool(s *dialect.Service, m *policy.Balancer) {
-	d.modules[s.ID], d.classCounts[s.ID] = m, len(s.Classes)
+	d.pools[s.ID] = &poolState{service: s.Name, classCount: len(s.Classes)}
 	d.upstream.ConfigurePool(s.ID, upstream.LoadReporting{}, quota.Claim{})
 	d.frontend.ConfigurePool(s.ID, quota.Claim{}, quota.Claim{})
 	e := dispatch.ConfigurePool{
@@ -99,13 +100,14 @@
 	d.loop.Post(e)
 }
 
-// publishEndpoints sends the endpoints of each service to its policy module. d.mu is held.
-func (d *dataPlane) publishEndpoints(routes *dialect.CompiledConfig) {
+// publishEndpoints sends the endpoints of each pool's service to its policy module. That includes services that the configuration no
+// longer contains, until their last requests have ended: these may be retried, but not at an engine past its drain. d.mu is held.
+func (d *dataPlane) publishEndpoints() {
 	wallMS, now := time.Now().UnixMilli(), d.loop.Now()
 	zones := map[string]string{}
-	for name, s := range routes.Services() {
-		list := dispatch.EndpointsListed{Pool: s.ID, Kind: policy.ListFull}
-		for _, e := range d.endpoints(name) {
+	for id, pool := range d.pools {
+		list := dispatch.EndpointsListed{Pool: id, Kind: policy.ListFull}
+		for _, e := range d.endpoints(pool.service) {
 			zones[e.Addr] = e.Zone
 			list.Hosts = append(list.Hosts, dispatchHost(&e, wallMS, now))
 		}
--- a/internal/node/runningrequests_test.go
+++ b/internal/node/runningrequests_test.go
@@ -46,7 +46,7 @@
 				waitUntil(t, "removal of the service's policy module", func() bool {
 					p.dataPlane.mu.Lock()
 					defer p.dataPlane.mu.Unlock()
-					return len(p.dataPlane.modules) == len(next.Services)
+					return len(p.dataPlane.pools) == len(next.Services)
 				})
 			}
 		})
--- a/internal/node/testplane_test.go
+++ b/internal/node/testplane_test.go
@@ -64,7 +64,7 @@
 	p.endpoints.Store(&engines)
 	p.dataPlane.mu.Lock()
 	defer p.dataPlane.mu.Unlock()
-	p.dataPlane.publishEndpoints(p.dataPlane.routes.Load())
+	p.dataPlane.publishEndpoints()
 }
 
 // planeConfig returns a configuration with a route of each type to service s, a route to service t, and a streaming route with
