--- a/internal/node/testplane_test.go
+++ b/internal/node/testplane_test.go
@@ -1,9 +1,10 @@
 package node
 
 import (
-	"io"
+	"bytes"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,27 @@
 	addr      string
 	listener  net.Listener
 	endpoints atomic.Pointer[[]endpoints.Endpoint]
+	logged    logBuffer
+}
+
+// logBuffer keeps what is logged. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+// String returns all that was logged.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 // endpointOf returns an endpoint for a scripted engine.
@@ -34,7 +56,7 @@
 	p := &testPlane{t: t}
 	p.endpoints.Store(&engines)
 	p.dataPlane = newDataPlane(dataPlaneOptions{
-		log: slog.New(slog.NewTextHandler(io.Discard, nil)), traffic: &metrics.Traffic{}, drainGrace: time.Second, seed: seed,
+		log: slog.New(slog.NewTextHandler(&p.logged, nil)), traffic: &metrics.Traffic{}, drainGrace: time.Second, seed: seed,
 		limits: limits.NewFleetRouter(limits.Machine{Cores: 1, MemoryMB: 284, Sockets: 4100}),
 		endpoints: func(service string) (all []endpoints.Endpoint) {
 			for _, e := range *p.endpoints.Load() {
