node: test that unusual paths and hosts reach the engine unchanged

Cause: the table of package dialect compares strings; whether such a request passes the parser, the route and the upstream is shown by none of the tests. Change: a test with raw requests on twelve hosts and prefixes.

--- a/internal/node/unusualconfig_test.go
+++ b/internal/node/unusualconfig_test.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"notchhinge/internal/control/fleetconfig"
 )
 
 // unusualConfig returns a valid configuration such as operators seldom send: entries of the same name, a split that names its
@@ -79,3 +85,49 @@
 		t.Errorf("the next configuration: status %d", code)
 	}
 }
+
+// TestUnusualPathsReachTheEngineUnchanged sends paths that HTTP libraries encode or clean as a client may write them, to routes with
+// the same prefixes.
+func TestUnusualPathsReachTheEngineUnchanged(t *testing.T) {
+	received := make(chan string, 1)
+	e := newScriptedEngine(t, func(c net.Conn, r *http.Request) bool {
+		received <- r.Host + r.RequestURI
+		io.WriteString(c, strings.ReplaceAll(answerServed, "\n", "\r\n"))
+		return true
+	})
+	p := newTestPlane(t, 1, endpointOf("one", "s", e))
+	c := planeConfig()
+	matches := []fleetconfig.MatchKey{
+		{Host: "h", PathPrefix: "/提示/"}, {Host: "h", PathPrefix: "//x//"}, {Host: "h", PathPrefix: "/../"}, {Host: "h", PathPrefix: `/x\y/`},
+		{Host: "h", PathPrefix: "/{z}/"}, {Host: "h", PathPrefix: "/%41/"}, {Host: "h", PathPrefix: "/no-slash"}, {Host: "h:8080", PathPrefix: "/"},
+		{Host: "h_.", PathPrefix: "/"}, {Host: "a..b", PathPrefix: "/"}, {Host: "[::1]", PathPrefix: "/"}, {Host: "*.h", PathPrefix: "/"},
+	}
+	for _, m := range matches {
+		r := c.Routes[1]
+		r.Hostname, r.PathPrefix = m.Host, m.PathPrefix
+		c.Routes = append(c.Routes, r)
+	}
+	if err := c.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.dataPlane.applyConfig(2, c); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range matches {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := m.PathPrefix + "2f"
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, m.Host)
+		response, _ := io.ReadAll(conn)
+		conn.Close()
+		if !strings.HasPrefix(string(response), "HTTP/1.1 200 ") {
+			t.Errorf("host %q, path %q: %q", m.Host, path, response)
+			continue
+		}
+		if got := <-received; got != m.Host+path {
+			t.Errorf("host %q, path %q: the engine got %q", m.Host, path, got)
+		}
+	}
+}
