--- a/internal/configfile/configfile_test.go
+++ b/internal/configfile/configfile_test.go
@@ -164,6 +164,25 @@
 	}
 }
 
+// TestDiffSeesEveryEntryOfAName: a valid configuration may have several tenants or services of one name.
+func TestDiffSeesEveryEntryOfAName(t *testing.T) {
+	tenants := func(keys ...string) *fleetconfig.Config {
+		c := &fleetconfig.Config{}
+		for _, key := range keys {
+			c.Tenants = append(c.Tenants, fleetconfig.Tenant{Name: "lab", APIKeys: []string{key}})
+		}
+		return c
+	}
+	var got []string
+	for _, c := range Diff(tenants("one", "two", "three"), tenants("other", "two")) {
+		got = append(got, c.String())
+	}
+	want := []string{"~ tenant lab: api_keys 1 (1 taken away) -> 1 (1 new)", "- tenant lab (3): 1 keys, priority 0"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestDiffListsEveryChange(t *testing.T) {
 	read := func(text string) *fleetconfig.Config {
 		t.Helper()
--- a/internal/configfile/diff.go
+++ b/internal/configfile/diff.go
@@ -65,7 +65,10 @@
 var (
 	routeEntries = entryKind[fleetconfig.Route]{
 		kind: "route",
-		id:   func(r *fleetconfig.Route) string { return strings.ToLower(r.Hostname) + r.PathPrefix },
+		id: func(r *fleetconfig.Route) string {
+			key := r.MatchKey()
+			return key.Host + key.PathPrefix
+		},
 		summary: func(r *fleetconfig.Route) string {
 			return fmt.Sprintf("%s, %s -> %s, %v ms", r.Name, r.Type, formatSplit(r.Targets()), r.TimeoutMS)
 		},
@@ -90,11 +93,11 @@
 // from.
 func diffEntries[T any](k entryKind[T], from, to []T) (changes []Change) {
 	unmatched := map[string]*T{} // entries of from by id
-	for i := range from {
-		unmatched[k.id(&from[i])] = &from[i]
+	fromIDs := k.ids(from)
+	for i, id := range fromIDs {
+		unmatched[id] = &from[i]
 	}
-	for i := range to {
-		id := k.id(&to[i])
+	for i, id := range k.ids(to) {
 		old := unmatched[id]
 		if old == nil {
 			changes = append(changes, Change{Kind: k.kind, Name: id, What: entryAdded, To: k.summary(&to[i])})
@@ -103,14 +106,28 @@
 		delete(unmatched, id)
 		changes = append(changes, diffFields(k.kind, id, reflect.ValueOf(*old), reflect.ValueOf(to[i]))...)
 	}
-	for i := range from {
-		if id := k.id(&from[i]); unmatched[id] == &from[i] {
+	for i, id := range fromIDs {
+		if unmatched[id] != nil {
 			changes = append(changes, Change{Kind: k.kind, Name: id, What: entryRemoved, From: k.summary(&from[i])})
 		}
 	}
 	return changes
 }
 
+// ids returns the ids of entries. A further entry of the same id has its number among them in parentheses.
+func (k *entryKind[T]) ids(entries []T) []string {
+	ids, counts := make([]string, len(entries)), map[string]int{}
+	for i := range entries {
+		id := k.id(&entries[i])
+		counts[id]++
+		if n := counts[id]; n > 1 {
+			id = fmt.Sprintf("%s (%d)", id, n)
+		}
+		ids[i] = id
+	}
+	return ids
+}
+
 // diffFields compares two structs of the same type field by field. A change has the TOML key of its field.
 func diffFields(kind, name string, from, to reflect.Value) (changes []Change) {
 	for i := range from.NumField() {
