fleetconfig: an entry without a host, prefix or name is incomplete, not empty

Cause: since empty hosts, prefixes and names are valid, a route that lacks its path_prefix (a misspelt key) would have been acknowledged and would match every path; before, the check for empty text refused it too. Change: CheckRequiredFields looks for the fields in the encoded configuration, before the acknowledgement only: entries that are chosen already are decoded as ever.

--- a/internal/configfile/file.go
+++ b/internal/configfile/file.go
@@ -51,6 +51,9 @@
 	if err == nil {
 		err = c.Validate()
 	}
+	if err == nil {
+		err = fleetconfig.CheckRequiredFields(text)
+	}
 	if err != nil {
 		return nil, fileErrors(nil, path, err)
 	}
--- a/internal/control/fleetconfig/fleetconfig_test.go
+++ b/internal/control/fleetconfig/fleetconfig_test.go
@@ -221,6 +221,35 @@
 	}
 }
 
+// TestMissingFieldIsNotAnEmptyOne guards against a route without a path_prefix, which decoded is one that matches every path.
+func TestMissingFieldIsNotAnEmptyOne(t *testing.T) {
+	if err := CheckRequiredFields(marshal(t, validConfig())); err != nil {
+		t.Error(err)
+	}
+	for _, c := range []struct {
+		list, key, want string
+	}{
+		{"routes", "hostname", "routes[0].hostname (r1): is missing"},
+		{"routes", "path_prefix", "routes[0].path_prefix (r1): is missing"},
+		{"services", "name", "services[0].name: is missing"},
+		{"tenants", "name", "tenants[0].name: is missing"},
+	} {
+		v := validConfig()
+		entryOf(v, c.list, 0)[c.key] = ""
+		if err := CheckRequiredFields(marshal(t, v)); err != nil {
+			t.Errorf("empty %s: %v", c.key, err)
+		}
+		for how, change := range map[string]func(map[string]any){
+			"missing": func(e map[string]any) { delete(e, c.key) }, "null": func(e map[string]any) { e[c.key] = nil },
+		} {
+			change(entryOf(v, c.list, 0))
+			if err := CheckRequiredFields(marshal(t, v)); !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%s: got %v, want %q", how, err, c.want)
+			}
+		}
+	}
+}
+
 func TestMalformedTextIsRejected(t *testing.T) {
 	whole := marshal(t, validConfig())
 	for name, b := range map[string][]byte{
--- a/internal/control/replica/operator.go
+++ b/internal/control/replica/operator.go
@@ -58,7 +58,7 @@
 		r.answer(e.Request, invalid(err))
 		return
 	}
-	if err := c.Validate(); err != nil {
+	if err := checkConfig(c, e.Config); err != nil {
 		r.rejectConfig(e, replog.AcceptedConfig{Revision: c.Revision, Digest: digest}, err)
 		return
 	}
@@ -77,6 +77,14 @@
 	})
 }
 
+// checkConfig returns an error if a configuration is invalid or incomplete.
+func checkConfig(c *fleetconfig.Config, encoded []byte) error {
+	if err := c.Validate(); err != nil {
+		return err
+	}
+	return fleetconfig.CheckRequiredFields(encoded)
+}
+
 // configProposal is the proposal of an operator's configuration.
 type configProposal struct {
 	replica  *Replica
