--- a/internal/dialect/validconfig_test.go
+++ b/internal/dialect/validconfig_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"notchhinge/internal/control/fleetconfig"
@@ -162,14 +163,7 @@
 		}
 		next := hoststate.PoolID(1)
 		config := Compile(c, CompileOptions{LogIndex: 1, NextPool: &next})
-		for name, s := range config.Services() {
-			if len(s.Classes) == 0 {
-				continue
-			}
-			if _, err := policy.New(PolicySettings(s.Classes, time.Second, 3), 1); err != nil {
-				t.Fatalf("service %q: %v", name, err)
-			}
-		}
+		checkModules(t, config)
 		key := uint64(0)
 		d := &Frontend{Config: func() *CompiledConfig { return config }, SplitKey: func() uint64 { key++; return key }, Clock: func() time.Duration { return 0 }}
 		for i := range c.Routes {
@@ -182,6 +176,19 @@
 	})
 }
 
+// checkModules creates the policy module of each service with a route.
+func checkModules(t rapid.TB, config *CompiledConfig) {
+	t.Helper()
+	for name, s := range config.Services() {
+		if len(s.Classes) == 0 {
+			continue
+		}
+		if _, err := policy.New(PolicySettings(s.Classes, time.Second, 3), 1); err != nil {
+			t.Fatalf("service %q: %v", name, err)
+		}
+	}
+}
+
 // checkRoute compares the route of a request with a search through all routes. No path of a drawn prefix begins with the escaped form
 // of another one, since the drawn escapes are those of an ASCII letter.
 func checkRoute(t *rapid.T, d *Frontend, c *fleetconfig.Config, host, path string) {
@@ -230,3 +237,36 @@
 	}
 	return c
 }
+
+// FuzzValidConfiguration compiles whatever decodes and is valid, and sends a request to each of its routes.
+func FuzzValidConfiguration(f *testing.F) {
+	encoded, err := cbor.Marshal(testConfig())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		c, err := fleetconfig.Decode(encoded, nil)
+		if err != nil || c.Validate() != nil {
+			return
+		}
+		next := hoststate.PoolID(1)
+		config := Compile(c, CompileOptions{LogIndex: 1, NextPool: &next})
+		checkModules(t, config)
+		d := &Frontend{Config: func() *CompiledConfig { return config }, SplitKey: func() uint64 { return 1 }, Clock: func() time.Duration { return 0 }}
+		for i := range c.Routes {
+			r := &c.Routes[i]
+			if !strings.HasPrefix(r.PathPrefix, "/") || strings.Contains(r.PathPrefix, "?") {
+				continue
+			}
+			req := &http.Request{Method: http.MethodGet, Host: r.Hostname, RequestURI: r.PathPrefix, Header: http.Header{}}
+			dst, rejection := d.Route(req)
+			if rejection != nil && rejection.Status != http.StatusUnauthorized {
+				t.Fatalf("route %q: %+v", r.Name, rejection)
+			}
+			if rejection == nil {
+				d.BuildRequest(req, &dst, nil)
+			}
+		}
+	})
+}
