--- /dev/null
+++ b/review/standin-2/full.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// servesNobody checks that requests are served after a time in which clients have left early. All clients send two requests at once on
+// a connection of their own (RFC 9112, section 9.3.2). The disruption is that a share of them leaves in the middle of the first
+// answer, within half the aim (give_up).
+func servesNobody(rec *record, binary, dir string, trouble bool) ([]string, error) {
+	const (
+		host, key       = "ficu95.example", "i9n73hh2b9wu3fexd9dn"
+		perSecond, span = 120, 62 * time.Second // of connections
+		leavingShare    = 0.6
+		halfAim         = 400 * time.Millisecond
+	)
+	f, err := newFleet(rec, binary, dir, 2, 76)
+	if err != nil {
+		return nil, err
+	}
+	defer f.stopAll()
+	if err := f.startAll(); err != nil {
+		return nil, err
+	}
+	for i := range 9 {
+		e, err := startEngine(rec, fmt.Sprintf("i-%08x", 0x7f3a0000+i), fmt.Sprintf("127.76.%d.%d", i%3+1, 100+i), func(*http.Request) behavior {
+			return behavior{work: 20 * time.Millisecond, events: 20, gap: 30 * time.Millisecond}
+		})
+		if err != nil {
+			return nil, err
+		}
+		e.reg = f.register(e.id, "huvo11a", e.addr(), zones[i%3], 60)
+	}
+	config := configuration(7, []string{"huvo11a"}, key, route("r-cda9rgy", host, "/lohu930/", "streaming", "huvo11a", 12000, 800, 2))
+	if err := f.replaceConfig(0, config, 20*time.Second); err != nil {
+		return nil, err
+	}
+	if err := f.waitReady(20 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(5 * time.Second) // longer than contact_ms: all machines are in touch
+	var wg sync.WaitGroup
+	var served, refused, left, none atomic.Int64
+	tick := time.NewTicker(time.Second / perSecond)
+	defer tick.Stop()
+	for i := range int(span.Seconds()) * perSecond {
+		<-tick.C
+		leaves := trouble && rand.Float64() < leavingShare
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			m := f.routers()[i%2]
+			ids := []string{fmt.Sprintf("%08x%08x", i, 1), fmt.Sprintf("%08x%08x", i, 2)}
+			statuses, err := sendTwo(f.front(m), host, key, ids, leaves, halfAim)
+			rec.logf("client: sent %s and %s at once to %s; left early %v; answers %v %v", ids[0], ids[1], m.name, leaves, statuses, errText(err))
+			switch {
+			case leaves:
+				left.Add(1)
+			case len(statuses) == 2 && statuses[0] == 200 && statuses[1] == 200:
+				served.Add(2)
+			case len(statuses) > 0:
+				refused.Add(1)
+			default:
+				none.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	rec.logf("connections until now: %d clients left early; %d requests served, %d connections with another answer, %d without one", left.Load(), served.Load(), refused.Load(), none.Load())
+	time.Sleep(10 * time.Second) // nobody sends anything
+	for _, m := range f.routers() {
+		status := 0
+		if resp, err := controlClient.Get("http://" + f.ready(m) + "/readiness"); err == nil {
+			resp.Body.Close()
+			status = resp.StatusCode
+		}
+		rec.logf("platform: readiness of %s: %d", m.name, status)
+	}
+	const calm = 100
+	ok := 0
+	counts := map[string]int{}
+	for i := range calm {
+		// A client tries again at the other router, on a new connection.
+		for n := range 2 {
+			m := f.routers()[(i+n)%2]
+			q := call{
+				id: fmt.Sprintf("%08x%08x", 0xca100000+i, n+1), host: host, path: "/lohu930/1", key: key, deadline: 12 * time.Second, silence: 3200 * time.Millisecond,
+			}
+			c, err := dialRouter(f.front(m))
+			if err != nil {
+				rec.logf("client, calm: %s to %s: %v", q.id, m.name, err)
+				counts["no connection"]++
+				continue
+			}
+			a := c.do(&q)
+			c.Close()
+			rec.logf("client, calm: %s to %s: %d, complete %v, %q %v", q.id, m.name, a.status, a.complete, strings.TrimSpace(a.body[:min(len(a.body), 40)]), errText(a.err))
+			counts[fmt.Sprint(a.status)]++
+			if a.status == 200 && a.complete {
+				ok++
+				break
+			}
+		}
+	}
+	rec.logf("calm: %d of %d requests served; answers %v", ok, calm, counts)
+	if ok == 0 {
+		return []string{fmt.Sprintf("10 s after the last client had left, none of %d requests was served: %v", calm, counts)}, nil
+	}
+	if 10*ok < 4*calm {
+		return []string{fmt.Sprintf("10 s after the last client had left, %d of %d requests were served: %v", ok, calm, counts)}, nil
+	}
+	return nil, nil
+}
+
+// sendTwo sends two requests at once on a new connection and returns the statuses of the answers. A client that leaves closes the
+// connection after the first event of the first answer, within the given time.
+func sendTwo(addr, host, key string, ids []string, leaves bool, within time.Duration) (statuses []int, err error) {
+	c, err := dialRouter(addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	text := ""
+	for _, id := range ids {
+		text += fmt.Sprintf("POST /lohu930/%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Credential: %s\r\nX-Deadline-Remaining-Ms: 12000\r\nContent-Length: 0\r\n\r\n", id, host, id, key)
+	}
+	start := time.Now()
+	c.SetDeadline(start.Add(12 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		return nil, err
+	}
+	br := bufio.NewReader(c)
+	for range ids {
+		resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodPost})
+		if err != nil {
+			return statuses, err
+		}
+		statuses = append(statuses, resp.StatusCode)
+		if leaves {
+			time.Sleep(time.Duration(rand.Int64N(int64(max(within-time.Since(start), 1)))))
+			return statuses, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return statuses, err
+		}
+		if resp.Close {
+			break
+		}
+	}
+	return statuses, nil
+}
