--- a/review/standin-2/full.go
+++ b/review/standin-2/full.go
@@ -87,29 +87,40 @@
 	const calm = 100
 	ok := 0
 	counts := map[string]int{}
+	var mu sync.Mutex
 	for i := range calm {
-		// A client tries again at the other router, on a new connection.
-		for n := range 2 {
-			m := f.routers()[(i+n)%2]
-			q := call{
-				id: fmt.Sprintf("%08x%08x", 0xca100000+i, n+1), host: host, path: "/lohu930/1", key: key, deadline: 12 * time.Second, silence: 3200 * time.Millisecond,
-			}
-			c, err := dialRouter(f.front(m))
-			if err != nil {
-				rec.logf("client, calm: %s to %s: %v", q.id, m.name, err)
-				counts["no connection"]++
-				continue
-			}
-			a := c.do(&q)
-			c.Close()
-			rec.logf("client, calm: %s to %s: %d, complete %v, %q %v", q.id, m.name, a.status, a.complete, strings.TrimSpace(a.body[:min(len(a.body), 40)]), errText(a.err))
-			counts[fmt.Sprint(a.status)]++
-			if a.status == 200 && a.complete {
-				ok++
-				break
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			// A client tries again at the other router, on a new connection.
+			for n := range 2 {
+				m := f.routers()[(i+n)%2]
+				q := call{
+					id: fmt.Sprintf("%08x%08x", 0xca100000+i, n+1), host: host, path: "/lohu930/1", key: key, deadline: 12 * time.Second, silence: 3200 * time.Millisecond,
+				}
+				var a answer
+				c, err := dialRouter(f.front(m))
+				if err == nil {
+					a = c.do(&q)
+					c.Close()
+					err = a.err
+				}
+				rec.logf("client, calm: %s to %s: %d, complete %v, %q %v", q.id, m.name, a.status, a.complete, strings.TrimSpace(a.body[:min(len(a.body), 40)]), errText(err))
+				mu.Lock()
+				counts[fmt.Sprint(a.status)]++
+				served := a.status == 200 && a.complete
+				if served {
+					ok++
+				}
+				mu.Unlock()
+				if served {
+					return
+				}
 			}
-		}
+		}()
+		time.Sleep(50 * time.Millisecond)
 	}
+	wg.Wait()
 	rec.logf("calm: %d of %d requests served; answers %v", ok, calm, counts)
 	if ok == 0 {
 		return []string{fmt.Sprintf("10 s after the last client had left, none of %d requests was served: %v", calm, counts)}, nil
