--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/notchhinge ] && [ -x target/review-2/reviewstandin ] || exit 2
-exec target/review-2/reviewstandin held-past-timeout target/notchhinge review/7/record.txt
+exec target/review-2/reviewstandin revived target/notchhinge review/7/record.txt
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -12,6 +12,12 @@
 	"time"
 )
 
+// run is a request that an engine has begun to run.
+type run struct {
+	id string
+	at time.Time
+}
+
 // behavior is how an engine answers a request. The zero value is a short answer at once.
 type behavior struct {
 	work       time.Duration // before the answer begins
@@ -29,8 +35,7 @@
 	behave func(r *http.Request) behavior
 	mu     sync.Mutex
 	reg    *registration
-	isDark bool // crashed: it says nothing any more, and its connections stay as they are
-	dark   chan struct{}
+	runs   []run
 }
 
 func startEngine(rec *record, id, ip string, behave func(r *http.Request) behavior) (*engine, error) {
@@ -38,25 +43,11 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{rec: rec, id: id, ln: ln, behave: behave, dark: make(chan struct{})}
+	e := &engine{rec: rec, id: id, ln: ln, behave: behave}
 	go e.accept()
 	return e, nil
 }
 
-// crash makes the engine silent: it reads and writes nothing any more, accepts no connection, and sends no heartbeat. Its
-// connections stay open, as after a loss of power.
-func (e *engine) crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.isDark {
-		e.isDark = true
-		close(e.dark)
-		if e.reg != nil {
-			e.reg.end()
-		}
-	}
-}
-
 func (e *engine) addr() string { return e.ln.Addr().String() }
 
 func (e *engine) accept() {
@@ -80,14 +71,9 @@
 		began := time.Now()
 		if wait := e.behave(req).readsAfter; wait > 0 {
 			e.rec.logf("engine %s: begins to work on %s", e.id, req.Header.Get("X-Request-Id"))
-			e.pause(wait)
+			time.Sleep(wait)
 		}
 		body, err := io.ReadAll(req.Body)
-		select {
-		case <-e.dark:
-			select {} // the connection stays as it is
-		default:
-		}
 		if err != nil {
 			e.rec.logf("engine %s: %s cut by the caller, %.3f s after its head: %v", e.id, req.Header.Get("X-Request-Id"), time.Since(began).Seconds(), err)
 			return
@@ -108,11 +94,12 @@
 		return true
 	}
 	b := e.behave(req)
+	e.mu.Lock()
+	e.runs = append(e.runs, run{id, began})
+	e.mu.Unlock()
 	e.rec.logf("engine %s: runs %s of %s with %d bytes, %.0f ms are left", e.id, id, req.Header.Get("X-Tenant"), len(body), ms)
 	end := began.Add(time.Duration(ms * float64(time.Millisecond)))
-	if !e.pause(b.work) {
-		return false
-	}
+	time.Sleep(b.work)
 	seal := "3e1b." + id
 	head := fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Seal: %s\r\nKeep-Alive: timeout=10\r\n", id, seal)
 	if b.events == 0 {
@@ -128,24 +115,12 @@
 			e.rec.logf("engine %s: %s cut by the caller after %d events", e.id, id, i-1)
 			return false
 		}
-		if !e.pause(b.gap) {
-			return false
-		}
+		time.Sleep(b.gap)
 	}
 	_, err := io.WriteString(c, "0\r\n\r\n")
 	return err == nil
 }
 
-// pause waits, and reports whether the engine still runs.
-func (e *engine) pause(d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-e.dark:
-		select {}
-	}
-}
-
 // plain sends a plain answer.
 func (e *engine) plain(c net.Conn, head, id string, b behavior) bool {
 	body := plainBody(id, b.body)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -386,4 +386,32 @@
 	return time.Time{}, false
 }
 
+// deregister signs the engine off, at one router after the other, and returns the time of the acknowledgement.
+func (r *registration) deregister() (ackedAt time.Time, ok bool) {
+	for _, m := range r.fleet.machines {
+		code, _, err := callControl(r.fleet.control(m), "/Instances.Deregister/"+r.id, nil, nil)
+		r.fleet.rec.logf("engine %s: Deregister at %s: %d %v", r.id, m.name, code, errText(err))
+		if err == nil && code/100 == 2 {
+			return time.Now(), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// lateBeat sends a heartbeat that was written now and is on its way for some time, to one machine after the other.
+func (r *registration) lateBeat(late time.Duration) {
+	r.mu.Lock()
+	r.calls++
+	body := encodeCBOR(map[string]any{
+		"target_service": r.service, "address": r.addr, "zone": r.zone, "revision": "v1", "capacity_slots": r.slots,
+		"status": "ready", "warmup_remaining_ms": 0, "call_count": r.calls,
+	})
+	r.fleet.rec.logf("engine %s: writes beat %d, ready", r.id, r.calls)
+	r.mu.Unlock()
+	time.Sleep(late)
+	m := r.fleet.machines[0]
+	code, _, err := callControl(r.fleet.control(m), "/Instances.Heartbeat/"+r.id, body, nil)
+	r.fleet.rec.logf("engine %s: the beat reaches %s, %v late: %d %v", r.id, m.name, late, code, errText(err))
+}
+
 func (r *registration) end() { r.stopOnce.Do(func() { close(r.stop) }) }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,11 +10,11 @@
 
 // cases holds the scripted cases. Each returns what broke the rule, or nothing if it held.
 var cases = map[string]func(*record, string, string, bool) ([]string, error){
-	"full":              servesNobody,
-	"old-version":       oldVersionAcknowledged,
-	"incomplete":        incompleteAcknowledged,
-	"held-past-timeout": heldPastTimeout,
-	"slow-reader":       slowReader,
+	"full":        servesNobody,
+	"old-version": oldVersionAcknowledged,
+	"incomplete":  incompleteAcknowledged,
+	"revived":     revived,
+	"slow-reader": slowReader,
 }
 
 // The exit codes of a case.
