replog: an order is a repeat only on the base it was accepted on

Cause: WasAccepted recognised a repeat by revision and digest, on any base, before the base was compared. Change: the base of an accepted configuration follows from the history, as the revision before it; CheckConfig and WasAccepted compare it. No field is added. An order older than the history, which may have been taken, gets 503 in place of 412. TestOrderBeyondTheHistoryHasNoClearAnswer is new; tests of WasAccepted pass the base now and check the same repeats, with those beyond the history added. Why it works: Apply accepts a configuration only on the current revision, so two different bases cannot both belong to one entry of the history, in states of every format.

--- a/internal/control/replica/operator.go
+++ b/internal/control/replica/operator.go
@@ -47,10 +47,10 @@
 
 // replaceConfig proposes an operator's configuration.
 //
-// Some outcomes are final, because no later state can contradict them, and may be answered from an old state: the
-// configuration was accepted (it is in the log), or it can never be accepted, because the state has a later revision
-// than its base or its own revision is not above its base (replog.State.Apply accepts it only on exactly that base).
-// Every other outcome requires a majority first: through a proposal, or through a confirmed state if the base is
+// Some outcomes are final, because no later state can contradict them, and may be answered from an old state: exactly
+// this change was accepted (it is in the log, on its base), or it can never be accepted, because the state has a later
+// revision than its base or its own revision is not above its base (replog.State.Apply accepts it only on exactly that
+// base). Every other outcome requires a majority first: through a proposal, or through a confirmed state if the base is
 // unknown here or an earlier release may have accepted a configuration that this one rejects.
 func (r *Replica) replaceConfig(e ReplaceConfig) {
 	c, digest, err := fleetconfig.DecodeWithDigest(e.Config)
@@ -59,12 +59,12 @@
 		return
 	}
 	if err := checkConfig(c, e.Config); err != nil {
-		r.rejectConfig(e, replog.AcceptedConfig{Revision: c.Revision, Digest: digest}, err)
+		r.rejectConfig(&configProposal{replica: r, event: e, revision: c.Revision, digest: digest}, err)
 		return
 	}
 	entry := replog.Entry{Nonce: r.random.Uint64(), Payload: replog.ConfigChange{BaseRevision: e.BaseRevision, Config: e.Config}}
 	p := &configProposal{replica: r, event: e, revision: c.Revision, digest: digest, value: entry.Encode()}
-	if s := &r.state; s.NextIndex == 0 || s.Revision >= e.BaseRevision || s.WasAccepted(c.Revision, digest) {
+	if s := &r.state; s.NextIndex == 0 || s.Revision >= e.BaseRevision {
 		p.propose()
 		return
 	}
@@ -113,9 +113,8 @@
 			outcome: api.StatusStaleRevision, revision: s.Revision,
 			reason: fmt.Sprintf("X-Revision-Match: revision %d is current, not %d", s.Revision, p.event.BaseRevision),
 		}
-		if p.revision < s.OldestRevision() {
-			p.result.reason += fmt.Sprintf("; the history does not reach back to revision %d", p.revision)
-		}
+	case replog.ConfigForgotten:
+		p.result = forgotten(p.revision)
 	case replog.ConfigRevisionTooLow:
 		p.result = operatorResult{
 			outcome: api.StatusInvalid, reason: fmt.Sprintf("revision: %d is not above the current one, %d", p.revision, s.Revision),
@@ -124,23 +123,32 @@
 	return nil
 }
 
-// rejectConfig rejects an invalid configuration, unless an earlier, more lenient release has accepted it.
-func (r *Replica) rejectConfig(e ReplaceConfig, c replog.AcceptedConfig, fault error) {
+// forgotten returns the result of a change that may have been accepted before the oldest revision of the history. It is
+// neither acknowledged nor rejected.
+func forgotten(revision uint64) operatorResult {
+	return unavailable(fmt.Errorf("the history does not reach back to revision %d", revision))
+}
+
+// rejectConfig rejects an invalid configuration, unless an earlier, more lenient release has accepted the change.
+func (r *Replica) rejectConfig(p *configProposal, fault error) {
 	result := func() operatorResult {
-		if r.state.WasAccepted(c.Revision, c.Digest) {
-			return succeeded(c.Revision, nil)
+		switch r.state.CheckConfig(p.event.BaseRevision, p.revision, p.digest) {
+		case replog.ConfigAlreadyAccepted:
+			return succeeded(p.revision, nil)
+		case replog.ConfigForgotten:
+			return forgotten(p.revision)
 		}
 		return invalid(fault)
 	}
-	if c.Revision <= r.state.Revision {
-		r.answer(e.Request, result())
+	if p.revision <= r.state.Revision { // accepted before this state, or never
+		r.answer(p.event.Request, result())
 		return
 	}
-	r.confirmState(e.Deadline, readActive, func(err error) {
+	r.confirmState(p.event.Deadline, readActive, func(err error) {
 		if err != nil {
 			err = fmt.Errorf("%w: %w", err, fault)
 		}
-		r.answerWithResult(e.Request, err, result)
+		r.answerWithResult(p.event.Request, err, result)
 	})
 }
 
--- a/internal/control/replica/operator_test.go
+++ b/internal/control/replica/operator_test.go
@@ -63,6 +63,54 @@
 	}
 }
 
+// TestOldConfigurationOnTheNewestBaseIsRejected guards against acknowledging a rollback that does not take effect: an order with the
+// content of an earlier one, on top of the newest revision. Every replica rejects it, also one that has just started, and still
+// acknowledges the repeats of both accepted orders.
+func TestOldConfigurationOnTheNewestBaseIsRejected(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	voters := c.running()
+	requireOK(t, "revision 7 on 0", c.replaceConfig(voters[0], 0, 7))
+	requireOK(t, "revision 9 on 7", c.replaceConfig(voters[1], 7, 9))
+	learner := c.start(3, false)
+	c.run(3 * time.Second)
+	for _, r := range append(voters, learner) {
+		for _, order := range []struct{ base, revision uint64 }{{9, 7}, {7, 7}, {8, 7}, {12, 7}, {0, 9}, {9, 9}} {
+			if got := c.replaceConfig(r, order.base, order.revision); got.Status != api.StatusInvalid && got.Status != api.StatusStaleRevision {
+				t.Errorf("%s: revision %d on %d: %+v, want a rejection", r.Self.Name, order.revision, order.base, got)
+			}
+		}
+		requireOK(t, "revision 7 on 0 again", c.replaceConfig(r, 0, 7))
+		requireOK(t, "revision 9 on 7 again", c.replaceConfig(r, 7, 9))
+	}
+	requireOK(t, "revision 10 on 9", c.replaceConfig(learner, 9, 10))
+}
+
+// TestOrderBeyondTheHistoryHasNoClearAnswer guards against rejecting an accepted order once the history has dropped it: it is neither
+// acknowledged nor rejected, whether or not this release considers its configuration valid.
+func TestOrderBeyondTheHistoryHasNoClearAnswer(t *testing.T) {
+	r := newSingle(true)
+	r.state.Revision = 1000
+	for i := range uint64(64) {
+		r.state.History = append(r.state.History, replog.AcceptedConfig{Revision: 1000 - 63 + i})
+	}
+	invalid5, err := cbor.Marshal(fleetconfig.Config{
+		Revision: 5, Routes: []fleetconfig.Route{}, Services: []fleetconfig.Service{}, RequestLimits: fleetconfig.RequestLimits{MaxBodyBytes: -1},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, order := range []struct {
+		base   uint64
+		config []byte
+		want   api.Status
+	}{{4, config5, api.StatusUnavailable}, {4, invalid5, api.StatusUnavailable}, {5, invalid5, api.StatusInvalid}, {1000, config5, api.StatusInvalid}} {
+		answers, _ := reduce(r, time.Second, ReplaceConfig{BaseRevision: order.base, Config: order.config, Deadline: 2 * time.Second}, true)
+		if len(answers) != 1 || answers[0].(OperatorAnswer).Status != order.want {
+			t.Errorf("revision 5 on %d: %+v, want %d", order.base, answers, order.want)
+		}
+	}
+}
+
 // TestSnapshotFormatOfEarlierRelease: a caller that does not send the formats that it reads receives the first format
 // and can catch up.
 func TestSnapshotFormatOfEarlierRelease(t *testing.T) {
--- a/internal/control/replog/history.go
+++ b/internal/control/replog/history.go
@@ -47,18 +47,21 @@
 
 // Values of ConfigStatus.
 const (
-	ConfigAcceptable      ConfigStatus = iota // the configuration may be proposed
-	ConfigAlreadyAccepted                     // the configuration is or was the current one
-	ConfigStaleBase                           // the base revision is not the current revision
+	ConfigAcceptable      ConfigStatus = iota // the change may be proposed
+	ConfigAlreadyAccepted                     // exactly this change was accepted, on the same base
+	ConfigStaleBase                           // the base revision is not the current revision, and the change was never accepted
 	ConfigRevisionTooLow                      // the revision is not higher than the current one
+	ConfigForgotten                           // the change is older than the history, and may have been accepted
 )
 
-// CheckConfig returns the status of a configuration that was made from the base revision. A proposer calls it again after each
-// attempt, because the chosen value may be another proposer's.
+// CheckConfig returns the status of a change: a configuration with the given revision and digest, made from the base revision. A
+// proposer calls it again after each attempt, because the chosen value may be another proposer's.
 func (s *State) CheckConfig(base, revision uint64, d fleetconfig.Digest) ConfigStatus {
 	switch {
-	case s.WasAccepted(revision, d):
+	case s.WasAccepted(base, revision, d):
 		return ConfigAlreadyAccepted
+	case base < revision && s.isForgotten(revision):
+		return ConfigForgotten
 	case s.Revision != base:
 		return ConfigStaleBase
 	case revision <= s.Revision:
@@ -67,25 +70,56 @@
 	return ConfigAcceptable
 }
 
-// WasAccepted reports whether the history contains a configuration with the given revision and digest. It starts at
-// OldestRevision.
-func (s *State) WasAccepted(revision uint64, d fleetconfig.Digest) bool {
+// WasAccepted reports whether the history contains the configuration with the given revision and digest, accepted on the base
+// revision. The base follows from the history, because a change is accepted only on the revision before it. If the revision before
+// the oldest one may have been dropped, every lower base counts as that one, so that a retry is never rejected.
+func (s *State) WasAccepted(base, revision uint64, d fleetconfig.Digest) bool {
+	position := s.historyPosition(revision, d)
+	switch {
+	case position < 0 || base >= revision:
+		return false
+	case position > 0:
+		return s.historyRevision(position-1) == base
+	}
+	return base == 0 || s.mayHaveDroppedHistory()
+}
+
+// historyPosition returns the position of a configuration in the history, counted from the oldest one, or -1.
+func (s *State) historyPosition(revision uint64, d fleetconfig.Digest) int {
 	c := AcceptedConfig{Revision: revision, Digest: d}
-	if slices.Contains(s.History, c) {
-		return true
+	if i := slices.Index(s.History, c); i >= 0 {
+		return len(s.CompactedHistory) + i
 	}
 	i, ok := slices.BinarySearchFunc(s.CompactedHistory, revision, func(c CompactedConfig, r uint64) int { return cmp.Compare(c.Revision, r) })
-	return ok && s.CompactedHistory[i] == c.compact()
+	if ok && s.CompactedHistory[i] == c.compact() {
+		return i
+	}
+	return -1
 }
 
-// OldestRevision returns the lowest revision in the history, or 0 if no configuration was ever accepted. The state does not
-// record whether a lower revision was accepted.
+// historyRevision returns the revision at a position of the history.
+func (s *State) historyRevision(position int) uint64 {
+	if position < len(s.CompactedHistory) {
+		return s.CompactedHistory[position].Revision
+	}
+	return s.History[position-len(s.CompactedHistory)].Revision
+}
+
+// mayHaveDroppedHistory reports whether the history may not reach back to the first configuration. The first state format keeps
+// minHistory configurations, and a state does not record whether it was once in that format.
+func (s *State) mayHaveDroppedHistory() bool {
+	return len(s.History)+len(s.CompactedHistory) >= minHistory
+}
+
+// isForgotten reports whether a revision is older than the history, so that it may have been accepted.
+func (s *State) isForgotten(revision uint64) bool {
+	return s.mayHaveDroppedHistory() && revision < s.OldestRevision()
+}
+
+// OldestRevision returns the lowest revision in the history, or 0 if no configuration was ever accepted.
 func (s *State) OldestRevision() uint64 {
-	switch {
-	case len(s.CompactedHistory) > 0:
-		return s.CompactedHistory[0].Revision
-	case len(s.History) > 0:
-		return s.History[0].Revision
+	if len(s.History)+len(s.CompactedHistory) == 0 {
+		return 0
 	}
-	return 0
+	return s.historyRevision(0)
 }
--- a/internal/control/replog/state_test.go
+++ b/internal/control/replog/state_test.go
@@ -84,8 +84,8 @@
 	if w := s.AgreedUsage(9); w == nil || w.Counts[0].Requests != 5 || s.AgreedUsage(8) != nil {
 		t.Errorf("window 9 is %+v, window 8 %+v", w, s.AgreedUsage(8))
 	}
-	if !s.WasAccepted(3, fleetconfig.Digest{1}) || s.WasAccepted(4, fleetconfig.Digest{1}) || s.WasAccepted(3, fleetconfig.Digest{2}) {
-		t.Error("WasAccepted must return true only for revision 3 with digest 1")
+	if !s.WasAccepted(0, 3, fleetconfig.Digest{1}) || s.WasAccepted(0, 4, fleetconfig.Digest{1}) || s.WasAccepted(0, 3, fleetconfig.Digest{2}) || s.WasAccepted(1, 3, fleetconfig.Digest{1}) {
+		t.Error("WasAccepted must return true only for revision 3 with digest 1 on base 0")
 	}
 }
 
@@ -191,7 +191,7 @@
 	for n := 141; n < 341; n += 2 {
 		apply(s, ConfigChange{s.Revision, encodedConfig(t, n)})
 	}
-	if !s.WasAccepted(13, d) || s.Encode()[0] != secondStateVersion {
+	if !s.WasAccepted(11, 13, d) || s.Encode()[0] != secondStateVersion {
 		t.Error("the history of the earlier release is lost")
 	}
 }
--- a/internal/lab/check/operatorrace.go
+++ b/internal/lab/check/operatorrace.go
@@ -197,7 +197,7 @@
 		if other := byBase[request.base]; other != nil {
 			return fmt.Sprintf("for base revision %d both %d and %d are acknowledged", request.base, other.revision, request.revision)
 		}
-		if byBase[request.base] = request; !s.WasAccepted(request.revision, request.digest) {
+		if byBase[request.base] = request; !s.WasAccepted(request.base, request.revision, request.digest) {
 			return fmt.Sprintf("revision %d is acknowledged, but not in the log", request.revision)
 		}
 	}
--- a/internal/lab/check/operators.go
+++ b/internal/lab/check/operators.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,10 +22,11 @@
 	brokenLocalReads     = "reads are answered without a quorum"
 	brokenVoterCount     = "replicas without a vote count towards a quorum"
 	brokenFormatFirst    = "the format is validated before the log is checked"
+	brokenContentOnly    = "the content of an accepted change confirms it on any base"
 )
 
 var brokenOperators = []string{
-	brokenLocalRejection, brokenShortHistory, brokenWonProposal, brokenLocalReads, brokenVoterCount, brokenFormatFirst,
+	brokenLocalRejection, brokenShortHistory, brokenWonProposal, brokenLocalReads, brokenVoterCount, brokenFormatFirst, brokenContentOnly,
 }
 
 // configChange is an operator's change of the configuration, with the answers that replicas have given to it.
@@ -59,7 +61,7 @@
 //
 // The walk compares the answers with the log. Of the changes for one base revision at most one is acknowledged, and every
 // replica acknowledges it from then on. A rejected change is never accepted. A read is never older than a change that was
-// acknowledged before the read began.
+// acknowledged before the read began. The content of an accepted change is not acknowledged on another base.
 type operatorWalk struct {
 	*replicaCluster
 	changes       []*configChange
@@ -178,6 +180,9 @@
 	case sub.brokenRule == brokenShortHistory && status == replog.ConfigAlreadyAccepted && change.revision < s.History[max(len(s.History)-2, 0)].Revision:
 		answer(api.Result{Status: http.StatusPreconditionFailed})
 		return
+	case sub.brokenRule == brokenContentOnly && slices.Contains(s.History, replog.AcceptedConfig{Revision: change.revision, Digest: change.digest}):
+		answer(api.Result{Status: http.StatusOK})
+		return
 	case sub.brokenRule == brokenWonProposal && status == replog.ConfigAcceptable:
 		w := &wonProposal{submission: sub, index: s.NextIndex}
 		answer = w.answer
@@ -273,7 +278,7 @@
 func (o *operatorWalk) checkLog(atEnd bool) {
 	s := o.replicaCluster.newestState()
 	for _, change := range o.changes {
-		switch accepted := s.WasAccepted(change.revision, change.digest); {
+		switch accepted := s.WasAccepted(change.base, change.revision, change.digest); {
 		case accepted && change.isRejected:
 			o.violate("revision %d for base %d was rejected, but is in the log", change.revision, change.base)
 		case atEnd && !accepted && change.isAcked:
@@ -307,6 +312,19 @@
 	}
 }
 
+// submitOldContents submits the content of each accepted change but the newest on top of the newest revision, as an operator does who
+// sends an old file again. No replica may acknowledge it.
+func (o *operatorWalk) submitOldContents() {
+	s := o.replicaCluster.newestState()
+	for i, old := range slices.Clone(o.changes) {
+		if old.revision < s.Revision && s.WasAccepted(old.base, old.revision, old.digest) {
+			change := &configChange{base: s.Revision, revision: old.revision, config: old.config, digest: old.digest}
+			o.changes = append(o.changes, change)
+			o.submit(change, i)
+		}
+	}
+}
+
 // walk runs the races, reads and faults of the walk, then heals the site and checks the final state.
 func (o *operatorWalk) walk() {
 	o.run(time.Second)
@@ -331,12 +349,13 @@
 			o.violate("revision %d for base %d has no final answer 8 s after the last fault", change.revision, change.base)
 		}
 		for hostIndex := range o.hosts { // submit it once more to each replica
-			if o.replicaCluster.newestState().WasAccepted(change.revision, change.digest) {
+			if o.replicaCluster.newestState().WasAccepted(change.base, change.revision, change.digest) {
 				change.lostAnswers = 0
 				o.submit(change, hostIndex)
 			}
 		}
 	}
+	o.submitOldContents()
 	for hostIndex := range o.hosts {
 		o.read(hostIndex)
 	}
