--- a/internal/control/replog/history_test.go
+++ b/internal/control/replog/history_test.go
@@ -28,25 +28,29 @@
 			s = got
 		}
 	}
-	base := func(n int) uint64 { return uint64(max(3*n-2, 0)) }
 	for n := range accepted {
-		revision, isKept := uint64(3*n+1), n >= accepted-limits.ConfigHistoryEntries
-		if was := s.WasAccepted(base(n), revision, d[n]); was != isKept && (isKept || was != (revision >= s.OldestRevision())) {
-			t.Errorf("revision %d (current %d, oldest kept %d): WasAccepted returns %v", revision, s.Revision, s.OldestRevision(), was)
-		}
-		if got := s.CheckConfig(base(n), revision, d[n]); got != ConfigAlreadyAccepted && (isKept || got != ConfigForgotten) {
-			t.Errorf("revision %d (oldest kept %d): a repeat has status %d", revision, s.OldestRevision(), got)
-		}
-		if s.WasAccepted(base(n), revision, d[(n+1)%accepted]) {
-			t.Errorf("a different configuration with revision %d is reported as accepted", revision)
+		checkRepeat(t, s, order{uint64(max(3*n-2, 0)), uint64(3*n + 1), d[n]}, n >= accepted-limits.ConfigHistoryEntries)
+		if s.WasAccepted(uint64(max(3*n-2, 0)), uint64(3*n+1), d[(n+1)%accepted]) {
+			t.Errorf("a different configuration with revision %d is reported as accepted", 3*n+1)
 		}
 	}
 	checkHistorySize(t, s)
-	if got, err := DecodeState(s.EncodeAs(1)); err != nil || !got.WasAccepted(base(accepted-1), s.Revision, d[accepted-1]) || len(got.History) != minHistory {
+	if got, err := DecodeState(s.EncodeAs(1)); err != nil || !got.WasAccepted(s.Revision-3, s.Revision, d[accepted-1]) || len(got.History) != minHistory {
 		t.Errorf("decoded from format 1: %v, error %v", got, err)
 	}
 }
 
+// checkRepeat checks that the repeat of an order is recognised if it must be kept, and is never reported as rejected.
+func checkRepeat(t *testing.T, s *State, o order, isKept bool) {
+	t.Helper()
+	if was := s.WasAccepted(o.base, o.revision, o.digest); was != isKept && (isKept || was != (o.revision >= s.OldestRevision())) {
+		t.Errorf("revision %d (current %d, oldest kept %d): WasAccepted returns %v", o.revision, s.Revision, s.OldestRevision(), was)
+	}
+	if got := s.CheckConfig(o.base, o.revision, o.digest); got != ConfigAlreadyAccepted && (isKept || got != ConfigForgotten) {
+		t.Errorf("revision %d (oldest kept %d): a repeat has status %d", o.revision, s.OldestRevision(), got)
+	}
+}
+
 // TestOldConfigurationOnAnotherBaseIsNotAccepted guards against acknowledging an order that only has the content of an accepted one:
 // the same revision and digest on another base. Repeats of the accepted orders stay recognised, also in states that were written in an
 // earlier format (docs/incidents/2026-12-04-an-old-configuration-acknowledged.md).
