discovery: store drains on f+1 disks before they are acknowledged

Cause: the acknowledgement rested on the memory of three processes. After a loss of all of them nothing told the late heartbeat from the first one of a sound engine. Change: an urgent broadcast of a draining or deregistered endpoint is durable. Replicas acknowledge it once its record is on their disk, and it is complete when f+1 have; those that have not are sent it again. Records of ready engines are not stored. Earlier releases do not set FlagStoresItems, and do not hold a broadcast up; they ignore the new keys on the disk. Why it works: the stored record is newer than any heartbeat, so that a late one loses against it in whatever order they arrive, and f disks may be lost right after the acknowledgement. A sound engine has no record, and is ready with its first heartbeat.

--- a/internal/control/discovery/doc.go
+++ b/internal/control/discovery/doc.go
@@ -5,6 +5,9 @@
 //
 // An endpoint that reports that it is draining, or that deregisters, gets its reply only after [limits.DrainAckPeers] other processes
 // have acknowledged its record. If possible, they have different roles and zones. The record then survives a failure of this process.
+// Replicas acknowledge the record after they have stored it on their disks, and [Options].MinStored of them must have done so: after a
+// failure of all processes, a heartbeat that was on its way must not make the endpoint live again. A replica restores the records at
+// its start, and removes them when the registry drops them. Nothing is stored of endpoints that are ready.
 //
 // # Failure detector
 //
--- a/internal/control/discovery/event.go
+++ b/internal/control/discovery/event.go
@@ -24,6 +24,13 @@
 		Request    RequestID
 		EndpointID string
 	}
+	// RecordsRestored passes the records that this process stored before its restart. It must be the first event.
+	RecordsRestored struct{ Records []endpoints.Record }
+	// RecordsStored ends a [StoreRecords] with the same ID. Stored reports whether the records are durable.
+	RecordsStored struct {
+		ID     gossip.StorageID
+		Stored bool
+	}
 	// ConfigStored reports that this process has stored the configuration with a log index.
 	ConfigStored struct{ Index uint64 }
 	// IdleDropObserved reports that an endpoint has dropped an idle connection without closing it.
@@ -33,6 +40,8 @@
 func (Gossip) event()           {}
 func (Heartbeat) event()        {}
 func (Deregister) event()       {}
+func (RecordsRestored) event()  {}
+func (RecordsStored) event()    {}
 func (ConfigStored) event()     {}
 func (IdleDropObserved) event() {}
 
@@ -49,6 +58,14 @@
 		Err         error
 		HomeReplica netip.AddrPort
 	}
+	// StoreRecords requests that the records of endpoints are stored on the disk of this replica, in place of earlier records of
+	// the same endpoints. A [RecordsStored] with the same ID must follow.
+	StoreRecords struct {
+		ID      gossip.StorageID
+		Records []endpoints.Record
+	}
+	// ForgetRecords requests that the stored records of endpoints are removed from the disk. It may be lost.
+	ForgetRecords struct{ EndpointIDs []string }
 	// EndpointsChanged reports that the set of live endpoints may have changed.
 	EndpointsChanged struct{}
 	// IdleDropReported reports that this or another process has observed an idle drop. Other endpoints may drop connections, too.
@@ -62,6 +79,8 @@
 
 func (SendPacket) effect()       {}
 func (Reply) effect()            {}
+func (StoreRecords) effect()     {}
+func (ForgetRecords) effect()    {}
 func (EndpointsChanged) effect() {}
 func (IdleDropReported) effect() {}
 func (ConfigAnnounced) effect()  {}
--- a/internal/control/discovery/failure.go
+++ b/internal/control/discovery/failure.go
@@ -59,7 +59,9 @@
 	if n.canDetectFailures() {
 		n.detectFailures()
 	}
-	for _, id := range n.Endpoints.Expire(n.now) {
+	expired := n.Endpoints.Expire(n.now)
+	n.forgetRecords(expired)
+	for _, id := range expired {
 		n.Gossip.RemoveItem(endpointPrefix + id)
 		n.Gossip.RemoveItem(suspicionPrefix + id)
 		delete(n.idByHash, gossip.Hash(id))
--- a/internal/control/discovery/fleet_test.go
+++ b/internal/control/discovery/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,30 +25,47 @@
 	isLost      func(from, to int) bool // whether a packet is lost
 	lastRequest RequestID
 	replies     map[RequestID]Reply
-	idleDrops   []int // number of IdleDropReported effects by node
-	sentBytes   []int // by node, with IPv4 and UDP headers
+	idleDrops   []int                         // number of IdleDropReported effects by node
+	sentBytes   []int                         // by node, with IPv4 and UDP headers
+	disks       []map[string]endpoints.Record // stored records by replica
+	fullDisks   map[int]bool                  // replicas whose disk refuses writes
 }
 
 func newFleet(size int) *fleet {
-	f := &fleet{now: time.Hour, replies: map[RequestID]Reply{}, idleDrops: make([]int, size), sentBytes: make([]int, size)}
+	f := &fleet{
+		now: time.Hour, replies: map[RequestID]Reply{}, nodes: make([]*Node, size), idleDrops: make([]int, size), sentBytes: make([]int, size),
+		fullDisks: map[int]bool{},
+	}
 	f.heal()
+	for range testReplicas {
+		f.disks = append(f.disks, map[string]endpoints.Record{})
+	}
+	f.startAll(0)
+	f.advance(10 * time.Second)
+	return f
+}
+
+// startAll starts all nodes with empty memory and the records on their disks.
+func (f *fleet) startAll(seed uint64) {
 	var voters []gossip.PeerID
-	for i := range size {
+	for i := range f.nodes {
 		self := gossip.Peer{ID: gossip.PeerIDOf(fmt.Sprint("n", i)), Addr: testAddr(i), Zone: uint32(i % 3), Flags: gossip.FlagRouter}
 		if i < testReplicas {
 			self.Flags = gossip.FlagReplica
 			voters = append(voters, self.ID)
 		}
-		f.nodes = append(f.nodes, New(self, uint64(i), heartbeatTimeout, func(z string) uint32 { return uint32(len(z)) }))
+		f.nodes[i] = New(Options{
+			Self: self, Seed: seed + uint64(i), HeartbeatTimeout: heartbeatTimeout, ZoneHash: func(z string) uint32 { return uint32(len(z)) },
+			MinStored: testReplicas/2 + 1,
+		})
 	}
-	for i := range size {
+	for i := range f.nodes {
 		if i < testReplicas {
+			f.reduce(i, RecordsRestored{slices.Collect(maps.Values(f.disks[i]))})
 			f.reduce(i, Gossip{gossip.VotersChanged{IDs: voters}})
 		}
 		f.reduce(i, Gossip{gossip.SeedsChanged{Addrs: testAddrs(0, 1)}})
 	}
-	f.advance(10 * time.Second)
-	return f
 }
 
 func testAddr(i int) netip.AddrPort {
@@ -83,6 +102,18 @@
 				f.replies[x.Request] = x
 			case IdleDropReported:
 				f.idleDrops[from]++
+			case StoreRecords:
+				isStored := !f.fullDisks[from]
+				for _, r := range x.Records {
+					if isStored {
+						f.disks[from][r.ID] = r
+					}
+				}
+				queue = append(queue, delivery{from, RecordsStored{ID: x.ID, Stored: isStored}})
+			case ForgetRecords:
+				for _, id := range x.EndpointIDs {
+					delete(f.disks[from], id)
+				}
 			}
 		}
 	}
--- a/internal/control/discovery/golden_test.go
+++ b/internal/control/discovery/golden_test.go
@@ -21,8 +21,8 @@
 	t.Helper()
 	zoneHash := func(name string) uint32 { return uint32(len(name)) }
 	p := &goldenPair{now: time.Second, wallMS: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC).UnixMilli()}
-	p.from = New(gossip.Peer{ID: 1, Addr: testAddr(1), Zone: 1, Flags: gossip.FlagRouter}, 1, heartbeatTimeout, zoneHash)
-	p.to = New(gossip.Peer{ID: 2, Addr: testAddr(2), Zone: 1, Flags: gossip.FlagRouter}, 2, heartbeatTimeout, zoneHash)
+	p.from = New(Options{Self: gossip.Peer{ID: 1, Addr: testAddr(1), Zone: 1, Flags: gossip.FlagRouter}, Seed: 1, HeartbeatTimeout: heartbeatTimeout, ZoneHash: zoneHash})
+	p.to = New(Options{Self: gossip.Peer{ID: 2, Addr: testAddr(2), Zone: 1, Flags: gossip.FlagRouter}, Seed: 2, HeartbeatTimeout: heartbeatTimeout, ZoneHash: zoneHash})
 	for _, f := range p.to.Reduce(p.now, p.wallMS, Gossip{gossip.SeedsChanged{Addrs: testAddrs(1)}}) {
 		if f, ok := f.(SendPacket); ok && f.To == testAddr(1) {
 			p.from.Reduce(p.now, p.wallMS, Gossip{gossip.PacketReceived{Payload: f.Payload}})
--- a/internal/control/discovery/heartbeat.go
+++ b/internal/control/discovery/heartbeat.go
@@ -88,7 +88,8 @@
 	record  endpoints.Record
 }
 
-// replyOnceAcked replies after enough other processes have acknowledged the record of a draining or gone endpoint to this process.
+// replyOnceAcked replies after enough other processes have acknowledged the record of a draining or gone endpoint to this process, and
+// enough replicas have stored it.
 // Acknowledgements to another process do not count: that process, and the ones that acknowledged to it, may have failed since.
 func (n *Node) replyOnceAcked(request RequestID, r *endpoints.Record) {
 	if n.ackedState[r.ID] >= r.State {
@@ -97,7 +98,9 @@
 	}
 	n.lastBroadcastID++
 	n.pendingReplies[n.lastBroadcastID] = pendingReply{request: request, record: *r}
-	n.gossipEvents = append(n.gossipEvents, gossip.UrgentBroadcast{ID: n.lastBroadcastID, MinAcks: limits.DrainAckPeers, Items: []gossip.Item{endpointItem(r)}})
+	n.gossipEvents = append(n.gossipEvents, gossip.UrgentBroadcast{
+		ID: n.lastBroadcastID, MinAcks: limits.DrainAckPeers, MinStored: n.minStored, Items: []gossip.Item{endpointItem(r)},
+	})
 }
 
 // completeReply replies to the request that waited for a broadcast.
--- a/internal/control/discovery/node.go
+++ b/internal/control/discovery/node.go
@@ -15,6 +15,7 @@
 
 	self         gossip.Peer
 	zoneHash     func(string) uint32
+	minStored    int
 	now          time.Duration
 	wallMS       int64
 	gossipEvents []gossip.Event // queued for the gossip node
@@ -22,6 +23,7 @@
 
 	idByHash         map[uint64]string          // endpoint ids by the key hash in heartbeats
 	ackedState       map[string]endpoints.State // by endpoint id: the latest state that other processes have acknowledged to this one
+	storedRecords    map[string]bool            // ids of the endpoints whose record this replica has stored, or is storing
 	pendingReplies   map[gossip.BroadcastID]pendingReply
 	lastBroadcastID  gossip.BroadcastID
 	endpointsChanged bool          // since the last EndpointsChanged effect
@@ -29,12 +31,23 @@
 	lastIdleDrop     time.Duration // when an idle drop was last announced by any process; 0 = never
 }
 
-// New returns a node without peers or endpoints. An endpoint without a heartbeat for heartbeatTimeout becomes suspect. zoneHash hashes
-// the name of a zone as for [gossip.Peer].Zone.
-func New(self gossip.Peer, seed uint64, heartbeatTimeout time.Duration, zoneHash func(string) uint32) *Node {
+// Options are the parameters of [New].
+type Options struct {
+	Self             gossip.Peer
+	Seed             uint64
+	HeartbeatTimeout time.Duration       // an endpoint without a heartbeat for this time becomes suspect
+	ZoneHash         func(string) uint32 // hashes the name of a zone as for [gossip.Peer].Zone
+	// MinStored is the number of replicas that must have stored the record of a draining or deregistered endpoint before it is
+	// acknowledged. One more than the disks that may be lost at once.
+	MinStored int
+}
+
+// New returns a node without peers or endpoints.
+func New(o Options) *Node {
 	n := &Node{
-		Gossip: gossip.New(self, seed), Endpoints: endpoints.New(heartbeatTimeout), self: self, zoneHash: zoneHash,
-		idByHash: map[uint64]string{}, ackedState: map[string]endpoints.State{}, pendingReplies: map[gossip.BroadcastID]pendingReply{},
+		Gossip: gossip.New(o.Self, o.Seed), Endpoints: endpoints.New(o.HeartbeatTimeout), self: o.Self, zoneHash: o.ZoneHash, minStored: o.MinStored,
+		idByHash: map[uint64]string{}, ackedState: map[string]endpoints.State{}, storedRecords: map[string]bool{},
+		pendingReplies: map[gossip.BroadcastID]pendingReply{},
 	}
 	n.Gossip.IsStale = n.isStale
 	return n
@@ -55,6 +68,10 @@
 		n.handleHeartbeat(e)
 	case Deregister:
 		n.handleDeregister(e)
+	case RecordsRestored:
+		n.restoreRecords(e.Records)
+	case RecordsStored:
+		n.gossipEvents = append(n.gossipEvents, gossip.ItemsStored(e))
 	case ConfigStored:
 		n.publish(configItem(e.Index))
 	case IdleDropObserved:
@@ -86,6 +103,8 @@
 				n.handleItem(effect)
 			case gossip.HeartbeatLearned:
 				n.mergeHeartbeat(effect)
+			case gossip.StoreItems:
+				n.storeItems(effect)
 			case gossip.BroadcastCompleted:
 				n.completeReply(effect)
 			}
--- a/internal/control/endpoints/registry.go
+++ b/internal/control/endpoints/registry.go
@@ -142,6 +142,17 @@
 	return []Record{r}
 }
 
+// Restore merges a record that this process stored before its restart, and returns it if it changes the registry. The record of an
+// endpoint that is gone keeps its age.
+func (s *Registry) Restore(now time.Duration, r Record, wallMS int64) []Record {
+	changed := s.Merge(now, r)
+	if len(changed) > 0 && r.State == StateGone {
+		age := time.Duration(max(wallMS-r.WarmAtMS, 0)) * time.Millisecond
+		s.byID[r.ID].GoneAt = now - age
+	}
+	return changed
+}
+
 // replaceRecord replaces an endpoint's record by a newer one.
 func (s *Registry) replaceRecord(now time.Duration, e *Endpoint, r Record) {
 	if r.State == StateGone {
--- a/internal/control/gossip/codec.go
+++ b/internal/control/gossip/codec.go
@@ -32,6 +32,7 @@
 	kindRangeDigests  // response to a root digest, or range digests, that differ
 	kindRangeVersions // response to range digests that differ
 	kindItemRequest   // response to newer versions; answered by kindItems
+	kindDurableItems  // sent to peers with FlagStoresItems; answered by kindAck once the items are on the disk
 )
 
 // packet is a decoded datagram. The comments list the kinds that use a field.
@@ -39,8 +40,8 @@
 	kind packetKind
 	from Peer
 
-	items         []Item           // kindItems, kindUrgentItems
-	ackID         ackID            // kindUrgentItems, kindAck; 0 = acknowledges a comparison
+	items         []Item           // kindItems, kindUrgentItems, kindDurableItems
+	ackID         ackID            // kindUrgentItems, kindDurableItems, kindAck; 0 = acknowledges a comparison
 	heartbeats    []Heartbeat      // kindHeartbeats
 	heardReplicas []PeerID         // kindHeartbeats of a replica: replicas whose heartbeat packets it receives
 	peers         []Peer           // kindShuffle, kindShuffleReply
@@ -57,7 +58,7 @@
 	w.Buf = append(w.Buf, 'n', 'h', formatVersion, byte(p.kind))
 	writePeer(&w, &p.from)
 	switch p.kind {
-	case kindItems, kindUrgentItems:
+	case kindItems, kindUrgentItems, kindDurableItems:
 		w.Uvarint(uint64(p.ackID))
 		writeItems(&w, p.items)
 	case kindHeartbeats:
@@ -99,7 +100,7 @@
 	r := encoding.Reader{Buf: b[prefixBytes:]}
 	p.from = readPeer(&r)
 	switch p.kind {
-	case kindItems, kindUrgentItems:
+	case kindItems, kindUrgentItems, kindDurableItems:
 		p.ackID = ackID(r.Uvarint())
 		p.items = readItems(&r)
 	case kindHeartbeats:
--- a/internal/control/gossip/event.go
+++ b/internal/control/gossip/event.go
@@ -14,11 +14,18 @@
 	// newer than the stored ones are dropped.
 	Broadcast struct{ Items []Item }
 	// UrgentBroadcast sends items at once, even if the node has them already. If MinAcks > 0, a [BroadcastCompleted] with the
-	// same ID follows.
+	// same ID follows. MinStored is the number of replicas, this node included, that must have stored the items on their disks
+	// before the broadcast is complete.
 	UrgentBroadcast struct {
-		ID      BroadcastID
-		Items   []Item
-		MinAcks int
+		ID        BroadcastID
+		Items     []Item
+		MinAcks   int
+		MinStored int
+	}
+	// ItemsStored ends a [StoreItems] with the same ID. Stored reports whether the items are durable.
+	ItemsStored struct {
+		ID     StorageID
+		Stored bool
 	}
 	// HeartbeatObserved is a heartbeat that this node received from the endpoint itself.
 	HeartbeatObserved struct{ Heartbeat Heartbeat }
@@ -42,6 +49,7 @@
 func (Tick) event()              {}
 func (Broadcast) event()         {}
 func (UrgentBroadcast) event()   {}
+func (ItemsStored) event()       {}
 func (HeartbeatObserved) event() {}
 func (RelayHeartbeat) event()    {}
 func (VotersChanged) event()     {}
@@ -67,8 +75,14 @@
 		Heartbeat Heartbeat
 		From      PeerID
 	}
+	// StoreItems requests that items are stored on the disk of this replica. An [ItemsStored] with the same ID must follow.
+	StoreItems struct {
+		ID    StorageID
+		Items []Item
+	}
 	// BroadcastCompleted ends an urgent broadcast that Acks other nodes have acknowledged. Sufficient reports whether they are
-	// MinAcks nodes, or all known nodes if there are fewer. It is false if attempts or peers were exhausted before.
+	// MinAcks nodes, or all known nodes if there are fewer, and MinStored replicas have stored the items. It is false if attempts or
+	// peers were exhausted before.
 	BroadcastCompleted struct {
 		ID         BroadcastID
 		Acks       int
@@ -79,7 +93,11 @@
 func (SendPacket) effect()         {}
 func (ItemLearned) effect()        {}
 func (HeartbeatLearned) effect()   {}
+func (StoreItems) effect()         {}
 func (BroadcastCompleted) effect() {}
 
 // BroadcastID correlates an [UrgentBroadcast] with its [BroadcastCompleted]. The caller chooses it.
 type BroadcastID uint64
+
+// StorageID correlates a [StoreItems] with its [ItemsStored]. The node chooses it.
+type StorageID uint64
--- a/internal/control/gossip/golden_test.go
+++ b/internal/control/gossip/golden_test.go
@@ -26,6 +26,7 @@
 	for name, p := range map[string]*packet{
 		"updates":              {kind: kindItems, from: from, items: items},
 		"updates-acknowledged": {kind: kindUrgentItems, from: from, items: items[:1], ackID: 300},
+		"updates-durable":      {kind: kindDurableItems, from: from, items: items[:1], ackID: 300},
 		"acknowledgement":      {kind: kindAck, from: from, ackID: 300},
 		"heartbeats": {kind: kindHeartbeats, from: from, heardReplicas: []PeerID{7, 1 << 63}, heartbeats: []Heartbeat{
 			{Key: 0x1122334455667788, Sequence: 12, AgeMS: 400}, {Key: 1, Sequence: 1 << 40},
--- a/internal/control/gossip/node.go
+++ b/internal/control/gossip/node.go
@@ -35,6 +35,8 @@
 	nextBroadcast  time.Duration // of items and heartbeats
 	urgent         map[ackID]*urgentBroadcast
 	lastAckID      ackID
+	storeRequests  map[StorageID]storeRequest
+	lastStorageID  StorageID
 
 	heartbeatQueue map[uint64]timedHeartbeat   // by key
 	relayQueue     map[PeerID][]timedHeartbeat // by destination replica
@@ -54,6 +56,9 @@
 // New returns a node with an empty view.
 func New(self Peer, seed uint64) *Node {
 	self.Flags |= FlagComparesContent
+	if self.isReplica() {
+		self.Flags |= FlagStoresItems
+	}
 	return &Node{
 		self:           self,
 		rng:            rand.New(rand.NewPCG(seed, uint64(self.ID))),
@@ -61,6 +66,7 @@
 		replicas:       map[PeerID]*replicaState{},
 		items:          newItemStore(),
 		urgent:         map[ackID]*urgentBroadcast{},
+		storeRequests:  map[StorageID]storeRequest{},
 		lastAckID:      firstAckID(self.ID, seed),
 		heartbeatQueue: map[uint64]timedHeartbeat{},
 		relayQueue:     map[PeerID][]timedHeartbeat{},
@@ -83,6 +89,8 @@
 		n.broadcast(e)
 	case UrgentBroadcast:
 		n.startUrgent(e)
+	case ItemsStored:
+		n.completeStorage(e)
 	case HeartbeatObserved:
 		n.queueHeartbeat(e.Heartbeat)
 	case RelayHeartbeat:
@@ -148,6 +156,8 @@
 		n.mergeReceivedItems(p)
 	case kindUrgentItems:
 		n.handleUrgentItems(p)
+	case kindDurableItems:
+		n.handleDurableItems(p)
 	case kindHeartbeats:
 		n.handleHeartbeats(p)
 	case kindAck:
--- a/internal/control/gossip/urgent.go
+++ b/internal/control/gossip/urgent.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -21,6 +22,7 @@
 	minAcks  int // all known peers if they are fewer
 	sentTo   map[PeerID]*peerState
 	acked    map[PeerID]bool
+	storage  storageProgress
 	attempts int
 	deadline time.Duration // of the current attempt
 }
@@ -34,11 +36,15 @@
 	u := &urgentBroadcast{
 		id: e.ID, items: items, minAcks: e.MinAcks,
 		sentTo: map[PeerID]*peerState{}, acked: map[PeerID]bool{},
+		storage: storageProgress{minStored: e.MinStored, requested: map[PeerID]bool{}},
 	}
 	n.lastAckID++
 	if e.MinAcks > 0 {
 		n.urgent[n.lastAckID] = u
 	}
+	if e.MinStored > 0 && n.self.isReplica() {
+		n.requestStorage(storeRequest{ackID: n.lastAckID}, items)
+	}
 	n.attemptUrgent(n.lastAckID, u)
 }
 
@@ -62,9 +68,10 @@
 	}
 }
 
-// attemptUrgent sends an urgent broadcast to peers that were not sent it before, or ends it if attempts or peers are exhausted.
+// attemptUrgent sends an urgent broadcast to peers that were not sent it before, and to the replicas that have not stored it yet. It ends
+// the broadcast if attempts or peers are exhausted.
 func (n *Node) attemptUrgent(ack ackID, u *urgentBroadcast) {
-	targets := n.urgentTargets(u.sentTo)
+	targets := n.addStorageTargets(u, n.urgentTargets(u.sentTo))
 	n.completeIfAcked(ack, u)
 	if u.attempts >= urgentAttempts || len(targets) == 0 && u.attempts > 0 {
 		if n.urgent[ack] != nil {
@@ -77,7 +84,7 @@
 	for _, target := range targets {
 		u.sentTo[target.ID] = target
 		target.recordRequest(n.now)
-		n.sendItems(target.Addr, u.items, kindUrgentItems, ack)
+		n.sendItems(target.Addr, u.items, u.kindFor(target), ack)
 	}
 }
 
@@ -85,10 +92,15 @@
 // no acknowledgement: it may be in a minority partition, from which items do not reach the other nodes.
 func (n *Node) handleUrgentItems(p *packet) {
 	n.mergeReceivedItems(p)
+	n.acknowledge(p.from.Addr, p.ackID)
+	n.forwardNow(p.from.ID)
+}
+
+// acknowledge sends an acknowledgement, unless this node is a replica without quorum contact.
+func (n *Node) acknowledge(to netip.AddrPort, id ackID) {
 	if _, hasContact := n.QuorumContact(); hasContact || !n.self.isReplica() {
-		n.send(p.from.Addr, &packet{kind: kindAck, ackID: p.ackID})
+		n.send(to, &packet{kind: kindAck, ackID: id})
 	}
-	n.forwardNow(p.from.ID)
 }
 
 // handleAck handles the acknowledgement of an urgent broadcast, or, with number 0, of a comparison that found no difference.
@@ -102,13 +114,15 @@
 	}
 }
 
-// completeIfAcked ends an urgent broadcast that has enough acknowledgements, or that has no possible recipient.
+// completeIfAcked ends an urgent broadcast that has enough acknowledgements, or that has no possible recipient, and that enough replicas
+// have stored.
 func (n *Node) completeIfAcked(ack ackID, u *urgentBroadcast) {
 	if n.urgent[ack] == nil {
 		return
 	}
 	minAcks := min(u.minAcks, max(n.knownPeerCount(), 1)) // counted now, since a new process has few peers when it starts a broadcast
-	if n.isAlone() || len(u.acked) >= minAcks && u.ackedAcrossFailureDomains(n.self.Zone) && n.reachesQuorum(u) {
+	isAcked := n.isAlone() || len(u.acked) >= minAcks && u.ackedAcrossFailureDomains(n.self.Zone) && n.reachesQuorum(u)
+	if isAcked && n.isStored(u) {
 		n.completeUrgent(ack, true)
 	}
 }
--- a/internal/control/gossip/view.go
+++ b/internal/control/gossip/view.go
@@ -22,10 +22,15 @@
 	FlagRouter                    // carries client traffic
 	// FlagComparesContent marks a node whose comparisons cover item bodies. [New] sets it; earlier releases do not know it.
 	FlagComparesContent
+	// FlagStoresItems marks a replica that can store items on its disk before it acknowledges them. [New] sets it on replicas; earlier
+	// releases do not know it.
+	FlagStoresItems
 )
 
 func (p *Peer) comparesContent() bool { return p.Flags&FlagComparesContent != 0 }
 
+func (p *Peer) storesItems() bool { return p.Flags&FlagStoresItems != 0 }
+
 func (p *Peer) isReplica() bool { return p.Flags&FlagReplica != 0 }
 
 // peerState is the local state of a peer.
--- a/internal/control/storage/doc.go
+++ b/internal/control/storage/doc.go
@@ -8,6 +8,7 @@
 //	vote            paxos.AcceptorState, overwritten by SaveAcceptor
 //	state           snapshot, the replog.State of all entries below its NextIndex
 //	place/<index>   chosen value of an index that is not in the snapshot; the index is 8 bytes, big-endian
+//	endpoint/<id>   endpoints.Record of an endpoint that drains or has deregistered; earlier releases ignore it
 //
 // AppendChosen replaces the entries by a new snapshot once they reach limits.LogTailEntries or limits.LogTailBytes. The keys "vote"
 // and "place/" differ from the terms of the code, and stay because they are on disk.
--- a/internal/control/storage/golden_test.go
+++ b/internal/control/storage/golden_test.go
@@ -98,7 +98,7 @@
 	for _, entriesInSnapshot := range []int{0, 3} {
 		dir := golden.CopyFolder(t, fmt.Sprintf("folder-state-of-%d", entriesInSnapshot))
 		s, recovered := open(t, dir, Identity{ID: 99})
-		golden.Equal(t, dir, &Recovered{Identity{ID: 7, IsFounder: true}, *goldenState(5), goldenAcceptor}, recovered)
+		golden.Equal(t, dir, &Recovered{Identity: Identity{ID: 7, IsFounder: true}, State: *goldenState(5), Acceptor: goldenAcceptor}, recovered)
 		if v, ok := s.ChosenValue(4); !ok || !bytes.Equal(v, goldenEntries()[4].Encode()) {
 			t.Errorf("%s: the last entry is %x, found %v", dir, v, ok)
 		}
@@ -148,7 +148,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	golden.Equal(t, "recovered", &Recovered{Identity{ID: 7, IsFounder: true}, *withoutVoteLosses(), goldenAcceptor}, recovered)
+	golden.Equal(t, "recovered", &Recovered{Identity: Identity{ID: 7, IsFounder: true}, State: *withoutVoteLosses(), Acceptor: goldenAcceptor}, recovered)
 	closeStore(t, s)
 }
 
--- a/internal/control/storage/record.go
+++ b/internal/control/storage/record.go
@@ -11,10 +11,11 @@
 
 // Keys of the records. The package comment describes the records.
 var (
-	keyIdentity = []byte("identity")
-	keyAcceptor = []byte("vote")
-	keySnapshot = []byte("state")
-	entryPrefix = []byte("place/")
+	keyIdentity    = []byte("identity")
+	keyAcceptor    = []byte("vote")
+	keySnapshot    = []byte("state")
+	entryPrefix    = []byte("place/")
+	endpointPrefix = []byte("endpoint/")
 )
 
 // recordVersion is the first byte of the identity and of the acceptor state.
@@ -44,6 +45,9 @@
 	if err := s.readState(&r.State); err != nil {
 		return nil, err
 	}
+	if r.Endpoints, err = s.readEndpoints(); err != nil {
+		return nil, err
+	}
 	if b, err = s.get(keyAcceptor); err != nil {
 		return nil, err
 	}
--- a/internal/control/storage/store.go
+++ b/internal/control/storage/store.go
@@ -12,6 +12,7 @@
 	leveldbstorage "github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
+	"notchhinge/internal/control/endpoints"
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
 	"notchhinge/internal/limits"
@@ -29,8 +30,9 @@
 // Recovered is the content of a store when it was opened.
 type Recovered struct {
 	Identity
-	State    replog.State // of all chosen entries
-	Acceptor paxos.AcceptorState
+	State     replog.State // of all chosen entries
+	Acceptor  paxos.AcceptorState
+	Endpoints []endpoints.Record // draining and deregistered endpoints
 }
 
 // Store is an open store. It is not safe for concurrent use.
--- a/internal/control/storage/store_test.go
+++ b/internal/control/storage/store_test.go
@@ -78,7 +78,7 @@
 	}
 	closeStore(t, s)
 	_, r = open(t, dir, Identity{ID: 99})
-	if diff := cmp.Diff(&Recovered{Identity{7, true}, state, acceptor}, r); diff != "" {
+	if diff := cmp.Diff(&Recovered{Identity: Identity{7, true}, State: state, Acceptor: acceptor}, r); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
--- a/internal/lab/check/draining.go
+++ b/internal/lab/check/draining.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -35,7 +36,8 @@
 	now      time.Duration
 	packets  []packet // in flight
 	replies  map[discovery.RequestID]error
-	reliable bool // packets are neither lost nor reordered
+	disks    []map[string]endpoints.Record // stored records, by replica
+	reliable bool                          // packets are neither lost nor reordered
 }
 
 type packet struct {
@@ -48,6 +50,9 @@
 	f := &gossipFleet{
 		draw: draw, nodes: make([]*discovery.Node, drainProcesses), replies: map[discovery.RequestID]error{}, reliable: true, now: time.Hour,
 	}
+	for range drainReplicas {
+		f.disks = append(f.disks, map[string]endpoints.Record{})
+	}
 	for i := range f.nodes {
 		f.start(i)
 	}
@@ -59,15 +64,19 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
 }
 
-// start starts a process with empty memory.
+// start starts a process with empty memory, and with the records on its disk.
 func (f *gossipFleet) start(i int) {
 	id := func(i int) gossip.PeerID { return gossip.PeerIDOf(fmt.Sprint("n", i)) }
 	self := gossip.Peer{ID: id(i), Addr: gossipAddr(i), Zone: uint32(i % drainZones), Flags: gossip.FlagRouter}
 	if i < drainReplicas {
 		self.Flags = gossip.FlagReplica
 	}
-	f.nodes[i] = discovery.New(self, uint64(f.draw(1<<30)), 5250*time.Millisecond, func(string) uint32 { return 0 })
+	f.nodes[i] = discovery.New(discovery.Options{
+		Self: self, Seed: uint64(f.draw(1 << 30)), HeartbeatTimeout: 5250 * time.Millisecond, ZoneHash: func(string) uint32 { return 0 },
+		MinStored: drainReplicas/2 + 1,
+	})
 	if i < drainReplicas {
+		f.reduce(i, discovery.RecordsRestored{Records: slices.Collect(maps.Values(f.disks[i]))})
 		var voters []gossip.PeerID
 		for k := range drainReplicas {
 			voters = append(voters, id(k))
@@ -77,15 +86,20 @@
 	f.reduce(i, discovery.Gossip{Event: gossip.SeedsChanged{Addrs: []netip.AddrPort{gossipAddr(0), gossipAddr(1), gossipAddr(drainReplicas)}}})
 }
 
-// reduce passes an event to a process, and collects the packets and replies that it sends.
+// reduce passes an event to a process, and collects the packets and replies that it sends. Records are stored at once.
 func (f *gossipFleet) reduce(i int, e discovery.Event) {
-	for _, effect := range f.nodes[i].Reduce(f.now, f.now.Milliseconds(), e) {
+	for _, effect := range slices.Clone(f.nodes[i].Reduce(f.now, f.now.Milliseconds(), e)) {
 		switch effect := effect.(type) {
 		case discovery.SendPacket:
 			to := int(effect.To.Addr().As4()[3]) - 1
 			f.packets = append(f.packets, packet{i, to, effect.Payload})
 		case discovery.Reply:
 			f.replies[effect.Request] = effect.Err
+		case discovery.StoreRecords:
+			for _, r := range effect.Records {
+				f.disks[i][r.ID] = r
+			}
+			f.reduce(i, discovery.RecordsStored{ID: effect.ID, Stored: true})
 		}
 	}
 }
@@ -141,12 +155,15 @@
 // announce sends the engine's state to a process, and returns the ID of the request.
 func (w *drainWalk) announce(to int, s endpoints.State) discovery.RequestID {
 	w.lastRequest++
-	w.reduce(to, discovery.Heartbeat{Request: w.lastRequest, Record: endpoints.Record{
-		ID: "e", Service: "s", Addr: "10.1.0.1:80", Zone: "z", CallCount: w.calls, State: s,
-	}})
+	w.reduce(to, discovery.Heartbeat{Request: w.lastRequest, Record: drainRecord(w.calls, s)})
 	return w.lastRequest
 }
 
+// drainRecord returns the record that a heartbeat of the engine reports.
+func drainRecord(calls uint64, s endpoints.State) endpoints.Record {
+	return endpoints.Record{ID: "e", Service: "s", Addr: "10.1.0.1:80", Zone: "z", CallCount: calls, State: s}
+}
+
 // drain announces the drain to random processes until one acknowledges it, and returns that process. Any of
 // them may crash before its reply, and restarts. ok is false if none has acknowledged.
 func (w *drainWalk) drain() (ackedBy int, ok bool) {
@@ -172,9 +189,9 @@
 	return 0, false
 }
 
-// crashSome restarts the process that has acknowledged, and others with it. It reports whether every process with a
-// record of the drain may have restarted, so that only the engine's next heartbeat announces the drain again.
-func (w *drainWalk) crashSome(ackedBy int) (needsHeartbeat bool) {
+// crashSome restarts the process that has acknowledged, and others with it. It reports whether every process with a record of the drain
+// has restarted. Then as many disks as tolerated are lost too, and a heartbeat from before the drain arrives late at a random process.
+func (w *drainWalk) crashSome(ackedBy int) (hasCrashedAll bool) {
 	other := w.draw(drainProcesses)
 	switch w.draw(5) {
 	case 0: // as many as the fleet tolerates
@@ -184,6 +201,9 @@
 	case 2:
 		w.crash(func(i int) bool { return i == ackedBy || i%drainZones == ackedBy%drainZones })
 	case 3:
+		for range (drainReplicas - 1) / 2 {
+			clear(w.disks[w.draw(drainReplicas)])
+		}
 		w.crash(func(i int) bool {
 			e := w.nodes[i].Endpoints.Find("e")
 			return i == ackedBy || e != nil && e.State != endpoints.StateReady
@@ -204,22 +224,14 @@
 		return "" // the engine ends without an acknowledgement
 	}
 	ackedAt, within := w.now, drainDeadline
-	needsHeartbeat := w.crashSome(ackedBy)
-	if needsHeartbeat {
-		within += drainHeartbeat
+	if w.crashSome(ackedBy) {
+		within += drainHeartbeat // the processes first find each other again
+		w.run(time.Duration(w.draw(int(within - drainHeartbeat/2))))
+		w.reduce(w.draw(drainProcesses), discovery.Heartbeat{Record: drainRecord(1, endpoints.StateReady)})
 	}
 	for w.now < ackedAt+within {
-		if needsHeartbeat && w.now >= ackedAt+drainHeartbeat {
-			w.calls++
-			if err, ok := w.replies[w.announce(w.draw(drainProcesses), endpoints.StateDraining)]; !ok || err == nil {
-				needsHeartbeat = false
-			}
-		}
 		w.step()
 	}
-	if needsHeartbeat {
-		return ""
-	}
 	for i, n := range w.nodes[drainReplicas:] { // replicas send no requests
 		if e := n.Endpoints.Find("e"); e != nil && e.State == endpoints.StateReady {
 			return fmt.Sprintf("process %d still routes requests to the draining engine %v after process %d acknowledged the drain", i+drainReplicas, within, ackedBy)
--- a/internal/lab/plane/faults.go
+++ b/internal/lab/plane/faults.go
@@ -160,6 +160,17 @@
 	}
 }
 
+// injectAckFaults injects the faults that wait for an acknowledgement, which a machine has just sent.
+func (w *world) injectAckFaults(m *machine) {
+	for _, f := range w.ackFaults {
+		if m.isReplica && !m.gone {
+			w.inject(&Fault{Kind: WipeDisk, For: f.For, On: []int{w.slotOf(m)}})
+		}
+		w.inject(&Fault{Kind: PowerLoss, For: f.For})
+	}
+	w.ackFaults = nil
+}
+
 // kill crashes the named processes, or all of them on PowerLoss, and starts them again later. Named replicas may lose their
 // disks.
 func (w *world) kill(f *Fault, named []*machine) {
--- a/internal/lab/plane/machine.go
+++ b/internal/lab/plane/machine.go
@@ -9,6 +9,7 @@
 
 	"notchhinge/internal/control/api"
 	"notchhinge/internal/control/discovery"
+	"notchhinge/internal/control/endpoints"
 	"notchhinge/internal/control/fleetconfig"
 	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/replica"
@@ -97,13 +98,18 @@
 	if m.isReplica {
 		self.Flags = gossip.FlagReplica
 	}
-	m.discovery = discovery.New(self, w.rand.Uint64(), w.silenceTimeout, func(string) uint32 { return 0 })
+	m.discovery = discovery.New(discovery.Options{
+		Self: self, Seed: w.rand.Uint64(), HeartbeatTimeout: w.silenceTimeout, ZoneHash: func(string) uint32 { return 0 },
+		MinStored: w.scenario.Tolerate + 1,
+	})
 	m.replica = nil
 	if m.isReplica {
 		d := m.disk
 		if d.id == 0 {
 			d.id, d.founder, d.values = w.rand.Uint64()|1, w.now < time.Second, map[uint64][]byte{}
+			d.endpoints = map[string]endpoints.Record{}
 		}
+		m.queue = append(m.queue, discovery.RecordsRestored{Records: d.endpointRecords()})
 		m.replica = replica.New(replica.Config{
 			Self: replog.Member{ID: d.id, Name: m.name, Addr: addrOf(m.index).String()}, IsFounder: d.founder, MinVoters: w.minVoters, Incarnation: w.rand.Uint64(),
 			Seed: w.rand.Uint64(), State: d.state, Acceptor: d.acceptor,
@@ -234,6 +240,12 @@
 		switch f := f.(type) {
 		case discovery.SendPacket:
 			m.world.sendDatagram(m, m.world.machineAt(f.To), append([]byte(nil), f.Payload...))
+		case discovery.StoreRecords:
+			m.storeEndpoints(f)
+		case discovery.ForgetRecords:
+			for _, id := range f.EndpointIDs {
+				delete(m.disk.endpoints, id)
+			}
 		case discovery.Reply:
 			if onReply := m.replies[f.Request]; onReply != nil {
 				delete(m.replies, f.Request)
@@ -274,7 +286,7 @@
 				}}, m.queue...)
 				m.processQueue()
 			}
-			m.world.schedule(m.world.diskLatency+min(m.diskDelay, 29*m.world.diskLatency), written)
+			m.world.schedule(m.writeTime(), written)
 			return
 		case replica.SendCall:
 			incarnation := m.incarnation
--- a/internal/lab/plane/operators.go
+++ b/internal/lab/plane/operators.go
@@ -151,13 +151,7 @@
 		switch {
 		case r.Status == http.StatusOK:
 			w.noteFinalAnswer(c)
-			for _, f := range w.ackFaults {
-				if !m.gone {
-					w.inject(&Fault{Kind: WipeDisk, For: f.For, On: []int{w.slotOf(m)}})
-				}
-				w.inject(&Fault{Kind: PowerLoss, For: f.For})
-			}
-			w.ackFaults = nil
+			w.injectAckFaults(m)
 		case r.Status < 500:
 			w.noteRejection(c, r)
 			w.noteFinalAnswer(c)
--- a/internal/lab/plane/people.go
+++ b/internal/lab/plane/people.go
@@ -16,6 +16,8 @@
 	clientTimeout     = time.Second // how long operators and engines wait for an answer
 
 	maxDeregisterCalls = 10 // further calls of an engine that gets no acknowledgement
+
+	maxHeartbeatDelay = 15 * time.Second // of a heartbeat that arrives late
 )
 
 // engine is a simulated engine that sends heartbeats.
@@ -57,6 +59,7 @@
 // drain makes the engine announce that it drains.
 func (e *engine) drain() {
 	if !e.dead && e.state == endpoints.StateReady {
+		e.sendLateHeartbeat()
 		e.state = endpoints.StateDraining
 		e.heartbeat(0)
 		e.world.schedule(20*time.Second, func() { e.dead = true })
@@ -69,6 +72,7 @@
 	if e.dead || e.state != endpoints.StateReady {
 		return
 	}
+	e.sendLateHeartbeat()
 	e.state, e.deregistered = endpoints.StateGone, true
 	e.deregister(0)
 	e.world.schedule(20*time.Second, func() { e.dead = true })
@@ -91,8 +95,7 @@
 			e.deregister(attempt + 1)
 			return
 		}
-		e.drainAckedAt = w.now
-		w.report.Drained++
+		e.noteDrainAck(m)
 	}
 	failed := discovery.Reply{Err: errNoAnswer}
 	w.schedule(clientTimeout, func() { handleReply(failed) })
@@ -107,6 +110,31 @@
 	})
 }
 
+// record returns the record that a heartbeat of the engine reports.
+func (e *engine) record(calls uint64, state endpoints.State) endpoints.Record {
+	return endpoints.Record{
+		ID: e.id, Service: "s", Addr: fmt.Sprintf("10.9.%d.%d:80", e.index>>8, e.index&255), Zone: "z", Slots: 4, CallCount: calls, State: state,
+	}
+}
+
+// sendLateHeartbeat sends a heartbeat of the engine, which is still ready, to a random machine. It arrives up to maxHeartbeatDelay later.
+func (e *engine) sendLateHeartbeat() {
+	w := e.world
+	e.calls++
+	late := e.record(e.calls, endpoints.StateReady)
+	w.schedule(time.Duration(w.rand.Int64N(int64(maxHeartbeatDelay))), func() {
+		m := w.machines[w.randomMachine()]
+		m.deliver(discovery.Heartbeat{Request: m.nextRequest(), Record: late})
+	})
+}
+
+// noteDrainAck records that a machine has acknowledged that the engine drains or has deregistered.
+func (e *engine) noteDrainAck(m *machine) {
+	e.drainAckedAt = e.world.now
+	e.world.report.Drained++
+	e.world.injectAckFaults(m)
+}
+
 // crash stops the engine without notice.
 func (e *engine) crash() { e.dead = true }
 
@@ -142,8 +170,7 @@
 			e.homeReplica = w.machineAt(a.HomeReplica)
 		}
 		if state == endpoints.StateDraining && e.drainAckedAt == 0 { // also if the machine had no quorum contact
-			e.drainAckedAt = w.now
-			w.report.Drained++
+			e.noteDrainAck(m)
 		}
 	}
 	w.schedule(clientTimeout, fail)
@@ -152,9 +179,7 @@
 			fail()
 			return
 		}
-		request := discovery.Heartbeat{Request: m.nextRequest(), Record: endpoints.Record{
-			ID: e.id, Service: "s", Addr: fmt.Sprintf("10.9.%d.%d:80", e.index>>8, e.index&255), Zone: "z", Slots: 4, CallCount: e.calls, State: state,
-		}}
+		request := discovery.Heartbeat{Request: m.nextRequest(), Record: e.record(e.calls, state)}
 		m.replies[request.Request] = func(a discovery.Reply) { w.schedule(time.Millisecond, func() { handleReply(a) }) }
 		if w.injectedBug == "acknowledges a drain without gossip" {
 			delete(m.replies, request.Request)
--- a/internal/lab/plane/plane.go
+++ b/internal/lab/plane/plane.go
@@ -48,7 +48,7 @@
 const (
 	Kill              FaultKind = "kill"   // crash processes and restart them; disks survive
 	PowerLoss         FaultKind = "dark"   // crash all processes at the same moment
-	CrashAfterAck     FaultKind = "aimed"  // at the next acknowledgement wipe the disk of the replica that sent it and crash all processes
+	CrashAfterAck     FaultKind = "aimed"  // at the next acknowledgement, to an operator or an engine, wipe the disk of the replica that sent it and crash all processes
 	WipeDisk          FaultKind = "wipe"   // crash processes; replicas lose their disks
 	Isolate           FaultKind = "cut"    // partition machines from all others and from the platform
 	DropOutbound      FaultKind = "mute"   // one-way partition: nothing that the machines send arrives
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -72,6 +72,7 @@
 //	replaced-planned.toml: the same with a successor that starts before its predecessor receives SIGTERM
 //	removed-again.toml: an operator removed a voter, it was promoted again for a failed one, and the retried call was rejected
 //	island-drain.toml: routers that no replica heard acknowledged to each other that an engine had deregistered
+//	late-heartbeat.toml: after a power loss of all, a late heartbeat revived an engine that had deregistered
 func TestRegressionScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.toml")
 	if err != nil || len(files) == 0 {
@@ -154,7 +155,11 @@
 		{At: 5 * time.Second, For: time.Second, Kind: ReplaceReplica, On: []int{0}},
 		{At: 14 * time.Second, Kind: RemoveMember, On: []int{0}},
 	},
-	"DRAIN":   {{At: 12 * time.Second, Kind: DrainEngine, On: []int{1, 2, 3}}},
+	"DRAIN": {
+		{At: 12 * time.Second, Kind: DrainEngine, On: []int{1, 2, 3}},
+		{At: 14 * time.Second, Kind: DeregisterEngine, On: []int{4, 5, 6}},
+		{At: 14100 * time.Millisecond, For: time.Second, Kind: PowerLoss},
+	},
 	"CURRENT": {{At: 3 * time.Second, For: 12 * time.Second, Kind: Isolate, On: []int{0, 1}}, {At: 9 * time.Second, Kind: ChangeConfig}},
 	"SILENT":  {{At: 4 * time.Second, For: 9 * time.Second, Kind: PartitionReplicas, On: []int{0}}, {At: 15 * time.Second, For: 9 * time.Second, Kind: PartitionReplicas, On: []int{1}}},
 	"ONE":     {{At: 3 * time.Second, For: 9 * time.Second, Kind: PartitionReplicas, On: []int{0, 1}}, {At: 16 * time.Second, For: 9 * time.Second, Kind: PartitionReplicas, On: []int{2, 3}}},
@@ -260,6 +265,7 @@
 		"replies before the write completes":  "LOST",
 		"acknowledges before commit":          "CONFIG",
 		"acknowledges a drain without gossip": "DRAIN",
+		"drains are kept in memory only":      "DRAIN",
 		"suspects without a quorum":           "SILENT",
 		"platform calls are delayed":          "ONE",
 		"rejects joins":                       "AVAILABLE",
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -99,7 +99,9 @@
 	}
 	r.net.OnExchange = r.counted
 	self := gossip.Peer{ID: gossip.PeerIDOf(fmt.Sprint("hollow-", i)), Addr: addr, Zone: hash32(zoneName(r.zone)), Flags: gossip.FlagRouter}
-	r.node = discovery.New(self, r.rnd.Uint64(), beat*limits.MissedHeartbeats+beat/2, hash32)
+	r.node = discovery.New(discovery.Options{
+		Self: self, Seed: r.rnd.Uint64(), HeartbeatTimeout: beat*limits.MissedHeartbeats + beat/2, ZoneHash: hash32,
+	})
 	return r, nil
 }
 
--- a/internal/limits/discovery.go
+++ b/internal/limits/discovery.go
@@ -12,6 +12,9 @@
 	// DrainAckPeers is the number of other processes that must have received an engine's drain before it is acknowledged to the
 	// engine. With two, the drain survives the failure of this process and of one other.
 	DrainAckPeers = 2
+	// EndpointStoreQueue is the number of requests to store a drain that wait for the disk of a replica. Further ones fail, and the engines
+	// call again. A restart of all engines (docs/CAPACITY.md) fits twice.
+	EndpointStoreQueue = 4096
 	// GossipSpreadTime is the time within which gossip delivers an update to every process.
 	GossipSpreadTime = 1200 * time.Millisecond
 )
--- a/internal/node/discoveryhost.go
+++ b/internal/node/discoveryhost.go
@@ -23,6 +23,8 @@
 	onEndpointsChanged func()                               // an endpoint was added, removed or changed
 	onIdleDropReported func()                               // another router has observed that an engine dropped an idle connection
 	onConfigAnnounced  func(index uint64, from gossip.Peer) // a peer has the configuration at a log index
+	onStoreRecords     func(discovery.StoreRecords)         // records of endpoints must be stored; nil unless the process is a replica
+	onForgetRecords    func(discovery.ForgetRecords)        // stored records are obsolete; nil unless the process is a replica
 
 	wake chan struct{} // signals run to reset its timer
 
@@ -33,12 +35,12 @@
 	replies     map[discovery.RequestID]chan discovery.Reply // of requests in flight; each channel is buffered for one value
 }
 
-func newDiscoveryHost(t *transport.Transport, self gossip.Peer, seed uint64, suspectAfter time.Duration) *discoveryHost {
+func newDiscoveryHost(t *transport.Transport, o discovery.Options) *discoveryHost {
 	start := time.Now()
 	return &discoveryHost{
 		transport: t, clock: func() time.Duration { return time.Since(start) + time.Hour },
 		onEndpointsChanged: func() {}, onIdleDropReported: func() {}, onConfigAnnounced: func(uint64, gossip.Peer) {},
-		wake: make(chan struct{}, 1), reducer: discovery.New(self, seed, suspectAfter, zoneHash),
+		wake: make(chan struct{}, 1), reducer: discovery.New(o),
 		replies: map[discovery.RequestID]chan discovery.Reply{},
 	}
 }
@@ -62,6 +64,10 @@
 			if reply, ok := h.replies[f.Request]; ok {
 				reply <- f // does not block: a request has one reply
 			}
+		case discovery.StoreRecords:
+			callbacks = append(callbacks, func() { h.onStoreRecords(f) })
+		case discovery.ForgetRecords:
+			callbacks = append(callbacks, func() { h.onForgetRecords(f) })
 		case discovery.EndpointsChanged:
 			callbacks = append(callbacks, h.onEndpointsChanged)
 		case discovery.IdleDropReported:
--- a/internal/node/replicadisk.go
+++ b/internal/node/replicadisk.go
@@ -5,21 +5,34 @@
 	"time"
 
 	"notchhinge/internal/control/replica"
+	"notchhinge/internal/control/storage"
 	"notchhinge/internal/limits"
 )
 
 var errDiskUnavailable = errors.New("storage does not take writes")
 
-// persist carries out a write, after reopening the disk if the previous write has failed. h.mu is held. After an error the
-// write may or may not be on the disk, and the replica does not vote until a write succeeds.
+// persist carries out a write of the replica. h.mu is held. After an error the write may or may not be on the disk, and the
+// replica does not vote until a write succeeds.
 func (h *replicaHost) persist(w *replica.Write) error {
+	return h.withDisk(func() error { return h.write(w) })
+}
+
+// updateEndpoints writes changes of the stored endpoint records, once h.mu is free.
+func (h *replicaHost) updateEndpoints(changes storage.EndpointChanges) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.withDisk(func() error { return h.disk.UpdateEndpoints(changes) })
+}
+
+// withDisk carries out a write, after reopening the disk if the previous write has failed. h.mu is held.
+func (h *replicaHost) withDisk(write func() error) error {
 	if h.diskClosed {
 		return errDiskUnavailable
 	}
 	if h.diskFailed && !h.reopenDisk() {
 		return errDiskUnavailable
 	}
-	if err := h.write(w); err != nil {
+	if err := write(); err != nil {
 		h.diskFailed, h.reopenedAt = true, time.Now()
 		h.log.Error("storage write failed; replica abstains until it is reopened", "err", err)
 		return errDiskUnavailable
--- a/internal/node/replicahost.go
+++ b/internal/node/replicahost.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"notchhinge/internal/control/api"
+	"notchhinge/internal/control/endpoints"
 	"notchhinge/internal/control/replica"
 	"notchhinge/internal/control/replog"
 	"notchhinge/internal/control/rpc"
@@ -36,6 +37,7 @@
 	call           peerCall
 	peers          func() []netip.AddrPort // the other known replicas
 	onStateChanged func(*replog.State)     // called with every new state, with mu held; must not block
+	endpoints      []endpoints.Record      // draining and deregistered endpoints, as recovered from the disk
 
 	mu         contextMutex
 	reducer    *replica.Replica
@@ -101,7 +103,7 @@
 	h := &replicaHost{
 		ctx: ctx, log: o.log, self: replog.Member{ID: recovered.ID, Name: o.name, Addr: o.addr}, isFounder: recovered.IsFounder,
 		clock: func() time.Duration { return time.Since(start) + time.Hour }, call: o.call, peers: o.peers, onStateChanged: func(*replog.State) {},
-		mu: make(contextMutex, 1), disk: disk, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		endpoints: recovered.Endpoints, mu: make(contextMutex, 1), disk: disk, wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	h.reducer = replica.New(replica.Config{
 		Self: h.self, IsFounder: recovered.IsFounder, MinVoters: 2*o.machineFaults + 1, Incarnation: rand.Uint64(), Seed: rand.Uint64(),
--- a/internal/node/startup.go
+++ b/internal/node/startup.go
@@ -38,7 +38,10 @@
 		self.Flags |= gossip.FlagRouter
 	}
 	interval := n.cfg.HeartbeatInterval()
-	n.discovery = newDiscoveryHost(n.transport, self, rand.Uint64(), interval*limits.MissedHeartbeats+interval/2)
+	n.discovery = newDiscoveryHost(n.transport, discovery.Options{
+		Self: self, Seed: rand.Uint64(), HeartbeatTimeout: interval*limits.MissedHeartbeats + interval/2, ZoneHash: zoneHash,
+		MinStored: n.cfg.FaultTolerance.Machines + 1,
+	})
 	n.configs = newConfigSync(n.log, n.transport, n.discovery)
 	n.discovery.onConfigAnnounced = n.configs.announced
 	n.transport.OnExchange = n.countTraffic
@@ -140,6 +143,7 @@
 func (n *Node) startControlPlane(ctx context.Context) {
 	go n.configs.run(ctx)
 	if n.replica != nil {
+		n.startEndpointStore(ctx)
 		n.replica.onStateChanged = n.stateChanged
 		s := n.replica.state()
 		n.stateChanged(&s)
@@ -154,6 +158,15 @@
 	go n.configs.confirmNewest(ctx)
 }
 
+// startEndpointStore restores the records of draining and deregistered endpoints from the disk, and stores those that follow.
+func (n *Node) startEndpointStore(ctx context.Context) {
+	store := newEndpointStore(n.replica.updateEndpoints, func(e discovery.RecordsStored) { n.discovery.step(e) })
+	n.discovery.onStoreRecords, n.discovery.onForgetRecords = store.store, store.forget
+	n.discovery.step(discovery.RecordsRestored{Records: n.replica.endpoints})
+	n.replica.endpoints = nil
+	go store.run(ctx)
+}
+
 // servers holds the servers of the process and their listeners.
 type servers struct {
 	failed   chan error   // the errors that servers return; buffered for all of them
