discovery: replicas store the drains that they learn

What callers would see: a drain is lost with the last disk of those that had stored it, if disks are lost in turn, each after the one before has caught up; a late heartbeat then revives the engine after a restart of all. Cause: a replica stored a drain only when a durable broadcast asked it to; one that came back with an empty disk learned it by gossip and kept it in memory. Change: replicas store every record of an endpoint that has signed off, also those learned by gossip, and again after the disk has refused it. An endpoint that counts as gone because another has come at its address gets a CallCount of its own, 2^60 - 1: it may be sound and is not stored. TestReplacedEndpointIsNotStored and TestRefusedRecordIsStoredLater are new. Why it works: a disk that takes the place of a lost one has the record as soon as its replica knows it, which is before it counts as caught up.

--- a/internal/control/discovery/event.go
+++ b/internal/control/discovery/event.go
@@ -26,10 +26,10 @@
 	}
 	// RecordsRestored passes the records that this process stored before its restart. It must be the first event.
 	RecordsRestored struct{ Records []endpoints.Record }
-	// RecordsStored ends a [StoreRecords] with the same ID. Stored reports whether the records are durable.
+	// RecordsStored ends a [StoreRecords]. Stored reports whether the records are durable.
 	RecordsStored struct {
-		ID     gossip.StorageID
-		Stored bool
+		Request StoreRecords
+		Stored  bool
 	}
 	// ConfigStored reports that this process has stored the configuration with a log index.
 	ConfigStored struct{ Index uint64 }
@@ -59,9 +59,9 @@
 		HomeReplica netip.AddrPort
 	}
 	// StoreRecords requests that the records of endpoints are stored on the disk of this replica, in place of earlier records of
-	// the same endpoints. A [RecordsStored] with the same ID must follow.
+	// the same endpoints. A [RecordsStored] must follow.
 	StoreRecords struct {
-		ID      gossip.StorageID
+		ID      gossip.StorageID // of the broadcast that waits for them; 0 = none
 		Records []endpoints.Record
 	}
 	// ForgetRecords requests that the stored records of endpoints are removed from the disk. It may be lost.
--- a/internal/control/discovery/failure.go
+++ b/internal/control/discovery/failure.go
@@ -59,6 +59,7 @@
 	if n.canDetectFailures() {
 		n.detectFailures()
 	}
+	n.retryRefused()
 	expired := n.Endpoints.Expire(n.now)
 	n.forgetRecords(expired)
 	for _, id := range expired {
--- a/internal/control/discovery/fleet_test.go
+++ b/internal/control/discovery/fleet_test.go
@@ -109,7 +109,7 @@
 						f.disks[from][r.ID] = r
 					}
 				}
-				queue = append(queue, delivery{from, RecordsStored{ID: x.ID, Stored: isStored}})
+				queue = append(queue, delivery{from, RecordsStored{Request: x, Stored: isStored}})
 			case ForgetRecords:
 				for _, id := range x.EndpointIDs {
 					delete(f.disks[from], id)
--- a/internal/control/discovery/items.go
+++ b/internal/control/discovery/items.go
@@ -82,6 +82,7 @@
 	if len(n.Endpoints.Merge(n.now, r)) > 0 {
 		n.endpointsChanged = true
 		n.idByHash[gossip.Hash(r.ID)] = r.ID
+		n.storeLater(&r)
 	}
 	if suspicion, ok := n.Gossip.Item(suspicionPrefix + r.ID); ok { // may have arrived before the record
 		n.mergeSuspicion(suspicionOf(&suspicion))
--- a/internal/control/discovery/node.go
+++ b/internal/control/discovery/node.go
@@ -23,7 +23,9 @@
 
 	idByHash         map[uint64]string          // endpoint ids by the key hash in heartbeats
 	ackedState       map[string]endpoints.State // by endpoint id: the latest state that other processes have acknowledged to this one
-	storedRecords    map[string]bool            // ids of the endpoints whose record this replica has stored, or is storing
+	storedStates     map[string]endpoints.State // by endpoint id: the state that this replica has stored, or is storing
+	unstored         map[string]bool            // ids of endpoints whose record this replica has to store
+	refused          map[string]bool            // ids of endpoints whose record the disk has refused
 	pendingReplies   map[gossip.BroadcastID]pendingReply
 	lastBroadcastID  gossip.BroadcastID
 	endpointsChanged bool          // since the last EndpointsChanged effect
@@ -46,7 +48,7 @@
 func New(o Options) *Node {
 	n := &Node{
 		Gossip: gossip.New(o.Self, o.Seed), Endpoints: endpoints.New(o.HeartbeatTimeout), self: o.Self, zoneHash: o.ZoneHash, minStored: o.MinStored,
-		idByHash: map[uint64]string{}, ackedState: map[string]endpoints.State{}, storedRecords: map[string]bool{},
+		idByHash: map[uint64]string{}, ackedState: map[string]endpoints.State{}, storedStates: map[string]endpoints.State{}, unstored: map[string]bool{}, refused: map[string]bool{},
 		pendingReplies: map[gossip.BroadcastID]pendingReply{},
 	}
 	n.Gossip.IsStale = n.isStale
@@ -71,7 +73,7 @@
 	case RecordsRestored:
 		n.restoreRecords(e.Records)
 	case RecordsStored:
-		n.gossipEvents = append(n.gossipEvents, gossip.ItemsStored(e))
+		n.recordStored(e)
 	case ConfigStored:
 		n.publish(configItem(e.Index))
 	case IdleDropObserved:
@@ -83,6 +85,7 @@
 		n.sweep()
 		n.runGossip()
 	}
+	n.storeLearned()
 	if n.endpointsChanged {
 		n.endpointsChanged = false
 		n.effects = append(n.effects, EndpointsChanged{})
--- a/internal/control/discovery/storage_test.go
+++ b/internal/control/discovery/storage_test.go
@@ -55,6 +55,66 @@
 	}
 }
 
+// TestDrainSurvivesDisksLostInTurn guards against a drain that is lost with the last disk of those that had stored it: each disk is lost in
+// turn, each time with a restart of all processes, after the replica before has caught up.
+func TestDrainSurvivesDisksLostInTurn(t *testing.T) {
+	const nodes, leaving, known = 8, 1, 2
+	for _, state := range []endpoints.State{endpoints.StateDraining, endpoints.StateGone} {
+		f := newFleet(nodes)
+		f.heartbeat(0, leaving, 4, endpoints.StateReady)
+		f.heartbeat(0, known, 50, endpoints.StateReady)
+		f.signOff(t, 5, leaving, state)
+		for lostDisk := range testReplicas {
+			clear(f.disks[lostDisk])
+			f.startAll(uint64(100 * (lostDisk + 1)))
+			f.advance(5 * time.Second)
+		}
+		f.heartbeat(6, leaving, 5, endpoints.StateReady)
+		f.heartbeat(6, known, 51, endpoints.StateReady)
+		f.checkServing(t, leaving, known, 6)
+	}
+}
+
+// TestReplacedEndpointIsNotStored checks that an endpoint which counts as gone because another one has come at its address is live again
+// after a restart of all, since it may be sound: only what the endpoint itself has announced is stored.
+func TestReplacedEndpointIsNotStored(t *testing.T) {
+	const replaced, successor = 1, 2
+	f := newFleet(5)
+	f.heartbeat(4, replaced, 9, endpoints.StateReady)
+	r := testRecord(successor, 1, endpoints.StateReady)
+	r.Addr = testRecord(replaced, 1, endpoints.StateReady).Addr
+	f.reduce(4, Heartbeat{Record: r})
+	f.advance(2 * time.Second)
+	f.heartbeat(4, replaced, 10, endpoints.StateReady)
+	if live := f.liveAt(replaced); live > 0 {
+		t.Errorf("the replaced endpoint is live at %d nodes", live)
+	}
+	for i := range f.disks {
+		if len(f.disks[i]) > 0 {
+			t.Errorf("replica %d has stored %v", i, f.disks[i])
+		}
+	}
+	f.startAll(100)
+	f.advance(4 * time.Second)
+	if f.heartbeat(4, replaced, 11, endpoints.StateReady); f.liveAt(replaced) == 0 {
+		t.Error("the replaced endpoint is not live after a restart of all")
+	}
+}
+
+// TestRefusedRecordIsStoredLater checks that a replica whose disk is full stores a drain once the disk takes writes again.
+func TestRefusedRecordIsStoredLater(t *testing.T) {
+	f := newFleet(5)
+	f.heartbeat(4, 1, 1, endpoints.StateReady)
+	f.fullDisks[1] = true
+	f.signOff(t, 4, 1, endpoints.StateGone)
+	f.advance(2 * time.Second)
+	f.fullDisks[1] = false
+	f.advance(time.Second)
+	if len(f.disks[1]) != 1 {
+		t.Errorf("the replica has stored %d records, want 1", len(f.disks[1]))
+	}
+}
+
 // checkServing checks that one endpoint is not ready at any node, and that another one is ready at a node at once and soon at all.
 func (f *fleet) checkServing(t *testing.T, leaving, serving, node int) {
 	t.Helper()
--- a/internal/control/endpoints/record.go
+++ b/internal/control/endpoints/record.go
@@ -37,6 +37,9 @@
 	// deregisteredCallCount is the CallCount of a deregistered endpoint, above that of any heartbeat. Package discovery shifts
 	// it left to make room for flags, so the upper bits must be free.
 	deregisteredCallCount = 1 << 60
+	// replacedCallCount is the CallCount of an endpoint that counts as gone because another one has come at its address. No heartbeat has
+	// it, and the endpoint's own deregistration supersedes it.
+	replacedCallCount = deregisteredCallCount - 1
 
 	// expiryTimeout is the time without a heartbeat after which an endpoint counts as failed, and the time for which a gone record
 	// is kept. It is far above the delay of any heartbeat.
@@ -74,6 +77,11 @@
 	return r, reader.Finish()
 }
 
+// IsSignedOff reports whether the endpoint itself has announced its end, by draining or deregistering.
+func (r *Record) IsSignedOff() bool {
+	return r.State == StateDraining || r.State == StateGone && r.CallCount == deregisteredCallCount
+}
+
 // IsStale reports whether the endpoint has been gone for so long that no process needs the record.
 func (r *Record) IsStale(wallMS int64) bool {
 	return r.State == StateGone && wallMS-r.WarmAtMS > staleAfter.Milliseconds()
--- a/internal/control/endpoints/registry.go
+++ b/internal/control/endpoints/registry.go
@@ -60,7 +60,7 @@
 // Heartbeat handles a heartbeat received from the endpoint itself. It returns the changed records, which must be sent to the other
 // processes, and reports whether the heartbeat is newer than the latest known one.
 func (s *Registry) Heartbeat(now time.Duration, r Record, wallMS int64) (changed []Record, isNew bool) {
-	if r.CallCount >= deregisteredCallCount {
+	if r.CallCount >= replacedCallCount {
 		return nil, false // not a valid heartbeat number
 	}
 	e := s.byID[r.ID]
@@ -77,9 +77,9 @@
 	return s.Merge(now, r), true
 }
 
-// isOutdated reports whether a heartbeat is not newer than the known state, or follows the deregistration of the endpoint.
+// isOutdated reports whether a heartbeat is not newer than the known state, or follows the deregistration or replacement of the endpoint.
 func (e *Endpoint) isOutdated(r *Record) bool {
-	if e.CallCount == deregisteredCallCount {
+	if e.CallCount >= replacedCallCount {
 		return true
 	}
 	advancesState := r.State > e.State && r.CallCount >= e.CallCount
@@ -96,7 +96,7 @@
 		return changed
 	}
 	if r.CallCount < previous.LatestCallCount || now-previous.LastHeartbeat > s.heartbeatTimeout/2 {
-		changed = append(changed, s.Deregister(now, previous.ID, wallMS)...)
+		changed = append(changed, s.end(now, previous.ID, replacedCallCount, wallMS)...)
 		s.byAddr[r.Addr] = r.ID
 	}
 	return changed
@@ -105,14 +105,20 @@
 // Deregister records that an endpoint has ended, and returns the new record; none if it was deregistered already. An unknown endpoint is
 // recorded, too, because a late heartbeat may follow.
 func (s *Registry) Deregister(now time.Duration, id string, wallMS int64) []Record {
+	return s.end(now, id, deregisteredCallCount, wallMS)
+}
+
+// end records that an endpoint has ended, with a CallCount above that of any heartbeat. It returns the new record; none if a record with
+// this or a higher CallCount is known.
+func (s *Registry) end(now time.Duration, id string, callCount uint64, wallMS int64) []Record {
 	r := Record{ID: id}
 	if e := s.byID[id]; e != nil {
-		if e.CallCount == deregisteredCallCount {
+		if e.CallCount >= callCount {
 			return nil
 		}
 		r = e.Record
 	}
-	r.State, r.CallCount, r.WarmAtMS = StateGone, deregisteredCallCount, wallMS
+	r.State, r.CallCount, r.WarmAtMS = StateGone, callCount, wallMS
 	return s.Merge(now, r)
 }
 
@@ -159,7 +165,7 @@
 		s.releaseAddr(&e.Record) // the new record has no address if its author did not know the endpoint
 	}
 	e.Record = r
-	if r.CallCount != deregisteredCallCount && r.CallCount > e.LatestCallCount {
+	if r.CallCount < replacedCallCount && r.CallCount > e.LatestCallCount {
 		s.recordHeartbeat(e, r.CallCount, now)
 	}
 }
--- a/internal/lab/check/draining.go
+++ b/internal/lab/check/draining.go
@@ -99,7 +99,7 @@
 			for _, r := range effect.Records {
 				f.disks[i][r.ID] = r
 			}
-			f.reduce(i, discovery.RecordsStored{ID: effect.ID, Stored: true})
+			f.reduce(i, discovery.RecordsStored{Request: effect, Stored: true})
 		}
 	}
 }
--- a/internal/lab/plane/disk.go
+++ b/internal/lab/plane/disk.go
@@ -34,7 +34,7 @@
 // storeEndpoints stores records of endpoints after the latency of the disk, and reports the outcome to the process.
 func (m *machine) storeEndpoints(e discovery.StoreRecords) {
 	incarnation := m.incarnation
-	done := discovery.RecordsStored{ID: e.ID}
+	done := discovery.RecordsStored{Request: e}
 	var write func()
 	write = func() {
 		switch {
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -1,6 +1,8 @@
 package plane
 
 import (
+	"flag"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -12,6 +14,9 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
+// drainSeeds is the number of seeds of TestDrainsSurvivePowerLosses.
+var drainSeeds = flag.Int("drain-seeds", 12, "scenarios of TestDrainsSurvivePowerLosses")
+
 var (
 	fiveReplicas  = Size{Replicas: 5, Routers: 9, Engines: 8, Tolerate: 2}
 	threeReplicas = Size{Replicas: 3, Routers: 4, Engines: 6, Tolerate: 1}
@@ -89,6 +94,40 @@
 	}
 }
 
+// TestDrainsSurvivePowerLosses runs scenarios in which engines drain and deregister, and all machines lose power soon after, several times
+// and each time with as many lost disks as tolerated.
+func TestDrainsSurvivePowerLosses(t *testing.T) {
+	drained := 0
+	for seed := range uint64(*drainSeeds) {
+		s := drainScenario(seed)
+		r := s.Run("")
+		if drained += r.Drained; len(r.Violations) > 0 {
+			t.Errorf("seed %d: %+v", seed, r.Violations)
+		}
+	}
+	if drained < *drainSeeds*5 {
+		t.Errorf("only %d drains were acknowledged", drained)
+	}
+	t.Logf("%d drains were acknowledged", drained)
+}
+
+// drainScenario draws rounds of engines that leave and of power losses that follow. A round begins after the disks lost in the one before
+// have caught up.
+func drainScenario(seed uint64) *Scenario {
+	const round = 12 * time.Second
+	rnd := rand.New(rand.NewPCG(seed, 62))
+	d := &Scenario{Seed: seed, Replicas: 5, Routers: 9, Engines: 16, Tolerate: 2, Length: 3*round + 15*time.Second}
+	for start := 3 * time.Second; start < 3*round; start += round {
+		kind := []FaultKind{DrainEngine, DeregisterEngine}[rnd.IntN(2)]
+		at := start + time.Duration(rnd.IntN(1500))*time.Millisecond
+		after := time.Duration(rnd.IntN(300)) * time.Millisecond
+		d.Faults = append(d.Faults,
+			Fault{At: at, Kind: kind, On: rnd.Perm(d.Engines)[:4]},
+			Fault{At: at + after, For: 200*time.Millisecond + time.Duration(rnd.IntN(1000))*time.Millisecond, Kind: PowerLoss, Variant: LoseDisks, On: rnd.Perm(d.Replicas)[:rnd.IntN(3)]})
+	}
+	return d
+}
+
 func TestScenarioFileRoundTrip(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "day.toml")
 	write := func(b []byte) {
--- a/internal/node/endpointstore.go
+++ b/internal/node/endpointstore.go
@@ -7,7 +7,6 @@
 
 	"notchhinge/internal/control/discovery"
 	"notchhinge/internal/control/endpoints"
-	"notchhinge/internal/control/gossip"
 	"notchhinge/internal/control/storage"
 	"notchhinge/internal/limits"
 )
@@ -20,9 +19,9 @@
 
 	wake chan struct{} // signals run that the queue is not empty
 
-	mu     sync.Mutex
-	queued storage.EndpointChanges
-	ids    []gossip.StorageID // of the requests in queued
+	mu       sync.Mutex
+	requests []discovery.StoreRecords
+	obsolete []string // ids of endpoints whose records are to be removed
 }
 
 func newEndpointStore(write func(storage.EndpointChanges) error, done func(discovery.RecordsStored)) *endpointStore {
@@ -32,16 +31,16 @@
 // store queues a storage request. It does not block.
 func (s *endpointStore) store(e discovery.StoreRecords) {
 	s.mu.Lock()
-	isFull := len(s.ids) >= limits.EndpointStoreQueue
+	isFull := len(s.requests) >= limits.EndpointStoreQueue
 	if !isFull {
-		s.queued.Put, s.ids = append(s.queued.Put, e.Records...), append(s.ids, e.ID)
-		s.queued.Delete = slices.DeleteFunc(s.queued.Delete, func(id string) bool { // the batch puts before it deletes
+		s.requests = append(s.requests, e)
+		s.obsolete = slices.DeleteFunc(s.obsolete, func(id string) bool { // a batch puts before it deletes
 			return slices.ContainsFunc(e.Records, func(r endpoints.Record) bool { return r.ID == id })
 		})
 	}
 	s.mu.Unlock()
 	if isFull {
-		s.done(discovery.RecordsStored{ID: e.ID})
+		s.done(discovery.RecordsStored{Request: e})
 		return
 	}
 	s.signal()
@@ -50,7 +49,7 @@
 // forget queues the removal of records. It does not block.
 func (s *endpointStore) forget(e discovery.ForgetRecords) {
 	s.mu.Lock()
-	s.queued.Delete = append(s.queued.Delete, e.EndpointIDs...)
+	s.obsolete = append(s.obsolete, e.EndpointIDs...)
 	s.mu.Unlock()
 	s.signal()
 }
@@ -71,12 +70,15 @@
 		case <-s.wake:
 		}
 		s.mu.Lock()
-		changes, ids := s.queued, s.ids
-		s.queued, s.ids = storage.EndpointChanges{}, nil
+		requests, changes := s.requests, storage.EndpointChanges{Delete: s.obsolete}
+		s.requests, s.obsolete = nil, nil
 		s.mu.Unlock()
+		for _, request := range requests {
+			changes.Put = append(changes.Put, request.Records...)
+		}
 		isStored := s.write(changes) == nil
-		for _, id := range ids {
-			s.done(discovery.RecordsStored{ID: id, Stored: isStored})
+		for _, request := range requests {
+			s.done(discovery.RecordsStored{Request: request, Stored: isStored})
 		}
 	}
 }
