--- a/internal/control/storage/endpoints_test.go
+++ b/internal/control/storage/endpoints_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"fmt"
 	"path/filepath"
 	"testing"
 
@@ -47,3 +48,34 @@
 	}
 	golden.Check(t, "endpoint-record.hex", append(endpointKey("i-1"), gone.Encode()...))
 }
+
+// BenchmarkUpdateEndpoints measures a synced batch of records, as for one engine that drains and for a restart of all of them.
+func BenchmarkUpdateEndpoints(b *testing.B) {
+	for _, count := range []int{1, 25, 1500} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s, _, err := Open(b.TempDir(), Identity{ID: 7})
+			if err != nil {
+				b.Fatal(err)
+			}
+			changes := EndpointChanges{}
+			bytes := 0
+			for i := range count {
+				r := endpoints.Record{
+					ID: fmt.Sprintf("i-%08x", i), Service: "runscribe", Addr: "10.128.100.109:8080", Zone: "hall-ashley", Revision: "v1", Slots: 13,
+					State: endpoints.StateGone, CallCount: 1 << 60, WarmAtMS: 1_700_000_000_000,
+				}
+				changes.Put = append(changes.Put, r)
+				bytes += len(endpointKey(r.ID)) + len(r.Encode())
+			}
+			for b.Loop() {
+				if err := s.UpdateEndpoints(changes); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes), "bytes")
+			if err := s.Close(); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+}
