tools/knownred: read events of any length

Cause: a line of go test -json of more than 64 kB ended the reading without an error, so that a listed test counted as not run. Compilers print such lines on some machines. Change: lines are divided by bytes.Lines.

--- a/tools/knownred/red.go
+++ b/tools/knownred/red.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -105,9 +104,9 @@
 // checkFailed returns nil if events, the output of go test -json, report that r's test failed.
 func (r knownFailure) checkFailed(events []byte) error {
 	outcome := ""
-	for s := bufio.NewScanner(bytes.NewReader(events)); s.Scan(); {
+	for line := range bytes.Lines(events) { // of any length: the output of a compiler is one line
 		var e struct{ Action, Test string }
-		if json.Unmarshal(s.Bytes(), &e) != nil || e.Test != r.test {
+		if json.Unmarshal(line, &e) != nil || e.Test != r.test {
 			continue
 		}
 		switch e.Action {
--- a/tools/knownred/red_test.go
+++ b/tools/knownred/red_test.go
@@ -64,6 +64,7 @@
 		want   string // part of the error; "" = no error
 	}{
 		"fails":         {events: parent + `{"Action":"fail","Test":"TestFleet/frozen"}`},
+		"long output":   {events: `{"Action":"build-output","Output":"` + strings.Repeat("x", 1<<20) + "\"}\n" + `{"Action":"fail","Test":"TestFleet/frozen"}`},
 		"passes":        {events: `{"Action":"pass","Test":"TestFleet/frozen"}`, want: "passes"},
 		"skips":         {events: `{"Action":"skip","Test":"TestFleet/frozen"}`, want: "skips itself"},
 		"only a parent": {events: parent, want: "did not run"},
