lab/plane: a planned replacement between halves is known red

While the replicas are cut into halves, the successor takes the vote of the unreachable voter, the predecessor leaves, and two voters are left; one loses its disk 1.1 s after the cut has healed, before the third has a vote again.

--- a/internal/control/gossip/doc.go
+++ b/internal/control/gossip/doc.go
@@ -17,11 +17,12 @@
 //
 // Every [BroadcastInterval] a node sends new items to [Fanout] random peers of its view, which pass on the items that are new to
 // them (rumor mongering, broadcast.go). Urgent items are sent at once to peers of different roles and zones, which acknowledge
-// them (urgent.go), the replicas after the items are on their disks where the broadcast asks for it (durable.go). Anti-entropy repairs gaps (antientropy.go): two nodes compare a root digest, then descend a tree of digests of
-// key-hash ranges, as in a Merkle tree (ranges.go). For ranges with few items they compare versions, and each sends the items
-// that the other lacks. A digest covers an item's key, kind, version and body. Both parts follow Demers et al., Epidemic Algorithms
-// for Replicated Database Maintenance (1987). With nodes of the previous release the tree has one level and digests do not cover
-// bodies (legacy.go).
+// them (urgent.go), the replicas after the items are on their disks where the broadcast asks for it (durable.go). Anti-entropy
+// repairs gaps (antientropy.go): two nodes compare a root digest, then descend a tree of digests of key-hash ranges, as in a
+// Merkle tree (ranges.go). For ranges with few items they compare versions, and each sends the items that the other lacks. A
+// digest covers an item's key, kind, version and body. Both parts follow Demers et al., Epidemic Algorithms for Replicated
+// Database Maintenance (1987). With nodes of the previous release the tree has one level and digests do not cover bodies
+// (legacy.go).
 //
 // # Heartbeats
 //
--- a/internal/lab/plane/plane_test.go
+++ b/internal/lab/plane/plane_test.go
@@ -111,6 +111,19 @@
 	t.Logf("%d drains were acknowledged", drained)
 }
 
+// TestPlannedReplacementBetweenHalves runs a scenario that still violates AVAILABLE: while the replicas are cut into two halves, a
+// successor takes the vote of an unreachable voter and its predecessor leaves, so that two voters are left, and one of them loses its disk
+// before the third has a vote again.
+func TestPlannedReplacementBetweenHalves(t *testing.T) {
+	d, err := Load("testdata/known-red/halves-replace-wipe.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := d.Run(""); len(r.Violations) > 0 {
+		t.Errorf("%+v", r.Violations)
+	}
+}
+
 // drainScenario draws rounds of engines that leave and of power losses that follow. A round begins after the disks lost in the one before
 // have caught up.
 func drainScenario(seed uint64) *Scenario {
