lab/check: endpoints are stored in the walks over power losses and refused writes

Cause: read once more, no test asked whether the batch of a drain is synced: the simulated control plane takes its disk's writes for durable, and a kill keeps unsynced writes. Change: the script of writes stores an endpoint after every third entry, and recovery must give all of them, also after writes that the disk has refused and a reopened store. The walks and bounds are the same otherwise.

--- a/internal/lab/check/powerloss.go
+++ b/internal/lab/check/powerloss.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"syscall"
 
+	"notchhinge/internal/control/endpoints"
 	"notchhinge/internal/control/paxos"
 	"notchhinge/internal/control/replog"
 	"notchhinge/internal/control/storage"
@@ -14,17 +16,20 @@
 type written struct {
 	state    replog.State
 	acceptor paxos.AcceptorState
-	value    []byte // appended by this write; nil = the write saved the acceptor's state
+	value    []byte // appended by this write; nil = the write saved the acceptor's state or an endpoint
+
+	endpoints      []endpoints.Record // ordered by id
+	storesEndpoint bool               // this write stored the last one of endpoints
 }
 
 // matches reports whether a store has recovered exactly this content.
 func (w *written) matches(r *storage.Recovered) bool {
 	return bytes.Equal(w.state.Encode(), r.State.Encode()) && w.acceptor.Index == r.Acceptor.Index && w.acceptor.Promised == r.Acceptor.Promised &&
-		w.acceptor.Accepted == r.Acceptor.Accepted && bytes.Equal(w.acceptor.Value, r.Acceptor.Value)
+		w.acceptor.Accepted == r.Acceptor.Accepted && bytes.Equal(w.acceptor.Value, r.Acceptor.Value) && slices.Equal(w.endpoints, r.Endpoints)
 }
 
 // writeScript returns the writes of a replica that takes part in choosing 36 entries: a promise, an accepted value and the
-// chosen value of each. The values are long enough for journals to be rotated.
+// chosen value of each. It stores an endpoint after every third entry. The values are long enough for journals to be rotated.
 func writeScript() (script []written) {
 	var w written
 	for index := range uint64(36) {
@@ -37,6 +42,12 @@
 		w.state.Apply(value)
 		w.value = value
 		script = append(script, w)
+		if index%3 == 0 {
+			w.value, w.storesEndpoint = nil, true
+			w.endpoints = append(slices.Clone(w.endpoints), endpoints.Record{ID: fmt.Sprintf("i-%02d", index), State: endpoints.StateDraining, CallCount: index})
+			script = append(script, w)
+			w.storesEndpoint = false
+		}
 	}
 	return script
 }
@@ -79,13 +90,17 @@
 }
 
 func write(s *storage.Store, w *written) error {
-	if w.value != nil {
+	switch {
+	case w.value != nil:
 		return s.AppendChosen(w.value, &w.state)
+	case w.storesEndpoint:
+		return s.UpdateEndpoints(storage.EndpointChanges{Put: w.endpoints[len(w.endpoints)-1:]})
 	}
 	return s.SaveAcceptor(w.acceptor)
 }
 
-// rewrite reopens a store after a failed write, and writes its whole content.
+// rewrite reopens a store after a failed write, and writes the state and the endpoint that may have failed. The store must have kept all
+// other endpoints.
 func rewrite(s *storage.Store, w *written) error {
 	if err := s.Reopen(); err != nil {
 		return err
@@ -93,7 +108,10 @@
 	if err := s.SaveSnapshot(&w.state); err != nil {
 		return err
 	}
-	return s.SaveAcceptor(w.acceptor)
+	if err := s.SaveAcceptor(w.acceptor); err != nil || !w.storesEndpoint {
+		return err
+	}
+	return write(s, w)
 }
 
 // checkRecovered opens a store and checks that it holds all acknowledged writes, and at most the one that was in progress.
